--- a/apps/tamarackd/control/control_duty.cpp
+++ b/apps/tamarackd/control/control_duty.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t ring_capacity = 8'192;
+/** Each ticket of a foreign edge holds a whole configuration, up to some hundred KiB; disks are small. */
+constexpr std::size_t texts_of_whole_configurations = 5;
 
 control_options options_of(const settings& chosen) {
     control_options options;
@@ -17,6 +19,9 @@
     options.raft.election_timeout = chosen.times.election_timeout;
     options.leases.length = chosen.times.lease_length;
     options.leases.renewal = chosen.times.lease_renewal;
+    if (chosen.edge.kind == edge_kind::platform) {
+        options.history.texts = texts_of_whole_configurations;
+    }
     return options;
 }
 
@@ -30,7 +35,9 @@
       m_node(m_self, std::move(log), options_of(chosen), system_random(), steady_now()),
       m_timer(
           m_thread, [this] { return m_node.next_timer(); },
-          [this](time_point now) { carry_out(m_node.on_timer(now, wall_now())); }) {}
+          [this](time_point now) { carry_out(m_node.on_timer(now, wall_now())); }) {
+    m_voter_options.tolerated_losses = chosen.formation.tolerated_losses;
+}
 
 void control_duty::start() {
     m_storage.start();
@@ -93,6 +100,38 @@
     return m_thread.try_post([this, answer = std::move(answer)] { answer(overview()); });
 }
 
+bool control_duty::post_read_latest(std::function<void(outcome<configuration>, host_id)> answer) {
+    return m_thread.try_post([this, answer = std::move(answer)] {
+        const std::uint64_t operation = m_next_operation++;
+        m_reads[operation] = answer;
+        carry_out(m_node.read_latest(steady_now(), operation));
+    });
+}
+
+bool control_duty::post_voter_candidates(std::vector<voter_candidate> known) {
+    return m_thread.try_post([this, known = std::move(known)] {
+        const control_report report = m_node.report(steady_now());
+        if (report.role != raft_role::leader) {
+            return;
+        }
+        auto wanted = plan_voters(report.members, known, m_voter_options);
+        if (!wanted) {
+            return;
+        }
+        std::string names;
+        for (const member_id& voter : *wanted) {
+            names += (names.empty() ? "" : ",") + voter.host.value();
+        }
+        auto actions = m_node.change_voters(steady_now(), std::move(*wanted));
+        log_state_change(log_level::info, "voters_wanted", m_last.latest,
+                         {{"voters", names},
+                          {"result", succeeded(actions) ? std::string{"begun"} : error_of(actions).message}});
+        if (succeeded(actions)) {
+            carry_out(value_of(std::move(actions)));
+        }
+    });
+}
+
 bool control_duty::post_hand_over() {
     return m_thread.try_post([this] { carry_out(m_node.hand_over(steady_now())); });
 }
@@ -114,6 +153,7 @@
                        [this](send_control_message& send) { m_hooks.send_control(std::move(send)); },
                        [this](const store_change& store) { carry_out(store); },
                        [this](const answer_ticket& answer) { carry_out(answer); },
+                       [this](const answer_read& answer) { carry_out(answer); },
                        [this](const control_changed& changed) { carry_out(changed); },
                    },
                    action);
@@ -154,6 +194,21 @@
     answer(action.answer, m_node.report(steady_now()).leader);
 }
 
+void control_duty::carry_out(const answer_read& action) {
+    const auto found = m_reads.find(action.operation);
+    if (found == m_reads.end()) {
+        return;
+    }
+    const auto answer = std::move(found->second);
+    m_reads.erase(found);
+    const host_id leader = m_node.report(steady_now()).leader;
+    if (succeeded(action.answer)) {
+        answer(m_node.state().tickets().current(), leader);
+    } else {
+        answer(error_of(action.answer), leader);
+    }
+}
+
 void control_duty::carry_out(const control_changed& action) {
     m_metrics.set(gauge_id::is_leader, action.role == raft_role::leader ? 1.0 : 0.0);
     if (action.latest != m_last.latest) {
--- a/apps/tamarackd/control/control_duty.h
+++ b/apps/tamarackd/control/control_duty.h
@@ -58,6 +58,10 @@
     bool post_change_voters(std::vector<member_id> wanted, std::function<void(outcome<done>)> answer);
     bool post_ticket(ticket candidate, std::function<void(outcome<ticket_answer>, host_id leader)> answer);
     bool post_overview(std::function<void(control_overview)> answer);
+    /** Reads the latest configuration, confirmed by a majority; not_leader names the leader. */
+    bool post_read_latest(std::function<void(outcome<configuration>, host_id leader)> answer);
+    /** Replaces lost voters, if this host leads. @param known  every control host that has introduced itself */
+    bool post_voter_candidates(std::vector<voter_candidate> known);
 
     /** From any thread: hands leadership over, before a graceful shutdown. */
     bool post_hand_over();
@@ -66,6 +70,7 @@
     void carry_out(control_actions actions);
     void carry_out(const store_change& action);
     void carry_out(const answer_ticket& action);
+    void carry_out(const answer_read& action);
     void carry_out(const control_changed& action);
     control_overview overview() const;
 
@@ -80,6 +85,8 @@
     control_node m_node;
     timer_loop m_timer;
     std::map<std::uint64_t, ticket_answerer> m_operations;
+    std::map<std::uint64_t, std::function<void(outcome<configuration>, host_id)>> m_reads;
+    voter_plan_options m_voter_options;
     std::uint64_t m_next_operation = 1;
     control_changed m_last;
 };
--- /dev/null
+++ b/apps/tamarackd/forwarding/exchange_connections.cpp
@@ -0,0 +1,42 @@
+#include "exchange_connections.h"
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t reply_body_limit = 16 * mebibyte;
+
+} // namespace
+
+exchange_connections::exchange_connections(duty_thread& thread, const edge_protocol& edge,
+                                           exchange_connection_events events)
+    : m_thread(thread), m_edge(edge), m_events(std::move(events)) {}
+
+void exchange_connections::open(const open_target_connection& wanted, duration connect_limit) {
+    const target_connection number = wanted.connection;
+    http_connection_events events;
+    events.opened = [this, number] { m_events.opened(number); };
+    events.lost = [this, number] {
+        m_connections.erase(number);
+        m_events.lost(number);
+    };
+    m_connections[number] = std::make_unique<http_connection>(m_thread, wanted.address, connect_limit,
+                                                              reply_body_limit, std::move(events));
+}
+
+void exchange_connections::close(target_connection connection) {
+    m_connections.erase(connection);
+}
+
+void exchange_connections::send(const send_target_exchange& wanted) {
+    const auto found = m_connections.find(wanted.connection);
+    require_invariant(found != m_connections.end(), "an exchange is sent on an open connection");
+    found->second->send(m_edge.write_exchange(wanted.exchange),
+                        [this, number = wanted.connection, id = wanted.exchange.id](http_response response) {
+                            m_events.replied(number, m_edge.read_reply(id, std::move(response)));
+                        });
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/forwarding/exchange_connections.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <tamarack_edge/tamarack_edge.h>
+#include <tamarack_forwarding/tamarack_forwarding.h>
+#include <tamarack_transport/tamarack_transport.h>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace tamarack {
+
+/** What connections to targets report, by connection number. */
+struct exchange_connection_events {
+    std::function<void(target_connection)> opened;
+    std::function<void(target_connection)> lost;
+    std::function<void(target_connection, target_reply)> replied;
+};
+
+/**
+ * The sockets behind the forwarding engine's connections: carries out what the engine decides, decides nothing itself.
+ */
+class exchange_connections {
+public:
+    exchange_connections(duty_thread& thread, const edge_protocol& edge, exchange_connection_events events);
+
+    void open(const open_target_connection& wanted, duration connect_limit);
+    void close(target_connection connection);
+    void send(const send_target_exchange& wanted);
+
+private:
+    duty_thread& m_thread;
+    const edge_protocol& m_edge;
+    exchange_connection_events m_events;
+    std::unordered_map<target_connection, std::unique_ptr<http_connection>> m_connections;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -0,0 +1,203 @@
+#include "forwarding_duty.h"
+
+#include "../system_random.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 4'096;
+/** Hosts named in one directory reply. */
+constexpr std::size_t most_entries = 64;
+
+http_server_limits limits_of(const settings& chosen) {
+    http_server_limits limits;
+    limits.header_bytes = chosen.limits.header_bytes;
+    limits.body_bytes = chosen.limits.body_bytes;
+    limits.connections = chosen.limits.caller_connections;
+    limits.idle = chosen.limits.idle_connection;
+    limits.receipt = chosen.limits.request_receipt;
+    return limits;
+}
+
+forwarding_options options_of(const settings& chosen) {
+    forwarding_options options;
+    options.data_center = chosen.data_center;
+    options.extra = {chosen.forwarding.extra_ratio, chosen.forwarding.extra_allowance,
+                     chosen.forwarding.extra_window};
+    return options;
+}
+
+} // namespace
+
+forwarding_duty::forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics)
+    : m_settings(chosen), m_edge(std::move(edge)), m_metrics(metrics), m_thread("forwarding", ring_capacity),
+      m_engine(options_of(chosen), system_random()),
+      m_connections(
+          m_thread, m_edge,
+          {[this](target_connection number) { carry_out(m_engine.on_connected(steady_now(), number)); },
+           [this](target_connection number) { carry_out(m_engine.on_connection_lost(steady_now(), number)); },
+           [this](target_connection number, target_reply reply) {
+               m_metrics.count(counter_id::exchanges_total, to_name(reply.verdict));
+               carry_out(m_engine.on_reply(steady_now(), number, std::move(reply)));
+           }}),
+      m_timer(
+          m_thread, [this] { return m_engine.next_timer(); },
+          [this](time_point now) { carry_out(m_engine.on_timer(now)); }),
+      m_callers(m_thread, limits_of(chosen),
+                [this](http_request message, const http_responder& respond) {
+                    return on_request(std::move(message), respond);
+                }),
+      m_readiness(m_thread, {},
+                  [this](const http_request& message, const http_responder& respond) {
+                      on_readiness(message, respond);
+                      return std::function<void()>{};
+                  }),
+      m_directory(m_thread, {},
+                  [this](const http_request& message, const http_responder& respond) {
+                      on_directory(message, respond);
+                      return std::function<void()>{};
+                  }),
+      m_random(system_random()) {}
+
+outcome<endpoint> forwarding_duty::start() {
+    if (auto readiness = m_readiness.listen(m_settings.edge.readiness); !succeeded(readiness)) {
+        return readiness;
+    }
+    if (auto directory = m_directory.listen(m_settings.edge.directory); !succeeded(directory)) {
+        return directory;
+    }
+    auto listening = m_callers.listen(m_settings.listen.callers);
+    m_thread.start();
+    return listening;
+}
+
+void forwarding_duty::stop() {
+    m_thread.stop();
+}
+
+bool forwarding_duty::post_picture(forwarding_picture picture) {
+    return m_thread.try_post([this, picture = std::move(picture)] {
+        const bool new_routes = !m_picture.view || m_picture.view->routes != picture.view->routes;
+        m_picture = picture;
+        if (new_routes) {
+            apply_limits();
+        }
+        carry_out(m_engine.on_view(steady_now(), m_picture.view));
+    });
+}
+
+void forwarding_duty::apply_limits() {
+    http_server_limits limits = limits_of(m_settings);
+    if (m_picture.view->routes) {
+        const caller_limits& wanted = m_picture.view->routes->limits;
+        limits.header_bytes = wanted.header_bytes > 0 ? wanted.header_bytes : limits.header_bytes;
+        limits.body_bytes = wanted.body_bytes > 0 ? wanted.body_bytes : limits.body_bytes;
+        limits.idle = wanted.idle_time > duration{0} ? wanted.idle_time : limits.idle;
+    }
+    m_callers.set_limits(limits);
+}
+
+bool forwarding_duty::post_leaving() {
+    return m_thread.try_post([this] {
+        m_leaving = true;
+        m_callers.close_after_responses();
+    });
+}
+
+bool forwarding_duty::post_drain(std::function<void()> drained) {
+    return m_thread.try_post([this, drained = std::move(drained)] {
+        m_drained = drained;
+        m_callers.stop_accepting();
+        check_drained();
+    });
+}
+
+std::function<void()> forwarding_duty::on_request(http_request message, const http_responder& respond) {
+    auto read = m_edge.read_request(std::move(message));
+    if (!succeeded(read)) {
+        respond(m_edge.write_unreadable(error_of(read)));
+        return nullptr;
+    }
+    forward_request request = value_of(std::move(read));
+    const forward_number number = m_next_request++;
+    request.number = number;
+    m_waiting.emplace(number, respond);
+    carry_out(m_engine.on_request(steady_now(), std::move(request)));
+    return [this, number] {
+        m_waiting.erase(number);
+        carry_out(m_engine.on_caller_gone(steady_now(), number));
+    };
+}
+
+void forwarding_duty::on_readiness(const http_request& message, const http_responder& respond) {
+    const bool ready = m_edge.is_readiness_call(message) && m_picture.entered && !m_leaving;
+    respond(m_edge.write_readiness(ready));
+}
+
+void forwarding_duty::on_directory(const http_request& message, const http_responder& respond) {
+    directory_reply reply;
+    reply.keep_for = m_settings.times.directory_keep;
+    const auto call = m_edge.read_directory_call(message);
+    if (call && m_picture.entries) {
+        for (const host_record& host : *m_picture.entries) {
+            reply.addresses.push_back(host.callers_address);
+        }
+        for (std::size_t index = reply.addresses.size(); index > 1; --index) {
+            std::swap(reply.addresses[index - 1], reply.addresses[m_random.below(index)]);
+        }
+        reply.addresses.resize(std::min(reply.addresses.size(), most_entries));
+    }
+    respond(m_edge.write_directory_reply(reply));
+}
+
+void forwarding_duty::carry_out(forwarding_actions actions) {
+    for (forwarding_action& action : actions) {
+        std::visit(overloaded{
+                       [this](const open_target_connection& open) {
+                           m_metrics.count(counter_id::connections_opened_total);
+                           m_connections.open(open, forwarding_options{}.connect_limit);
+                       },
+                       [this](const close_target_connection& close) { m_connections.close(close.connection); },
+                       [this](const send_target_exchange& send) { m_connections.send(send); },
+                       [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
+                       [this](const target_changed& changed) {
+                           log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
+                                            {{"target", changed.target.value()},
+                                             {"service", changed.service.value()},
+                                             {"change", std::string{to_name(changed.change)}},
+                                             {"failures", std::to_string(changed.failures)}});
+                       },
+                   },
+                   action);
+    }
+    m_timer.rearm();
+    check_drained();
+}
+
+void forwarding_duty::deliver(forward_answer answer) {
+    m_metrics.count(counter_id::requests_total, to_name(answer.outcome));
+    if (answer.reason != forward_reason::none) {
+        m_metrics.count(counter_id::refusals_total, to_name(answer.reason));
+    }
+    m_metrics.observe(histogram_id::request_duration_seconds, answer.trace.taken, answer.trace.route);
+    const auto waiting = m_waiting.find(answer.number);
+    if (waiting == m_waiting.end()) {
+        return;
+    }
+    const http_responder respond = std::move(waiting->second);
+    m_waiting.erase(waiting);
+    respond(m_edge.write_answer(std::move(answer)));
+}
+
+void forwarding_duty::check_drained() {
+    if (m_drained && m_engine.unanswered() == 0) {
+        const auto drained = std::exchange(m_drained, nullptr);
+        drained();
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "exchange_connections.h"
+
+#include <tamarack_edge/tamarack_edge.h>
+#include <tamarack_forwarding/tamarack_forwarding.h>
+#include <tamarack_settings/tamarack_settings.h>
+#include <tamarack_telemetry/tamarack_telemetry.h>
+#include <tamarack_transport/tamarack_transport.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace tamarack {
+
+/** What the hosts duty tells the forwarding duty, as one consistent picture. */
+struct forwarding_picture {
+    forwarding_view_pointer view;
+    std::shared_ptr<const std::vector<host_record>> entries; ///< hosts that take callers
+    bool entered = false;                                    ///< whether this host is one of them
+};
+
+/**
+ * The duty that serves callers at a foreign edge: their requests, readiness and directory, on one thread.
+ *
+ * @see forwarding_engine, which decides; edge_protocol, which reads and writes
+ */
+class forwarding_duty {
+public:
+    /**
+     * @param chosen   the host's settings; must outlive the duty
+     * @param edge     codecs of the edge
+     * @param metrics  must outlive the duty
+     */
+    forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics);
+
+    /** Begins to listen and starts the thread. @return the callers' address in use */
+    outcome<endpoint> start();
+    void stop();
+
+    /** From any thread: a new picture. */
+    bool post_picture(forwarding_picture picture);
+    /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
+    bool post_leaving();
+    /** From any thread: take no further connection; `drained` is called once no request is left. */
+    bool post_drain(std::function<void()> drained);
+
+private:
+    std::function<void()> on_request(http_request message, const http_responder& respond);
+    void on_readiness(const http_request& message, const http_responder& respond);
+    void on_directory(const http_request& message, const http_responder& respond);
+    void carry_out(forwarding_actions actions);
+    void deliver(forward_answer answer);
+    void check_drained();
+    void apply_limits();
+
+    const settings& m_settings;
+    edge_protocol m_edge;
+    metric_registry& m_metrics;
+    duty_thread m_thread;
+    forwarding_engine m_engine;
+    exchange_connections m_connections;
+    timer_loop m_timer;
+    http_server m_callers;
+    http_server m_readiness;
+    http_server m_directory;
+    forwarding_picture m_picture;
+    random_source m_random;
+    bool m_leaving = false;
+    forward_number m_next_request = 1;
+    std::map<forward_number, http_responder> m_waiting;
+    std::function<void()> m_drained;
+};
+
+} // namespace tamarack
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -78,8 +78,9 @@
 
 } // namespace
 
-host_daemon::host_daemon(settings chosen, std::function<void()> ask_to_drain)
-    : m_settings(std::move(chosen)), m_ask_to_drain(std::move(ask_to_drain)), m_life(draw_process_life()) {}
+host_daemon::host_daemon(settings chosen, std::function<void()> ask_to_drain, edge_protocol edge)
+    : m_settings(std::move(chosen)), m_ask_to_drain(std::move(ask_to_drain)), m_life(draw_process_life()),
+      m_edge(std::move(edge)) {}
 
 host_daemon::~host_daemon() {
     stop();
@@ -102,6 +103,17 @@
     return done{};
 }
 
+outcome<endpoint> host_daemon::start_callers() {
+    if (m_settings.edge.kind == edge_kind::own) {
+        m_serving = std::make_unique<serving_duty>(m_settings, m_life, m_metrics, hooks_of_serving());
+        return m_serving->start();
+    }
+    m_forwarding = std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics);
+    m_control_edge =
+        std::make_unique<control_edge>(m_settings, m_edge, control_edge_hooks{m_hosts.get(), m_control.get()});
+    return m_forwarding->start();
+}
+
 outcome<daemon_addresses> host_daemon::start() {
     auto tokens = operator_tokens::read_file(m_settings.token_file);
     if (!succeeded(tokens)) {
@@ -118,8 +130,7 @@
 
     daemon_addresses addresses;
     if (has_callers(m_settings)) {
-        m_serving = std::make_unique<serving_duty>(m_settings, m_life, m_metrics, hooks_of_serving());
-        const auto callers = m_serving->start();
+        const auto callers = start_callers();
         if (!succeeded(callers)) {
             return error_of(callers);
         }
@@ -134,6 +145,11 @@
         m_control->start();
     }
     m_hosts->start();
+    if (m_control_edge) {
+        if (const auto control = m_control_edge->start(); !succeeded(control)) {
+            return error_of(control);
+        }
+    }
     const auto operators = m_operators->start();
     if (!succeeded(operators)) {
         return error_of(operators);
@@ -145,15 +161,22 @@
 
 void host_daemon::leave_directory() {
     m_hosts->post_draining();
+    if (m_forwarding) {
+        m_forwarding->post_leaving();
+    }
 }
 
 bool host_daemon::finish_requests(duration limit) {
-    if (!m_serving) {
+    if (!m_serving && !m_forwarding) {
         return true;
     }
     auto drained = std::make_shared<std::promise<void>>();
     auto finished = drained->get_future();
-    m_serving->post_drain([drained] { drained->set_value(); });
+    const auto set = [drained] { drained->set_value(); };
+    const bool posted = m_serving ? m_serving->post_drain(set) : m_forwarding->post_drain(set);
+    if (!posted) {
+        return false;
+    }
     return finished.wait_for(limit) == std::future_status::ready;
 }
 
@@ -168,9 +191,15 @@
     m_hosts->post_leave();
     std::this_thread::sleep_for(farewell_time);
     m_operators->stop();
+    if (m_control_edge) {
+        m_control_edge->stop();
+    }
     if (m_serving) {
         m_serving->stop();
     }
+    if (m_forwarding) {
+        m_forwarding->stop();
+    }
     if (m_control) {
         m_control->stop();
     }
@@ -202,6 +231,20 @@
     hooks.picture = [this](serving_picture picture) {
         return !m_serving || m_serving->post_picture(std::move(picture));
     };
+    hooks.forwarding = [this](forwarding_picture picture) {
+        return !m_forwarding || m_forwarding->post_picture(std::move(picture));
+    };
+    if (m_control) {
+        hooks.found = [this](std::vector<member_id> voters) {
+            return m_control->post_bootstrap(std::move(voters), [](const outcome<done>& formed) {
+                log_state_change(log_level::info, "history_formed", {},
+                                 {{"result", succeeded(formed) ? std::string{"done"} : error_of(formed).message}});
+            });
+        };
+        hooks.voters = [this](std::vector<voter_candidate> known) {
+            return m_control->post_voter_candidates(std::move(known));
+        };
+    }
     hooks.lease = [this](time_point ends_at) { return !m_serving || m_serving->post_lease(ends_at); };
     hooks.claim_answer_for = [this](request_number request, claim_answer answer) {
         return m_serving && m_serving->post_claim_answer(request, std::move(answer));
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "control/control_duty.h"
+#include "forwarding/forwarding_duty.h"
 #include "hosts/hosts_duty.h"
+#include "operators/control_edge.h"
 #include "operators/operators_edge.h"
 #include "serving/serving_duty.h"
 
@@ -25,8 +27,9 @@
     /**
      * @param chosen        checked settings
      * @param ask_to_drain  called when an operator wants a graceful shutdown; from another thread
+     * @param edge          codecs of a foreign edge; used when the settings choose one
      */
-    host_daemon(settings chosen, std::function<void()> ask_to_drain);
+    host_daemon(settings chosen, std::function<void()> ask_to_drain, edge_protocol edge);
     ~host_daemon();
     host_daemon(const host_daemon&) = delete;
     host_daemon& operator=(const host_daemon&) = delete;
@@ -56,7 +59,11 @@
     std::function<void()> m_ask_to_drain;
     metric_registry m_metrics;
     incarnation m_life;
+    outcome<endpoint> start_callers();
+    edge_protocol m_edge;
     std::unique_ptr<serving_duty> m_serving;
+    std::unique_ptr<forwarding_duty> m_forwarding;
+    std::unique_ptr<control_edge> m_control_edge;
     std::unique_ptr<hosts_duty> m_hosts;
     std::unique_ptr<control_duty> m_control;
     std::unique_ptr<operators_edge> m_operators;
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::size_t ring_capacity = 8'192;
 constexpr duration introduction_interval = 1s;
+constexpr duration introduction_without_leader = 200ms;
+/** A started host waits this long at most for a target of each service before callers are sent to it. */
+constexpr duration longest_wait_for_targets = 2s;
 constexpr duration picture_interval = 20ms;
 
 const std::string raft_method = "raft.message";
@@ -108,7 +111,8 @@
     m_dispatcher.on(identity_method, [this](const Json::Value& parameters) {
         if (parameters["host"].isString() && parameters["life"].isUInt64()) {
             const host_id host{parameters["host"].asString()};
-            m_identities[host] = member_id{host, incarnation{parameters["life"].asUInt64()}};
+            m_identities[host] = {member_id{host, incarnation{parameters["life"].asUInt64()}},
+                                  data_center_id{parameters["data_center"].asString()}, steady_now()};
         }
     });
 }
@@ -134,6 +138,18 @@
     });
 }
 
+bool hosts_duty::post_departure(target_id target, std::optional<incarnation> life,
+                                std::function<void(outcome<done>)> answer) {
+    return m_thread.try_post([this, target = std::move(target), life, answer = std::move(answer)] {
+        answer(m_registry->on_departure(steady_now(), target, life));
+        settle();
+    });
+}
+
+bool hosts_duty::post_leader(std::function<void(host_id)> answer) {
+    return m_thread.try_post([this, answer = std::move(answer)] { answer(m_control->leader()); });
+}
+
 bool hosts_duty::post_commit(commit_claim wanted) {
     return m_thread.try_post([this, wanted = std::move(wanted)] {
         carry_out(m_control->commit(steady_now(), wanted.request, wanted.wanted, wanted.deadline));
@@ -208,7 +224,8 @@
         carry_out(m_control->set_draining(now, true));
     }
     if (now >= m_next_introduction) {
-        m_next_introduction = now + introduction_interval;
+        m_next_introduction =
+            now + (m_control->leader().empty() ? introduction_without_leader : introduction_interval);
         introduce(now);
     }
     settle();
@@ -226,13 +243,24 @@
     if (m_identity.host.empty()) {
         return;
     }
-    m_identities[m_identity.host] = m_identity;
-    if (!m_control->leader().empty()) {
-        return;
-    }
+    m_identities[m_identity.host] = {m_identity, m_settings.data_center, now};
+    send_identity(now);
+    found_when_due();
+    propose_voters(now);
+}
+
+void hosts_duty::send_identity(time_point /*now*/) {
     Json::Value parameters;
     parameters["host"] = m_identity.host.value();
     parameters["life"] = Json::UInt64{m_identity.life.value};
+    parameters["data_center"] = m_settings.data_center.value();
+    const host_id leader = m_control->leader();
+    if (!leader.empty()) {
+        if (m_settings.formation.automatic && leader != m_settings.host) {
+            m_links.send(address_of(leader), identity_method, parameters);
+        }
+        return;
+    }
     for (const seed_host& seed : m_settings.seeds) {
         if (seed.host != m_settings.host) {
             m_links.send(seed.address, identity_method, parameters);
@@ -240,6 +268,37 @@
     }
 }
 
+/** On the first start of a deployment the first seed forms the history, once it has heard all others. */
+void hosts_duty::found_when_due() {
+    const formation_settings& formation = m_settings.formation;
+    const bool founder = formation.automatic && formation.first_start && !m_settings.seeds.empty() &&
+                         m_settings.seeds.front().host == m_settings.host;
+    if (!founder || !m_control->leader().empty() || !m_hooks.found) {
+        return;
+    }
+    std::vector<member_id> voters;
+    const std::size_t wanted = std::min<std::size_t>(2U * formation.tolerated_losses + 1U, m_settings.seeds.size());
+    for (std::size_t index = 0; index < wanted; ++index) {
+        const auto known = m_identities.find(m_settings.seeds[index].host);
+        if (known == m_identities.end()) {
+            return;
+        }
+        voters.push_back(known->second.member);
+    }
+    m_hooks.found(std::move(voters));
+}
+
+void hosts_duty::propose_voters(time_point now) {
+    if (!m_settings.formation.automatic || m_control->leader() != m_settings.host || !m_hooks.voters) {
+        return;
+    }
+    std::vector<voter_candidate> known;
+    for (const auto& [host, introduced] : m_identities) {
+        known.push_back({introduced.member, introduced.data_center, now - introduced.heard_at});
+    }
+    m_hooks.voters(std::move(known));
+}
+
 void hosts_duty::carry_out(control_client_actions actions) {
     for (control_client_action& action : actions) {
         std::visit(
@@ -310,6 +369,16 @@
     if (m_entered || m_leaving || m_ordered_to_drain || !serves_callers(m_settings)) {
         return;
     }
+    if (m_settings.edge.kind == edge_kind::platform) {
+        if (may_enter_forwarding(now)) {
+            m_entered = true;
+            log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
+            carry_out(m_detector->set_draining(now, false));
+            m_picture_stale = true;
+            settle();
+        }
+        return;
+    }
     readiness_inputs inputs;
     inputs.holds_lease = m_control->lease_ends_at() > now;
     inputs.isolated = m_isolated;
@@ -361,6 +430,10 @@
     m_next_picture = time_point::max();
     m_pictured_generation = m_registry->generation();
     m_picture_stale = false;
+    if (m_settings.edge.kind == edge_kind::platform) {
+        m_picture_stale = !m_hooks.forwarding(build_forwarding_picture(now));
+        return;
+    }
     auto directory = std::make_shared<directory_view>();
     const view_sources sources{m_settings.host, m_settings.data_center, *m_control, *m_registry};
     directory->hosts = m_detector->hosts();
@@ -374,6 +447,54 @@
     }
 }
 
+forwarding_picture hosts_duty::build_forwarding_picture(time_point now) {
+    const configuration& current = m_control->current();
+    if (current.routes && m_routes_number != current.number) {
+        m_routes = std::make_shared<const route_table>(*current.routes);
+        m_routes_number = current.number;
+        m_routed_since = std::min(m_routed_since, now);
+    }
+    auto view = std::make_shared<forwarding_view>();
+    view->ticket = current.number;
+    view->routes = m_routes;
+    for (const routed_service& service : m_routes ? m_routes->services : std::vector<routed_service>{}) {
+        for (const target_record& record : m_registry->usable(service.id)) {
+            auto& warm = m_warm_at[record.latest.target];
+            if (warm.first != record.latest.life) {
+                warm = {record.latest.life, now + record.latest.warmup_left};
+            }
+            view->targets.push_back({record.latest.target, record.latest.life, record.latest.service,
+                                     record.latest.address, record.latest.data_center, record.latest.slots,
+                                     warm.second});
+        }
+    }
+    forwarding_picture picture;
+    auto entries = std::make_shared<std::vector<host_record>>();
+    view->hosts = 0;
+    for (const host_record& host : m_detector->hosts()) {
+        const bool running = host.state == host_state::alive || host.state == host_state::suspect;
+        view->hosts += running ? 1 : 0;
+        if (host.state == host_state::alive && !host.draining && !host.callers_address.empty()) {
+            entries->push_back(host);
+        }
+    }
+    picture.view = std::move(view);
+    picture.entries = std::move(entries);
+    picture.entered = m_entered && !m_leaving;
+    return picture;
+}
+
+bool hosts_duty::may_enter_forwarding(time_point now) {
+    if (!m_control->current().routes || m_routed_since == time_point::max()) {
+        return false;
+    }
+    const auto& services = m_control->current().routes->services;
+    const bool all_known = std::all_of(services.begin(), services.end(), [this](const routed_service& service) {
+        return !m_registry->usable(service.id).empty();
+    });
+    return all_known || now >= m_routed_since + longest_wait_for_targets;
+}
+
 void hosts_duty::send_control(const host_id& to, const endpoint& address, const control_message& message) {
     if (to == m_settings.host) {
         m_thread.try_post([this, message] {
@@ -409,6 +530,10 @@
             return known.hosts_address;
         }
     }
+    if (m_settings.formation.automatic) {
+        const std::string& own = m_settings.listen.hosts.value();
+        return endpoint{host.value() + own.substr(own.rfind(':'))};
+    }
     return {};
 }
 
@@ -423,7 +548,9 @@
     result.lease_ends_at = m_control->lease_ends_at();
     result.leader = m_control->leader();
     result.isolated = m_isolated;
-    result.identities = m_identities;
+    for (const auto& [host, introduced] : m_identities) {
+        result.identities[host] = introduced.member;
+    }
     result.traffic = m_links.counts();
     return result;
 }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
 #include "host_links.h"
 #include "readiness_gate.h"
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace tamarack {
 
@@ -22,6 +24,9 @@
     std::function<bool(raft_envelope)> to_log;
     std::function<bool(control_message)> to_control;
     std::function<bool(serving_picture)> picture;
+    std::function<bool(forwarding_picture)> forwarding; ///< takes the place of picture at a foreign edge
+    std::function<bool(std::vector<member_id>)> found;  ///< forms the first history
+    std::function<bool(std::vector<voter_candidate>)> voters;
     std::function<bool(time_point)> lease;
     std::function<bool(request_number, claim_answer)> claim_answer_for;
     std::function<bool(request_number)> claim_failed_for;
@@ -78,6 +83,10 @@
 
     /** From any thread: wishes of the serving duty. */
     bool post_announcement(announcement value, std::function<void(outcome<announcement_receipt>)> answer);
+    bool post_departure(target_id target, std::optional<incarnation> life,
+                        std::function<void(outcome<done>)> answer);
+    /** Names the leader of the control hosts, as this host knows it. */
+    bool post_leader(std::function<void(host_id)> answer);
     bool post_commit(commit_claim wanted);
     bool post_record(record_claim_result ended);
     /** `known` is called on the hosts thread once the service's other hosts know, or did not confirm in time.
@@ -130,7 +139,22 @@
     std::unique_ptr<target_registry> m_registry;
     std::unique_ptr<failure_detector> m_detector;
     std::unique_ptr<timer_loop> m_timer;
-    std::map<host_id, member_id> m_identities;
+    struct introduced_host {
+        member_id member;
+        data_center_id data_center;
+        time_point heard_at;
+    };
+    void send_identity(time_point now);
+    void found_when_due();
+    void propose_voters(time_point now);
+    forwarding_picture build_forwarding_picture(time_point now);
+    bool may_enter_forwarding(time_point now);
+
+    std::map<host_id, introduced_host> m_identities;
+    std::shared_ptr<const route_table> m_routes;
+    ticket_number m_routes_number;
+    time_point m_routed_since = time_point::max(); ///< when this host learnt its first route table
+    std::map<target_id, std::pair<incarnation, time_point>> m_warm_at;
     time_point m_next_introduction{};
     time_point m_next_picture = time_point::max();
     std::uint64_t m_pictured_generation = 0;
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int heartbeats_in_lease = 4;
+/** Foreign targets look for another keeper only with their next heartbeat, and try each host for a second. */
+constexpr duration orphan_time_of_foreign_targets = 8s;
 constexpr duration idle_host_connection = 10min;
 constexpr std::size_t host_message_bytes = 8 * mebibyte;
 
@@ -42,6 +44,11 @@
     registry_options options;
     options.target_lease = chosen.times.target_lease;
     options.heartbeat = chosen.times.target_lease / heartbeats_in_lease;
+    if (chosen.edge.kind == edge_kind::platform) {
+        options.only_known_services = false;
+        options.lives_are_start_times = true;
+        options.orphan_time = orphan_time_of_foreign_targets;
+    }
     return options;
 }
 
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -1,5 +1,7 @@
 #include "host_daemon.h"
 
+#include <tamarack_platform.h>
+
 #include <boost/program_options.hpp>
 
 #include <csignal>
@@ -104,7 +106,7 @@
 int run(const settings& chosen) {
     const sigset_t signals = block_stop_signals();
     start_state_log(chosen.host);
-    host_daemon host{chosen, [] { ::kill(::getpid(), SIGTERM); }};
+    host_daemon host{chosen, [] { ::kill(::getpid(), SIGTERM); }, platform_edge()};
     const auto started = host.start();
     if (!succeeded(started)) {
         std::cerr << "tamarackd: " << error_of(started).message << "\n";
--- /dev/null
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -0,0 +1,189 @@
+#include "control_edge.h"
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 4'096;
+constexpr std::size_t longest_configuration = 8 * mebibyte;
+
+http_server_limits server_limits() {
+    http_server_limits limits;
+    limits.body_bytes = longest_configuration;
+    return limits;
+}
+
+control_outcome unavailable(std::string message) {
+    control_outcome result;
+    result.result = control_result::unavailable;
+    result.message = std::move(message);
+    return result;
+}
+
+control_outcome failed(control_result kind, std::string message) {
+    control_outcome result;
+    result.result = kind;
+    result.message = std::move(message);
+    return result;
+}
+
+const auto busy = "this host is busy; try again";
+
+} // namespace
+
+control_edge::control_edge(const settings& chosen, edge_protocol edge, control_edge_hooks hooks)
+    : m_settings(chosen), m_edge(std::move(edge)), m_hooks(hooks), m_thread("control_edge", ring_capacity),
+      m_server(m_thread, server_limits(), [this](const http_request& message, const http_responder& respond) {
+          on_http(message, respond);
+          return std::function<void()>{};
+      }) {}
+
+outcome<endpoint> control_edge::start() {
+    auto listening = m_server.listen(m_settings.edge.control);
+    m_thread.start();
+    return listening;
+}
+
+void control_edge::stop() {
+    m_thread.stop();
+}
+
+void control_edge::on_http(const http_request& message, const http_responder& respond) {
+    const answerer answer = [this, respond, path = message.target](control_outcome result) {
+        result.path = path;
+        const bool posted = m_thread.try_post(
+            [this, respond, result = std::move(result)] { respond(m_edge.write_control_outcome(result)); });
+        if (!posted) {
+            log_state_change(log_level::warning, "control_answer_dropped", {}, {{"path", path}});
+        }
+    };
+    control_call call = m_edge.read_control_call(message);
+    std::visit(overloaded{
+                   [&](submit_configuration& submitted) { submit(std::move(submitted.candidate), answer); },
+                   [&](const read_configuration& /*asked*/) { read_latest(answer); },
+                   [&](announce_target& announced) { announce(std::move(announced.value), answer); },
+                   [&](const depart_target& departed) { depart(departed, answer); },
+                   [&](const unreadable_call& unreadable) {
+                       const bool unknown = unreadable.reason.code == error_code::not_found;
+                       answer(failed(unknown ? control_result::not_found : control_result::invalid,
+                                     unreadable.reason.message));
+                   },
+               },
+               call);
+}
+
+void control_edge::submit(ticket candidate, const answerer& answer) {
+    const ticket_faults faults = check_ticket(candidate, {});
+    if (!faults.empty()) {
+        log_state_change(log_level::warning, "configuration_refused", candidate.number,
+                         {{"reason", error_of_faults(faults).message}});
+        answer(failed(control_result::invalid, error_of_faults(faults).message));
+        return;
+    }
+    if (m_hooks.control == nullptr) {
+        send_to_leader(answer);
+        return;
+    }
+    const bool posted = m_hooks.control->post_ticket(
+        std::move(candidate), [this, answer](const outcome<ticket_answer>& result, const host_id& leader) {
+            answer_ticket(result, leader, answer);
+        });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
+void control_edge::answer_ticket(const outcome<ticket_answer>& result, const host_id& leader,
+                                 const answerer& answer) const {
+    if (!succeeded(result)) {
+        const bool elsewhere = error_of(result).code == error_code::not_leader;
+        answer(elsewhere ? at_leader(leader) : unavailable(error_of(result).message));
+        return;
+    }
+    const ticket_answer& decided = value_of(result);
+    if (decided.verdict == ticket_verdict::refused) {
+        answer(failed(control_result::invalid, error_of_faults(decided.faults).message));
+        return;
+    }
+    answer(control_outcome{});
+}
+
+void control_edge::read_latest(const answerer& answer) {
+    if (m_hooks.control == nullptr) {
+        send_to_leader(answer);
+        return;
+    }
+    const bool posted = m_hooks.control->post_read_latest(
+        [this, answer](const outcome<configuration>& result, const host_id& leader) {
+            if (!succeeded(result)) {
+                const bool elsewhere = error_of(result).code == error_code::not_leader;
+                answer(elsewhere ? at_leader(leader) : unavailable(error_of(result).message));
+            } else if (!value_of(result).routes) {
+                answer(unavailable("no configuration was accepted yet"));
+            } else {
+                control_outcome read;
+                read.document = value_of(result).routes->source;
+                answer(std::move(read));
+            }
+        });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
+void control_edge::announce(announcement value, const answerer& answer) {
+    const bool posted =
+        m_hooks.hosts->post_announcement(std::move(value), [this, answer](const outcome<announcement_receipt>& receipt) {
+            if (succeeded(receipt)) {
+                control_outcome accepted;
+                accepted.announce_to = m_settings.edge.control;
+                answer(std::move(accepted));
+                return;
+            }
+            const error_code code = error_of(receipt).code;
+            if (code == error_code::stale) {
+                answer(control_outcome{});
+            } else {
+                answer(failed(code == error_code::overloaded ? control_result::unavailable : control_result::refused,
+                              error_of(receipt).message));
+            }
+        });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
+void control_edge::depart(const depart_target& departed, const answerer& answer) {
+    const bool posted = m_hooks.hosts->post_departure(
+        departed.target, departed.life, [answer](const outcome<done>& result) {
+            // An acknowledgement promises that no host sends there any more; an unknown target may be known elsewhere.
+            const bool unknown = !succeeded(result) && error_of(result).code == error_code::not_found;
+            answer(unknown ? unavailable(error_of(result).message) : control_outcome{});
+        });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
+void control_edge::send_to_leader(const answerer& answer) {
+    const bool posted = m_hooks.hosts->post_leader([this, answer](const host_id& leader) { answer(at_leader(leader)); });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
+control_outcome control_edge::at_leader(const host_id& leader) const {
+    if (leader.empty() || leader == m_settings.host) {
+        return unavailable("no leader is known at the moment");
+    }
+    const std::string& own = m_settings.edge.control.value();
+    control_outcome result;
+    result.result = control_result::elsewhere;
+    result.message = "the leader decides";
+    result.other = endpoint{leader.value() + own.substr(own.rfind(':'))};
+    return result;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/operators/control_edge.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "../control/control_duty.h"
+#include "../hosts/hosts_duty.h"
+
+#include <tamarack_edge/tamarack_edge.h>
+
+namespace tamarack {
+
+/** The duties that answer calls; `control` is nullptr on a pure entry host. */
+struct control_edge_hooks {
+    hosts_duty* hosts = nullptr;
+    control_duty* control = nullptr;
+};
+
+/**
+ * The duty that answers operators and targets at a foreign edge.
+ *
+ * Only the leader of the control hosts decides on configurations; others name it.
+ */
+class control_edge {
+public:
+    /** @param chosen  the host's settings; must outlive the duty */
+    control_edge(const settings& chosen, edge_protocol edge, control_edge_hooks hooks);
+
+    /** Begins to listen and starts the thread. @return the address in use */
+    outcome<endpoint> start();
+    void stop();
+
+private:
+    using answerer = std::function<void(control_outcome)>;
+
+    void on_http(const http_request& message, const http_responder& respond);
+    void submit(ticket candidate, const answerer& answer);
+    void read_latest(const answerer& answer);
+    void announce(announcement value, const answerer& answer);
+    void depart(const depart_target& departed, const answerer& answer);
+    /** Names the leader, or says that none is known. */
+    void send_to_leader(const answerer& answer);
+    control_outcome at_leader(const host_id& leader) const;
+    void answer_ticket(const outcome<ticket_answer>& result, const host_id& leader, const answerer& answer) const;
+
+    const settings& m_settings;
+    edge_protocol m_edge;
+    control_edge_hooks m_hooks;
+    duty_thread m_thread;
+    http_server m_server;
+};
+
+} // namespace tamarack
--- a/modules/tamarack_control/node/control_actions.h
+++ b/modules/tamarack_control/node/control_actions.h
@@ -32,6 +32,12 @@
     outcome<ticket_answer> answer;
 };
 
+/** A read of the latest ticket is confirmed: the state holds it; or why there is no answer. */
+struct answer_read {
+    std::uint64_t operation = 0;
+    outcome<done> answer;
+};
+
 /** The latest accepted ticket, the assignment, or this member's role changed. */
 struct control_changed {
     raft_role role = raft_role::follower;
@@ -45,7 +51,8 @@
 
 /** What the shell has to do after an event, in order. */
 using control_action =
-    std::variant<send_raft_message, send_control_message, store_change, answer_ticket, control_changed>;
+    std::variant<send_raft_message, send_control_message, store_change, answer_ticket, answer_read,
+                 control_changed>;
 using control_actions = std::vector<control_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_control/node/control_node.cpp
+++ b/modules/tamarack_control/node/control_node.cpp
@@ -45,6 +45,14 @@
     }
 }
 
+void control_node::implementation::end_operator_read(std::uint64_t read, const outcome<done>& answer) {
+    const auto found = m_operator_reads.find(read);
+    if (found != m_operator_reads.end()) {
+        m_out.emplace_back(answer_read{found->second, answer});
+        m_operator_reads.erase(found);
+    }
+}
+
 void control_node::implementation::announce() {
     const announce_news news{m_raft.self().host, m_state.tickets().current().number, m_state.assigned().epoch,
                              m_settled_epoch};
@@ -150,6 +158,18 @@
     return m_implementation->finish();
 }
 
+control_actions control_node::read_latest(time_point now, std::uint64_t operation) {
+    if (!m_implementation->is_leader()) {
+        const error not_leader{error_code::not_leader, "this control host does not lead"};
+        m_implementation->m_out.emplace_back(answer_read{operation, not_leader});
+        return m_implementation->finish();
+    }
+    const std::uint64_t read = m_implementation->m_next_read++;
+    m_implementation->m_operator_reads[read] = operation;
+    m_implementation->carry_out(now, m_implementation->m_raft.confirm_read(now, read));
+    return m_implementation->finish();
+}
+
 control_actions control_node::hand_over(time_point now) {
     m_implementation->carry_out(now, m_implementation->m_raft.hand_over(now));
     return m_implementation->finish();
--- a/modules/tamarack_control/node/control_node.h
+++ b/modules/tamarack_control/node/control_node.h
@@ -73,6 +73,13 @@
      */
     control_actions submit_ticket(time_point now, wall_time wall, std::uint64_t operation, ticket candidate);
 
+    /**
+     * An operator reads the latest accepted ticket; a majority confirms first that no later one was accepted.
+     *
+     * @param operation  returned in answer_read; not_leader names the leader
+     */
+    control_actions read_latest(time_point now, std::uint64_t operation);
+
     /** Hands leadership over before a graceful shutdown. */
     control_actions hand_over(time_point now);
 
--- a/modules/tamarack_control/node/control_node_implementation.h
+++ b/modules/tamarack_control/node/control_node_implementation.h
@@ -5,6 +5,7 @@
 #include "proposal_book.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace tamarack {
@@ -51,6 +52,7 @@
     void plan_when_due(time_point now, wall_time wall);
     void update_settled_epoch(time_point now);
     void announce();
+    void end_operator_read(std::uint64_t read, const outcome<done>& answer);
 
     bool is_leader() const { return m_desk.has_value(); }
     host_id leader_host() const;
@@ -66,6 +68,7 @@
     bool m_state_confirmed = false;   ///< a read was confirmed in this term
     proposal_book m_proposals;
     std::uint64_t m_next_read = 1;
+    std::map<std::uint64_t, std::uint64_t> m_operator_reads; ///< operation by read
     std::uint64_t m_settled_epoch = 0;
     time_point m_next_plan{};
     log_index m_applied = 0;
--- a/modules/tamarack_control/node/control_node_log.cpp
+++ b/modules/tamarack_control/node/control_node_log.cpp
@@ -102,6 +102,7 @@
         return;
     }
     require_invariant(action.index <= m_applied, "a confirmed read's index has been applied");
+    end_operator_read(action.read, done{});
     if (!m_state_confirmed) {
         m_state_confirmed = true;
         if (m_state.tickets().current().number.value == 0) {
@@ -115,6 +116,7 @@
 }
 
 void control_node::implementation::on_read_refused(const read_refused& action) {
+    end_operator_read(action.read, error{error_code::unavailable, "leadership was lost"});
     if (is_leader()) {
         refuse_renewals(m_desk->on_read_confirmed(action.read));
     }
@@ -130,6 +132,9 @@
     m_desk.reset();
     m_state_confirmed = false;
     m_settled_epoch = 0;
+    while (!m_operator_reads.empty()) {
+        end_operator_read(m_operator_reads.begin()->first, error{error_code::unavailable, "leadership was lost"});
+    }
     const error lost{error_code::unavailable,
                      "leadership was lost; the request may still be accepted: send it again to learn"};
     for (const auto& waiter : m_proposals.take_all()) {
--- a/modules/tamarack_control/tamarack_control.h
+++ b/modules/tamarack_control/tamarack_control.h
@@ -17,6 +17,7 @@
 
 #include "node/control_actions.h"
 #include "node/control_node.h"
+#include "node/voter_plan.h"
 #include "node/control_options.h"
 
 #include "client/control_client.h"
--- /dev/null
+++ b/modules/tamarack_forwarding/admission/admission.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace tamarack {
+
+/** What the decision on a new request depends on. */
+struct forward_admission {
+    duration until_objective{}; ///< may be negative
+    duration until_cut_off{};
+    duration usual{};           ///< median time of the route's exchanges
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::size_t waiting = 0;    ///< exchanges that wait for a connection to the narrowest service of the route
+    std::size_t parallel = 1;   ///< exchanges that this host can have there at once
+    duration lag{};             ///< how far this host's event loop is behind
+};
+
+/** A decision on a new request. */
+struct admission_decision {
+    bool admitted = true;
+    duration expected_wait{}; ///< before its exchanges are sent
+    duration retry_after{};   ///< when there will be room; of a refusal
+};
+
+/**
+ * Decides at once whether a request is taken on.
+ *
+ * Load patterns: a load of 1.7 to 4 times the usual, half of the hosts killed so that the others have twice their
+ * share, callers that repeat at once and often. What would miss its deadline, or miss its objective because of a
+ * queue, is refused at once, so that the caller can go elsewhere while there is time. Less urgent requests are
+ * refused at a shorter queue than urgent ones.
+ */
+admission_decision admit(const forward_admission& inputs);
+
+/**
+ * Spreads the return of refused callers.
+ *
+ * @return the time to tell: from the given time to one and a half times as long
+ */
+duration spread_return(duration retry_after, random_source& random);
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -0,0 +1,50 @@
+#include "extra_budget.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/** Share of the bounds that is given out; the rest covers hosts that joined, left or have not met yet. */
+constexpr double share_used = 0.8;
+
+} // namespace
+
+extra_budget::slice& extra_budget::current(time_point now) {
+    const std::int64_t length = std::max<std::int64_t>(m_limits.window.count() / static_cast<std::int64_t>(slices), 1);
+    const std::int64_t number = now.time_since_epoch().count() / length;
+    slice& found = m_slices.at(static_cast<std::size_t>(number) % m_slices.size());
+    if (found.number != number) {
+        found = {number, 0, 0};
+    }
+    return found;
+}
+
+void extra_budget::on_request(time_point now) {
+    ++current(now).requests;
+}
+
+double extra_budget::left(time_point now, std::size_t hosts) {
+    const std::int64_t newest = current(now).number;
+    double requests = 0;
+    double taken = 0;
+    for (const slice& item : m_slices) {
+        if (item.number + static_cast<std::int64_t>(slices) >= newest) {
+            requests += item.requests;
+            taken += item.taken;
+        }
+    }
+    const double share = m_limits.allowance / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    return share_used * (m_limits.ratio * requests + share) - taken;
+}
+
+bool extra_budget::try_take(time_point now, std::size_t hosts) {
+    if (left(now, hosts) < 1.0) {
+        return false;
+    }
+    ++current(now).taken;
+    return true;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace tamarack {
+
+/** Bounds on exchanges beyond the first of each request to a service, of all hosts together. */
+struct extra_budget_limits {
+    double ratio = 0.2;      ///< of the requests in a window
+    double allowance = 50.0; ///< further exchanges in a window, whatever the load
+    duration window = 10s;
+};
+
+/**
+ * One host's share of a service's budget for hedges and retries, in any sliding window.
+ *
+ * Load pattern: periodic pauses of targets make hedges pay all the time, and replies that fail in numbers make
+ * retries pay for seconds; both must not add up to a multiple of the load. The ratio is kept by each host for the
+ * requests that it has itself; the allowance is divided by the number of hosts.
+ *
+ * Watch out: a host that joins or leaves changes the divisor at once while spent exchanges stay in the window, so
+ * only a part of the whole is given out (see share_used).
+ */
+class extra_budget {
+public:
+    explicit extra_budget(extra_budget_limits limits = {}) : m_limits(limits) {}
+
+    /** A request's first exchange to this service. */
+    void on_request(time_point now);
+
+    /**
+     * Takes one further exchange.
+     *
+     * @param hosts  that share the allowance
+     * @return whether it is allowed
+     */
+    bool try_take(time_point now, std::size_t hosts);
+
+    /** @return further exchanges that are allowed now */
+    double left(time_point now, std::size_t hosts);
+
+    void set_limits(extra_budget_limits limits) { m_limits = limits; }
+
+private:
+    static constexpr std::size_t slices = 20;
+    struct slice {
+        std::int64_t number = -1;
+        std::uint32_t requests = 0;
+        std::uint32_t taken = 0;
+    };
+
+    slice& current(time_point now);
+
+    extra_budget_limits m_limits;
+    std::array<slice, slices + 1> m_slices{};
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "../payload/forward_answer.h"
+#include "../payload/target_exchange.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+/** Open a connection to a target; report on_connected or on_connection_lost. */
+struct open_target_connection {
+    target_connection connection = 0;
+    target_id target;
+    endpoint address;
+};
+
+/** Close a connection; nothing further is reported of it. */
+struct close_target_connection {
+    target_connection connection = 0;
+};
+
+/** Send an exchange on an idle open connection. */
+struct send_target_exchange {
+    target_connection connection = 0;
+    target_exchange exchange;
+};
+
+/** Answer a caller; the last action about this request. */
+struct deliver_answer {
+    forward_answer answer;
+};
+
+/** What changed in the engine's view of a target. */
+enum class target_change {
+    added,
+    removed,  ///< draining, gone, or no longer named by the configuration
+    replaced, ///< another target answered at its address
+    ejected,  ///< failed several times in a row: used only when there is no other
+    readmitted,
+};
+
+template <>
+struct name_table<target_change> {
+    static constexpr std::array<std::pair<target_change, std::string_view>, 5> entries{{
+        {target_change::added, "added"},
+        {target_change::removed, "removed"},
+        {target_change::replaced, "replaced"},
+        {target_change::ejected, "ejected"},
+        {target_change::readmitted, "readmitted"},
+    }};
+};
+
+/** The engine believes something else of a target than before; for the log. */
+struct target_changed {
+    target_change change = target_change::added;
+    target_id target;
+    service_id service;
+    std::uint32_t failures = 0; ///< in a row
+    duration until{};           ///< how long it is ejected
+};
+
+/** What the shell has to do after an event, in order. */
+using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
+                                       deliver_answer, target_changed>;
+using forwarding_actions = std::vector<forwarding_action>;
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -0,0 +1,83 @@
+#include "forwarding_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** Steps kept of one request; further ones are left out of its trace. */
+constexpr std::size_t most_trace_entries = 200;
+
+} // namespace
+
+std::size_t forwarding_run::count(part_progress progress) const {
+    return static_cast<std::size_t>(std::count_if(
+        parts.begin(), parts.end(), [progress](const run_part& part) { return part.progress == progress; }));
+}
+
+forwarding_core::forwarding_core(forwarding_options wanted, random_source source)
+    : options(std::move(wanted)), random(source) {}
+
+forwarding_run* forwarding_core::find_run(forward_number number) {
+    const auto found = runs.find(number);
+    return found == runs.end() ? nullptr : found->second.get();
+}
+
+void forwarding_core::wake(forwarding_run& run, time_point at) {
+    if (at < run.wake_at) {
+        run.wake_at = at;
+        schedule(at, due_kind::request, run.request.number);
+    }
+}
+
+void forwarding_core::schedule(time_point at, due_kind kind, std::uint64_t number) {
+    due.push({at, kind, number});
+}
+
+std::size_t forwarding_core::hosts() const {
+    return std::max(view ? view->hosts : 1, options.fewest_hosts);
+}
+
+std::size_t forwarding_core::connection_share(const known_service& service) const {
+    if (!options.protections.limit_connections) {
+        return service.connection_limit;
+    }
+    return std::max<std::size_t>(service.connection_limit / hosts(), 1);
+}
+
+exchange_timing& forwarding_core::timing_of(const route& taken) {
+    return timings.try_emplace(taken.name, taken.objective).first->second;
+}
+
+void forwarding_core::trace(forwarding_run& run, trace_step step, const service_id& service,
+                            const known_target* target, std::string result, std::size_t candidates) const {
+    if (run.trace.entries.size() >= most_trace_entries) {
+        return;
+    }
+    trace_entry entry;
+    entry.after = now - run.arrived;
+    entry.step = step;
+    entry.service = service;
+    entry.result = std::move(result);
+    entry.candidates = static_cast<std::uint32_t>(candidates);
+    entry.load_age = duration{-1};
+    if (target != nullptr) {
+        entry.target = target->known.id;
+        entry.load = static_cast<std::uint32_t>(target->busy);
+        if (target->load) {
+            entry.load = std::max(entry.load, target->load->running + target->load->waiting);
+            entry.load_age = now - target->load_at;
+        }
+    }
+    run.trace.entries.push_back(std::move(entry));
+}
+
+void forwarding_core::tell(target_change change, const known_target& target) {
+    const duration until = std::max(target.ejected_until - now, duration{0});
+    out.emplace_back(
+        target_changed{change, target.known.id, target.known.service, target.failures_in_row, until});
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "../routes/route_index.h"
+#include "../routes/split_choice.h"
+#include "forwarding_actions.h"
+#include "forwarding_options.h"
+#include "forwarding_run.h"
+#include "forwarding_statistics.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/** What a connection to a target is doing. */
+enum class connection_phase {
+    opening,
+    idle,
+    busy,
+    unwanted, ///< carries an exchange whose reply is no longer wanted
+};
+
+/** A connection to a target. */
+struct held_connection {
+    known_target_pointer target;
+    connection_phase phase = connection_phase::opening;
+    forward_number request = 0;
+    std::size_t part = 0;
+    time_point since;                     ///< of the phase
+    std::optional<duration> idle_limit;   ///< as the target last said
+    duration usual{};                     ///< median time of such exchanges when it was sent
+};
+
+/** What is due at a time. */
+enum class due_kind {
+    request,    ///< a request's next look
+    connection, ///< the end of waiting for an unwanted reply
+    warming,    ///< connections may be opened again
+};
+
+struct due_item {
+    time_point at;
+    due_kind kind = due_kind::request;
+    std::uint64_t number = 0;
+};
+
+struct due_later {
+    bool operator()(const due_item& left, const due_item& right) const { return left.at > right.at; }
+};
+
+/** State that the engine's parts share. Internal to the module. */
+struct forwarding_core {
+    forwarding_options options;
+    random_source random;
+    time_point now{};
+    forwarding_actions out;
+    forwarding_view_pointer view;
+    std::optional<route_index> index;
+    split_choice splits;
+    std::map<service_id, known_service_pointer> services;
+    std::unordered_map<std::string, known_target_pointer> targets; ///< by id
+    std::unordered_map<target_connection, held_connection> connections;
+    std::unordered_map<forward_number, std::unique_ptr<forwarding_run>> runs;
+    std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
+    std::map<std::string, exchange_timing> timings; ///< by route
+    std::priority_queue<due_item, std::vector<due_item>, due_later> due;
+    std::size_t opening = 0;
+    target_connection last_connection = 0;
+    duration lag{}; ///< of the event loop, as seen by timers
+    forwarding_statistics counted;
+
+    forwarding_core(forwarding_options wanted, random_source source);
+
+    /** @return the request, or nullptr when it has ended */
+    forwarding_run* find_run(forward_number number);
+    /** Looks at a request again at this time, or earlier. */
+    void wake(forwarding_run& run, time_point at);
+    void schedule(time_point at, due_kind kind, std::uint64_t number);
+    std::size_t hosts() const;
+    /** @return connections that this host may have to one target of a service */
+    std::size_t connection_share(const known_service& service) const;
+    exchange_timing& timing_of(const route& taken);
+    void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
+               std::string result = {}, std::size_t candidates = 0) const;
+    void tell(target_change change, const known_target& target);
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -0,0 +1,363 @@
+#include "forwarding_engine.h"
+
+#include "../targets/target_observations.h"
+#include "request_flow.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** The lag of the event loop is forgotten by this share with each timer that fires. */
+constexpr double lag_kept = 0.8;
+/** An unwanted reply that stays out this much longer than usual speaks against its target. */
+constexpr int unanswered_factor = 4;
+constexpr duration unanswered_least = 200ms;
+
+} // namespace
+
+/** The engine's parts, and how events reach them. */
+struct forwarding_engine::implementation {
+    forwarding_core core;
+    part_dispatcher dispatcher{core};
+    request_flow flow{core, dispatcher};
+
+    implementation(forwarding_options options, random_source random) : core(std::move(options), random) {}
+
+    template <typename Handler>
+    forwarding_actions handle(time_point now, Handler handler) {
+        core.now = std::max(core.now, now);
+        core.out.clear();
+        handler();
+        core.ended.clear();
+        return std::move(core.out);
+    }
+
+    void on_view(forwarding_view_pointer view);
+    void update_services(const forwarding_view& view);
+    void update_targets(const forwarding_view& view);
+    void remove(const known_target_pointer& target, target_change change);
+    void add(const forwarding_target& listed);
+    void on_connected(target_connection connection);
+    void on_connection_lost(target_connection connection);
+    void on_reply(target_connection connection, target_reply reply);
+    void observe(held_connection& held, const target_reply& reply);
+    void on_failure(known_target& target);
+    void on_due(const due_item& item);
+    void on_unwanted_expired(target_connection connection);
+};
+
+void forwarding_engine::implementation::on_view(forwarding_view_pointer view) {
+    const bool new_routes = view->routes && (!core.view || core.view->routes != view->routes);
+    core.view = std::move(view);
+    if (new_routes) {
+        core.index.emplace(core.view->routes);
+        update_services(*core.view);
+    }
+    update_targets(*core.view);
+    dispatcher.keep_warm();
+    for (auto& [id, service] : core.services) {
+        dispatcher.serve_waiting(*service);
+    }
+}
+
+void forwarding_engine::implementation::update_services(const forwarding_view& view) {
+    std::set<service_id> routed;
+    for (const route& item : view.routes->routes) {
+        for (const route_service& part : item.services) {
+            routed.insert(part.service);
+        }
+    }
+    for (const routed_service& listed : view.routes->services) {
+        if (!routed.contains(listed.id)) {
+            continue;
+        }
+        auto& service = core.services[listed.id];
+        if (!service) {
+            service = std::make_shared<known_service>(listed.id);
+        }
+        service->connection_limit = listed.connections;
+        service->budget.set_limits(core.options.extra);
+    }
+    for (auto item = core.services.begin(); item != core.services.end();) {
+        if (routed.contains(item->first)) {
+            ++item;
+            continue;
+        }
+        const known_service_pointer left = item->second;
+        item = core.services.erase(item);
+        for (const known_target_pointer& target : std::vector<known_target_pointer>{left->targets}) {
+            remove(target, target_change::removed);
+        }
+    }
+}
+
+void forwarding_engine::implementation::update_targets(const forwarding_view& view) {
+    std::set<std::string> listed;
+    for (const forwarding_target& item : view.targets) {
+        if (!core.services.contains(item.service)) {
+            continue;
+        }
+        listed.insert(item.id.value());
+        const auto found = core.targets.find(item.id.value());
+        if (found == core.targets.end()) {
+            add(item);
+            continue;
+        }
+        const known_target_pointer known = found->second;
+        const bool same = known->known.life == item.life && known->known.address == item.address &&
+                          known->known.service == item.service;
+        if (!same) {
+            remove(known, target_change::removed);
+            add(item);
+        } else {
+            known->known.slots = item.slots;
+            known->known.warm_at = item.warm_at;
+        }
+    }
+    std::vector<known_target_pointer> gone;
+    for (const auto& [id, target] : core.targets) {
+        if (!listed.contains(id)) {
+            gone.push_back(target);
+        }
+    }
+    for (const known_target_pointer& target : gone) {
+        remove(target, target_change::removed);
+    }
+}
+
+void forwarding_engine::implementation::add(const forwarding_target& listed) {
+    auto target = std::make_shared<known_target>();
+    target->known = listed;
+    target->far = listed.data_center != core.options.data_center;
+    known_service& service = *core.services.at(listed.service);
+    target->service = &service;
+    service.targets.push_back(target);
+    core.targets[listed.id.value()] = target;
+    core.tell(target_change::added, *target);
+}
+
+void forwarding_engine::implementation::remove(const known_target_pointer& target, target_change change) {
+    if (target->usable) {
+        core.tell(change, *target);
+    }
+    target->usable = false;
+    if (target->service != nullptr) {
+        std::erase(target->service->targets, target);
+        target->service = nullptr;
+    }
+    for (const target_connection connection : std::vector<target_connection>{target->idle}) {
+        dispatcher.close(connection);
+    }
+    const auto found = core.targets.find(target->known.id.value());
+    if (found != core.targets.end() && found->second == target) {
+        core.targets.erase(found);
+    }
+}
+
+void forwarding_engine::implementation::on_connected(target_connection connection) {
+    const auto found = core.connections.find(connection);
+    if (found == core.connections.end() || found->second.phase != connection_phase::opening) {
+        return;
+    }
+    held_connection& held = found->second;
+    const known_target_pointer target = held.target;
+    --target->opening;
+    --core.opening;
+    target->failed_opens = 0;
+    held.phase = connection_phase::idle;
+    held.since = core.now;
+    target->idle.push_back(connection);
+    if (!target->usable) {
+        dispatcher.close(connection);
+        return;
+    }
+    dispatcher.serve_waiting(*target->service);
+}
+
+void forwarding_engine::implementation::on_connection_lost(target_connection connection) {
+    const auto found = core.connections.find(connection);
+    if (found == core.connections.end()) {
+        return;
+    }
+    const held_connection held = found->second;
+    dispatcher.forget(connection);
+    if (held.phase == connection_phase::opening) {
+        on_failure(*held.target);
+        dispatcher.on_open_failed(*held.target);
+    } else if (held.phase != connection_phase::idle) {
+        on_failure(*held.target);
+    }
+    forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
+    if (run != nullptr) {
+        flow.on_lost(*run, held.part, connection);
+    }
+    dispatcher.keep_warm();
+}
+
+void forwarding_engine::implementation::on_failure(known_target& target) {
+    const bool before = core.now < target.ejected_until;
+    observe_failure(target, core.now);
+    if (!before && core.now < target.ejected_until) {
+        core.tell(target_change::ejected, target);
+    }
+}
+
+void forwarding_engine::implementation::observe(held_connection& held, const target_reply& reply) {
+    known_target& target = *held.target;
+    observe_load(target, core.now, reply.load);
+    held.idle_limit = reply.idle_limit;
+    if (reply.verdict != target_verdict::completed) {
+        on_failure(target);
+        return;
+    }
+    const bool before = target.ejected_until > time_point{};
+    observe_success(target, core.now, core.now - held.since, held.usual);
+    if (before) {
+        core.tell(target_change::readmitted, target);
+    }
+}
+
+void forwarding_engine::implementation::on_reply(target_connection connection, target_reply reply) {
+    const auto found = core.connections.find(connection);
+    if (found == core.connections.end()) {
+        return;
+    }
+    held_connection& held = found->second;
+    const bool expected = held.phase == connection_phase::busy || held.phase == connection_phase::unwanted;
+    if (!expected) {
+        dispatcher.close(connection);
+        return;
+    }
+    const known_target_pointer target = held.target;
+    const bool wanted = held.phase == connection_phase::busy;
+    const forward_number request = held.request;
+    const std::size_t part = held.part;
+    const duration taken = core.now - held.since;
+    observe(held, reply);
+    const bool keep = reply.keeps_connection && reply.verdict != target_verdict::malformed &&
+                      reply.verdict != target_verdict::wrong_target;
+    const bool wrong_target = reply.verdict == target_verdict::wrong_target;
+    dispatcher.release(connection, held, keep);
+    if (wrong_target && target->usable) {
+        remove(target, target_change::replaced);
+    }
+    forwarding_run* run = wanted ? core.find_run(request) : nullptr;
+    if (run != nullptr) {
+        if (reply.verdict == target_verdict::completed) {
+            run->timing->observe(taken);
+        }
+        flow.on_reply(*run, part, connection, std::move(reply));
+    }
+    if (target->service != nullptr) {
+        dispatcher.serve_waiting(*target->service);
+    }
+    if (!keep) {
+        dispatcher.keep_warm();
+    }
+}
+
+void forwarding_engine::implementation::on_unwanted_expired(target_connection connection) {
+    const auto found = core.connections.find(connection);
+    if (found == core.connections.end() || found->second.phase != connection_phase::unwanted) {
+        return;
+    }
+    const held_connection held = found->second;
+    dispatcher.close(connection);
+    if (core.now - held.since > unanswered_factor * held.usual + unanswered_least) {
+        on_failure(*held.target);
+    }
+    dispatcher.keep_warm();
+}
+
+void forwarding_engine::implementation::on_due(const due_item& item) {
+    switch (item.kind) {
+    case due_kind::request:
+        if (forwarding_run* run = core.find_run(item.number); run != nullptr && run->wake_at <= core.now) {
+            flow.on_wake(*run);
+        }
+        break;
+    case due_kind::connection:
+        on_unwanted_expired(item.number);
+        break;
+    case due_kind::warming:
+        dispatcher.keep_warm();
+        break;
+    }
+}
+
+forwarding_engine::forwarding_engine(forwarding_options options, random_source random)
+    : m_implementation(std::make_unique<implementation>(std::move(options), random)) {}
+
+forwarding_engine::~forwarding_engine() = default;
+forwarding_engine::forwarding_engine(forwarding_engine&&) noexcept = default;
+forwarding_engine& forwarding_engine::operator=(forwarding_engine&&) noexcept = default;
+
+forwarding_actions forwarding_engine::on_view(time_point now, forwarding_view_pointer view) {
+    return m_implementation->handle(now, [&] { m_implementation->on_view(std::move(view)); });
+}
+
+forwarding_actions forwarding_engine::on_request(time_point now, forward_request request) {
+    return m_implementation->handle(now, [&] { m_implementation->flow.on_arrival(std::move(request)); });
+}
+
+forwarding_actions forwarding_engine::on_caller_gone(time_point now, forward_number request) {
+    return m_implementation->handle(now, [&] {
+        if (forwarding_run* run = m_implementation->core.find_run(request)) {
+            m_implementation->flow.on_caller_gone(*run);
+        }
+    });
+}
+
+forwarding_actions forwarding_engine::on_connected(time_point now, target_connection connection) {
+    return m_implementation->handle(now, [&] { m_implementation->on_connected(connection); });
+}
+
+forwarding_actions forwarding_engine::on_connection_lost(time_point now, target_connection connection) {
+    return m_implementation->handle(now, [&] { m_implementation->on_connection_lost(connection); });
+}
+
+forwarding_actions forwarding_engine::on_reply(time_point now, target_connection connection, target_reply reply) {
+    return m_implementation->handle(now, [&] { m_implementation->on_reply(connection, std::move(reply)); });
+}
+
+forwarding_actions forwarding_engine::on_timer(time_point now) {
+    return m_implementation->handle(now, [&] {
+        forwarding_core& core = m_implementation->core;
+        if (!core.due.empty() && core.due.top().at <= core.now) {
+            const duration behind = core.now - core.due.top().at;
+            const duration kept{static_cast<std::int64_t>(lag_kept * static_cast<double>(core.lag.count()))};
+            core.lag = std::max(behind, kept);
+        }
+        while (!core.due.empty() && core.due.top().at <= core.now) {
+            const due_item item = core.due.top();
+            core.due.pop();
+            m_implementation->on_due(item);
+        }
+    });
+}
+
+time_point forwarding_engine::next_timer() const {
+    const auto& due = m_implementation->core.due;
+    return due.empty() ? time_point::max() : due.top().at;
+}
+
+std::size_t forwarding_engine::unanswered() const {
+    return m_implementation->core.runs.size();
+}
+
+forwarding_statistics forwarding_engine::statistics() const {
+    const forwarding_core& core = m_implementation->core;
+    forwarding_statistics result = core.counted;
+    result.running = core.runs.size();
+    result.connections = core.connections.size();
+    for (const auto& [id, service] : core.services) {
+        result.waiting += service->waiting.size();
+    }
+    return result;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/forwarding_statistics.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace tamarack {
+
+/** Counts of the engine since its start, and what it holds now. */
+struct forwarding_statistics {
+    std::uint64_t requests = 0;
+    std::uint64_t exchanges = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t refused_by_budget = 0; ///< further exchanges
+    std::uint64_t connections_opened = 0;
+    std::uint64_t connections_failed = 0;
+    std::uint64_t late_answers = 0;
+    std::size_t running = 0; ///< requests without an answer
+    std::size_t waiting = 0; ///< exchanges that wait for a connection
+    std::size_t connections = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -0,0 +1,294 @@
+#include "part_dispatcher.h"
+
+#include "../targets/target_observations.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/** An idle connection is not used beyond this share of the time after which its target closes it. */
+constexpr double idle_share = 0.7;
+constexpr std::uint32_t most_open_doublings = 4;
+
+bool was_tried(const run_part& part, const known_target_pointer& target) {
+    return std::find(part.tried.begin(), part.tried.end(), target) != part.tried.end();
+}
+
+bool runs_at(const run_part& part, const known_target_pointer& target) {
+    return std::any_of(part.exchanges.begin(), part.exchanges.end(),
+                       [&](const running_exchange& running) { return running.target == target; });
+}
+
+} // namespace
+
+bool part_dispatcher::has_untried(const run_part& part) {
+    return std::any_of(
+        part.service->targets.begin(), part.service->targets.end(),
+        [&](const known_target_pointer& target) { return target->usable && !was_tried(part, target); });
+}
+
+placement_candidate part_dispatcher::describe(const known_target& target) const {
+    placement_candidate candidate;
+    candidate.slots = target.known.slots;
+    candidate.own = static_cast<std::uint32_t>(target.busy);
+    if (target.load) {
+        candidate.reported = target.load->running + target.load->waiting + target.sent_since_load;
+        candidate.report_age = m_core.now - target.load_at;
+    }
+    candidate.speed = target.speed;
+    if (target.load) {
+        candidate.speed *= target.load->slowness;
+    }
+    candidate.error_share = error_share_of(target, m_core.now);
+    candidate.far = target.far;
+    candidate.cold = m_core.now < target.known.warm_at;
+    candidate.ejected = m_core.now < target.ejected_until;
+    if (!target.running_since.empty()) {
+        candidate.oldest_exchange = m_core.now - target.running_since.front();
+    }
+    return candidate;
+}
+
+void part_dispatcher::list_candidates(const run_part& part, bool tried_too) {
+    m_eligible.clear();
+    m_candidates.clear();
+    for (const known_target_pointer& target : part.service->targets) {
+        const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target);
+        if (unfit || (!tried_too && was_tried(part, target))) {
+            continue;
+        }
+        m_eligible.push_back(target);
+        m_candidates.push_back(describe(*target));
+    }
+}
+
+target_connection part_dispatcher::take_idle(known_target& target) {
+    while (!target.idle.empty()) {
+        const target_connection connection = target.idle.back();
+        const held_connection& held = m_core.connections.at(connection);
+        const bool fresh =
+            !held.idle_limit || std::chrono::duration<double>(m_core.now - held.since).count() <
+                                    idle_share * std::chrono::duration<double>(*held.idle_limit).count();
+        if (fresh) {
+            target.idle.pop_back();
+            return connection;
+        }
+        close(connection);
+    }
+    return 0;
+}
+
+bool part_dispatcher::try_send(forwarding_run& run, std::size_t part_index, trace_step step) {
+    run_part& part = run.parts[part_index];
+    const placement_demand demand{run.timing->median(), run.timing->high(), run.taken->objective};
+    list_candidates(part, false);
+    if (m_candidates.empty() && !has_untried(part)) {
+        list_candidates(part, true);
+    }
+    while (!m_candidates.empty()) {
+        const std::size_t chosen = place(m_candidates, demand, m_core.random);
+        const known_target_pointer target = m_eligible[chosen];
+        if (const target_connection connection = take_idle(*target); connection != 0) {
+            send(run, part_index, step, target, connection);
+            return true;
+        }
+        m_eligible.erase(m_eligible.begin() + static_cast<std::ptrdiff_t>(chosen));
+        m_candidates.erase(m_candidates.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    open_for(*part.service, part);
+    return false;
+}
+
+void part_dispatcher::send(forwarding_run& run, std::size_t part_index, trace_step step,
+                           const known_target_pointer& target, target_connection connection) {
+    run_part& part = run.parts[part_index];
+    held_connection& held = m_core.connections.at(connection);
+    held.phase = connection_phase::busy;
+    held.request = run.request.number;
+    held.part = part_index;
+    held.since = m_core.now;
+    held.usual = run.timing->median();
+    ++target->busy;
+    ++target->sent_since_load;
+    target->running_since.push_back(m_core.now);
+    part.exchanges.push_back({connection, target, m_core.now});
+    part.tried.push_back(target);
+    part.progress = part_progress::running;
+    ++part.used;
+    ++run.sent;
+    ++m_core.counted.exchanges;
+    m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size());
+    if (step == trace_step::sent && part.used < run.taken->attempts) {
+        part.hedge_at =
+            m_core.now + hedge_delay(run.timing->high(), run.times.objective_at - m_core.now);
+        m_core.wake(run, part.hedge_at);
+    }
+    target_exchange exchange;
+    exchange.id = run.request.id;
+    exchange.target = target->known.id;
+    exchange.patience = std::max(run.times.cut_off - m_core.now, duration{1ms});
+    exchange.payload = run.request.payload;
+    m_core.out.emplace_back(send_target_exchange{connection, std::move(exchange)});
+}
+
+void part_dispatcher::send_or_wait(forwarding_run& run, std::size_t part_index, trace_step step) {
+    if (try_send(run, part_index, step)) {
+        return;
+    }
+    run_part& part = run.parts[part_index];
+    part.progress = part_progress::waiting;
+    part.queued = true;
+    m_core.trace(run, trace_step::waits, part.service->id, nullptr, {}, part.service->waiting.size());
+    const waiting_part item{run.request.number, part_index, run.taken->priority, run.times.objective_at, step};
+    auto& waiting = part.service->waiting;
+    const auto later = std::find_if(waiting.begin(), waiting.end(), [&](const waiting_part& other) {
+        return other.priority > item.priority ||
+               (other.priority == item.priority && other.objective_at > item.objective_at);
+    });
+    waiting.insert(later, item);
+}
+
+void part_dispatcher::serve_waiting(known_service& service) {
+    auto item = service.waiting.begin();
+    while (item != service.waiting.end()) {
+        forwarding_run* run = m_core.find_run(item->request);
+        const bool wanted = run != nullptr && !run->ended && run->parts[item->part].queued;
+        if (!wanted) {
+            item = service.waiting.erase(item);
+            continue;
+        }
+        if (!try_send(*run, item->part, item->step)) {
+            return;
+        }
+        run->parts[item->part].queued = false;
+        item = service.waiting.erase(item);
+    }
+}
+
+void part_dispatcher::abandon(const running_exchange& unwanted) {
+    const auto found = m_core.connections.find(unwanted.connection);
+    if (found == m_core.connections.end()) {
+        return;
+    }
+    found->second.phase = connection_phase::unwanted;
+    m_core.schedule(m_core.now + m_core.options.unwanted_limit, due_kind::connection, unwanted.connection);
+}
+
+void part_dispatcher::release(target_connection connection, held_connection& held, bool keep) {
+    known_target& target = *held.target;
+    const auto begun = std::find(target.running_since.begin(), target.running_since.end(), held.since);
+    if (begun != target.running_since.end()) {
+        target.running_since.erase(begun);
+    }
+    --target.busy;
+    held.phase = connection_phase::idle;
+    held.since = m_core.now;
+    target.idle.push_back(connection);
+    const bool within = target.connections() <= (target.service == nullptr ? 0 : m_core.connection_share(*target.service));
+    if (!keep || !target.usable || !within) {
+        close(connection);
+    }
+}
+
+void part_dispatcher::close(target_connection connection) {
+    forget(connection);
+    m_core.out.emplace_back(close_target_connection{connection});
+}
+
+void part_dispatcher::forget(target_connection connection) {
+    const auto found = m_core.connections.find(connection);
+    if (found == m_core.connections.end()) {
+        return;
+    }
+    known_target& target = *found->second.target;
+    switch (found->second.phase) {
+    case connection_phase::opening:
+        --target.opening;
+        --m_core.opening;
+        break;
+    case connection_phase::idle:
+        std::erase(target.idle, connection);
+        break;
+    case connection_phase::busy:
+    case connection_phase::unwanted: {
+        const auto begun =
+            std::find(target.running_since.begin(), target.running_since.end(), found->second.since);
+        if (begun != target.running_since.end()) {
+            target.running_since.erase(begun);
+        }
+        --target.busy;
+        break;
+    }
+    }
+    m_core.connections.erase(found);
+}
+
+bool part_dispatcher::may_open(const known_target& target) const {
+    return target.usable && target.service != nullptr && target.opening == 0 &&
+           m_core.now >= target.open_after && m_core.opening < m_core.options.opening_at_once &&
+           target.connections() < m_core.connection_share(*target.service);
+}
+
+void part_dispatcher::open(const known_target_pointer& target) {
+    const target_connection connection = ++m_core.last_connection;
+    held_connection held;
+    held.target = target;
+    held.since = m_core.now;
+    m_core.connections.emplace(connection, std::move(held));
+    ++target->opening;
+    ++m_core.opening;
+    ++m_core.counted.connections_opened;
+    m_core.out.emplace_back(open_target_connection{connection, target->known.id, target->known.address});
+}
+
+void part_dispatcher::open_for(const known_service& service, const run_part& part) {
+    known_target_pointer chosen;
+    for (const known_target_pointer& target : service.targets) {
+        const bool better = chosen == nullptr || target->connections() < chosen->connections();
+        if (may_open(*target) && better && !runs_at(part, target)) {
+            chosen = target;
+        }
+    }
+    if (chosen != nullptr) {
+        open(chosen);
+    }
+}
+
+void part_dispatcher::keep_warm() {
+    time_point next = time_point::max();
+    bool postponed = false;
+    for (auto& [id, service] : m_core.services) {
+        const std::size_t wanted =
+            std::min(m_core.options.warm_connections, m_core.connection_share(*service));
+        for (const known_target_pointer& target : service->targets) {
+            if (!target->usable || target->connections() >= wanted) {
+                continue;
+            }
+            if (may_open(*target)) {
+                open(target);
+            } else if (m_core.now < target->open_after) {
+                next = std::min(next, target->open_after);
+            } else {
+                postponed = true;
+            }
+        }
+    }
+    if (postponed) {
+        next = std::min(next, m_core.now + m_core.options.first_open_pause);
+    }
+    if (next != time_point::max()) {
+        m_core.schedule(next, due_kind::warming, 0);
+    }
+}
+
+void part_dispatcher::on_open_failed(known_target& target) {
+    const std::uint32_t doublings = std::min(target.failed_opens, most_open_doublings);
+    ++target.failed_opens;
+    ++m_core.counted.connections_failed;
+    target.open_after = m_core.now + m_core.options.first_open_pause * (1U << doublings);
+    m_core.schedule(target.open_after, due_kind::warming, 0);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -0,0 +1,377 @@
+#include "request_flow.h"
+
+#include "../admission/admission.h"
+#include "../merging/record_merge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** Shares of counts are compared with room for rounding. */
+constexpr double rounding = 1e-9;
+
+void remove_exchange(run_part& part, target_connection connection) {
+    std::erase_if(part.exchanges,
+                  [connection](const running_exchange& running) { return running.connection == connection; });
+}
+
+std::size_t usable_targets(const known_service& service) {
+    return static_cast<std::size_t>(
+        std::count_if(service.targets.begin(), service.targets.end(),
+                      [](const known_target_pointer& target) { return target->usable; }));
+}
+
+} // namespace
+
+double request_flow::coverage(const forwarding_run& run) {
+    return run.parts.empty() ? 0.0
+                             : static_cast<double>(run.count(part_progress::covered)) /
+                                   static_cast<double>(run.parts.size());
+}
+
+bool request_flow::covers_enough(const forwarding_run& run, std::size_t covered) {
+    const double share = static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(run.parts.size(), 1));
+    return covered > 0 && share + rounding >= run.taken->least_coverage;
+}
+
+void request_flow::refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason,
+                                   duration retry_after) {
+    forward_answer answer;
+    answer.number = request.number;
+    answer.id = std::move(request.id);
+    answer.outcome = outcome;
+    answer.reason = reason;
+    answer.retry_after = retry_after == duration{0} ? retry_after : spread_return(retry_after, m_core.random);
+    answer.trace.ticket = m_core.view ? m_core.view->ticket : ticket_number{};
+    m_core.out.emplace_back(deliver_answer{std::move(answer)});
+}
+
+void request_flow::on_arrival(forward_request request) {
+    ++m_core.counted.requests;
+    if (!m_core.index) {
+        refuse_unrouted(std::move(request), forward_outcome::not_run, forward_reason::no_configuration,
+                        m_core.options.no_configuration_retry);
+        return;
+    }
+    const route* taken = m_core.index->find(request.authority, request.path);
+    if (taken == nullptr) {
+        refuse_unrouted(std::move(request), forward_outcome::invalid, forward_reason::no_route, duration{0});
+        return;
+    }
+    const forward_number number = request.number;
+    require_invariant(!m_core.runs.contains(number), "a request's number is used once");
+    forwarding_run& run = *(m_core.runs[number] = std::make_unique<forwarding_run>());
+    run.request = std::move(request);
+    run.table = m_core.index->table();
+    run.taken = taken;
+    run.arrived = m_core.now;
+    run.times = times_of(*taken, m_core.now, run.request.patience);
+    run.timing = &m_core.timing_of(*taken);
+    run.trace.ticket = m_core.view->ticket;
+    run.trace.route = taken->name;
+    run.trace.objective_left = run.times.objective_at - m_core.now;
+    make_parts(run);
+    run.trace.shards = run.parts.size();
+    if (!can_be_covered(run)) {
+        answer_failed(run, forward_reason::no_target);
+        return;
+    }
+    if (!is_admitted(run)) {
+        return;
+    }
+    m_core.trace(run, trace_step::routed, run.parts.front().service->id, nullptr, taken->name, run.parts.size());
+    for (std::size_t index = 0; index < run.parts.size(); ++index) {
+        run.parts[index].service->budget.on_request(m_core.now);
+        m_dispatcher.send_or_wait(run, index, trace_step::sent);
+    }
+    m_core.wake(run, run.times.cut_off);
+    if (run.times.objective_at > m_core.now) {
+        m_core.wake(run, run.times.objective_at);
+    }
+}
+
+void request_flow::make_parts(forwarding_run& run) {
+    const auto add = [&](const service_id& id) {
+        run_part part;
+        part.service = m_core.services.at(id);
+        run.parts.push_back(std::move(part));
+    };
+    if (run.taken->destination == route_destination::split) {
+        add(run.taken->services[m_core.splits.next(*run.taken)].service);
+        return;
+    }
+    run.parts.reserve(run.taken->services.size());
+    for (const route_service& part : run.taken->services) {
+        add(part.service);
+    }
+}
+
+bool request_flow::can_be_covered(const forwarding_run& run) const {
+    const auto reachable =
+        std::count_if(run.parts.begin(), run.parts.end(),
+                      [](const run_part& part) { return usable_targets(*part.service) > 0; });
+    return covers_enough(run, static_cast<std::size_t>(reachable));
+}
+
+bool request_flow::is_admitted(forwarding_run& run) {
+    forward_admission inputs;
+    inputs.until_objective = run.times.objective_at - m_core.now;
+    inputs.until_cut_off = run.times.cut_off - m_core.now;
+    inputs.usual = run.timing->median();
+    inputs.priority = run.taken->priority;
+    inputs.lag = m_core.lag;
+    for (const run_part& part : run.parts) {
+        const std::size_t parallel =
+            std::max<std::size_t>(usable_targets(*part.service), 1) * m_core.connection_share(*part.service);
+        if (part.service->waiting.size() * inputs.parallel >= inputs.waiting * parallel) {
+            inputs.waiting = part.service->waiting.size();
+            inputs.parallel = parallel;
+        }
+    }
+    const admission_decision decision = admit(inputs);
+    if (decision.admitted) {
+        return true;
+    }
+    forward_answer answer;
+    answer.outcome = forward_outcome::not_run;
+    answer.reason = forward_reason::overloaded;
+    answer.retry_after = spread_return(decision.retry_after, m_core.random);
+    finish(run, std::move(answer));
+    return false;
+}
+
+void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
+                            target_reply reply) {
+    run_part& part = run.parts[part_index];
+    const auto running = std::find_if(part.exchanges.begin(), part.exchanges.end(),
+                                      [connection](const running_exchange& item) { return item.connection == connection; });
+    if (running != part.exchanges.end()) {
+        m_core.trace(run, trace_step::reply, part.service->id, running->target.get(),
+                     std::string{to_name(reply.verdict)});
+    }
+    remove_exchange(part, connection);
+    switch (reply.verdict) {
+    case target_verdict::completed:
+        cover(run, part, std::move(reply));
+        break;
+    case target_verdict::not_run:
+    case target_verdict::wrong_target:
+        ++run.not_run;
+        --part.used;
+        try_again(run, part_index, true, "not_run");
+        break;
+    case target_verdict::failed:
+        if (!part.failure) {
+            part.failure = std::move(reply);
+        }
+        try_again(run, part_index, false, "failed");
+        break;
+    case target_verdict::malformed:
+        ++run.lost;
+        try_again(run, part_index, false, "malformed");
+        break;
+    }
+    settle(run);
+}
+
+void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection) {
+    run_part& part = run.parts[part_index];
+    remove_exchange(part, connection);
+    ++run.lost;
+    m_core.trace(run, trace_step::lost, part.service->id, nullptr);
+    try_again(run, part_index, false, "connection_lost");
+    settle(run);
+}
+
+void request_flow::cover(forwarding_run& run, run_part& part, target_reply reply) {
+    for (const running_exchange& loser : part.exchanges) {
+        m_core.trace(run, trace_step::unwanted, part.service->id, loser.target.get());
+        m_dispatcher.abandon(loser);
+    }
+    part.exchanges.clear();
+    part.progress = part_progress::covered;
+    part.queued = false;
+    part.hedge_at = time_point::max();
+    if (!run.merges()) {
+        answer_reply(run, std::move(reply));
+        return;
+    }
+    part.token = std::move(reply.token);
+    part.body = std::move(reply.body);
+}
+
+bool request_flow::take_extra(forwarding_run& run, const run_part& part) {
+    if (!m_core.options.protections.limit_extra_load || part.service->budget.try_take(m_core.now, m_core.hosts())) {
+        return true;
+    }
+    ++m_core.counted.refused_by_budget;
+    m_core.trace(run, trace_step::no_budget, part.service->id, nullptr);
+    return false;
+}
+
+void request_flow::try_again(forwarding_run& run, std::size_t part_index, bool did_not_run, const char* cause) {
+    run_part& part = run.parts[part_index];
+    if (run.ended || part.progress == part_progress::covered || !part.exchanges.empty() || part.queued) {
+        return;
+    }
+    part.hedge_at = time_point::max();
+    const bool once = run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
+    const bool may_repeat = did_not_run || !once;
+    const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
+    if (!may_repeat || !in_time || !part_dispatcher::has_untried(part)) {
+        give_up(run, part, cause);
+        return;
+    }
+    if (!take_extra(run, part)) {
+        give_up(run, part, "no_budget");
+        return;
+    }
+    ++m_core.counted.retries;
+    ++run.trace.retries;
+    m_dispatcher.send_or_wait(run, part_index, trace_step::retried);
+}
+
+void request_flow::give_up(forwarding_run& run, run_part& part, const char* cause) {
+    part.progress = part_progress::missing;
+    m_core.trace(run, trace_step::given_up, part.service->id, nullptr, cause);
+}
+
+void request_flow::hedge(forwarding_run& run, std::size_t part_index) {
+    run_part& part = run.parts[part_index];
+    part.hedge_at = time_point::max();
+    const bool once = run.taken->repeats == repeatability::once;
+    const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts &&
+                        !once && part_dispatcher::has_untried(part);
+    if (!wanted || !take_extra(run, part)) {
+        return;
+    }
+    ++m_core.counted.hedges;
+    ++run.trace.hedges;
+    if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
+        const waiting_part item{run.request.number, part_index, run.taken->priority, run.times.objective_at,
+                                trace_step::hedged};
+        part.queued = true;
+        part.service->waiting.push_front(item);
+    }
+}
+
+void request_flow::on_wake(forwarding_run& run) {
+    run.wake_at = time_point::max();
+    time_point next = run.times.cut_off;
+    if (run.times.objective_at > m_core.now) {
+        next = std::min(next, run.times.objective_at);
+    }
+    for (std::size_t index = 0; index < run.parts.size(); ++index) {
+        if (run.parts[index].hedge_at <= m_core.now) {
+            hedge(run, index);
+        }
+        next = std::min(next, run.parts[index].hedge_at);
+    }
+    settle(run);
+    if (!run.ended) {
+        m_core.wake(run, std::max(next, m_core.now + duration{1}));
+    }
+}
+
+void request_flow::settle(forwarding_run& run) {
+    if (run.ended) {
+        return;
+    }
+    const std::size_t covered = run.count(part_progress::covered);
+    const std::size_t missing = run.count(part_progress::missing);
+    const std::size_t open = run.parts.size() - covered - missing;
+    const bool enough = run.merges() && covers_enough(run, covered);
+    if (enough && (open == 0 || m_core.now >= run.times.objective_at)) {
+        answer_merged(run);
+        return;
+    }
+    if (!covers_enough(run, covered + open)) {
+        run_part& part = run.parts.front();
+        if (!run.merges() && part.failure) {
+            answer_reply(run, std::move(*part.failure));
+            return;
+        }
+        const forward_reason cause = !run.may_have_run() ? forward_reason::targets_refused
+                                     : run.lost > 0      ? forward_reason::connection_lost
+                                                         : forward_reason::targets_failed;
+        answer_failed(run, cause);
+        return;
+    }
+    const bool unsent = run.sent == 0 && m_core.now >= run.times.objective_at && run.times.objective_at > run.arrived;
+    if (m_core.now >= run.times.cut_off || unsent) {
+        answer_failed(run, run.may_have_run() ? forward_reason::timed_out : forward_reason::overloaded);
+    }
+}
+
+void request_flow::answer_merged(forwarding_run& run) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::merged;
+    std::vector<const std::string*> bodies;
+    for (const run_part& part : run.parts) {
+        if (part.progress == part_progress::covered) {
+            answer.tokens.push_back(part.token);
+            bodies.push_back(&part.body);
+        }
+    }
+    answer.missing = run.parts.size() - bodies.size();
+    answer.reason = answer.missing == 0 ? forward_reason::none : forward_reason::timed_out;
+    answer.body = merge_greatest(bodies, run.taken->result_limit);
+    finish(run, std::move(answer));
+}
+
+void request_flow::answer_reply(forwarding_run& run, target_reply reply) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::replied;
+    answer.reason = reply.verdict == target_verdict::completed ? forward_reason::none : forward_reason::targets_failed;
+    answer.reply = std::move(reply);
+    finish(run, std::move(answer));
+}
+
+void request_flow::answer_failed(forwarding_run& run, forward_reason reason) {
+    forward_answer answer;
+    answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
+    answer.reason = reason;
+    if (answer.outcome == forward_outcome::not_run) {
+        const duration wait = reason == forward_reason::no_target
+                                  ? m_core.options.no_target_retry
+                                  : std::max(run.timing->high(), duration{20ms});
+        answer.retry_after = spread_return(wait, m_core.random);
+    }
+    finish(run, std::move(answer));
+}
+
+void request_flow::finish(forwarding_run& run, forward_answer answer) {
+    run.ended = true;
+    for (run_part& part : run.parts) {
+        part.queued = false;
+        for (const running_exchange& unwanted : part.exchanges) {
+            m_dispatcher.abandon(unwanted);
+        }
+        part.exchanges.clear();
+    }
+    answer.number = run.request.number;
+    answer.id = run.request.id;
+    run.trace.taken = m_core.now - run.arrived;
+    run.trace.covered = run.count(part_progress::covered);
+    run.trace.late = m_core.now > run.times.objective_at;
+    if (run.trace.late) {
+        ++m_core.counted.late_answers;
+    }
+    answer.trace = std::move(run.trace);
+    m_core.out.emplace_back(deliver_answer{std::move(answer)});
+    const auto found = m_core.runs.find(run.request.number);
+    m_core.ended.push_back(std::move(found->second));
+    m_core.runs.erase(found);
+}
+
+void request_flow::on_caller_gone(forwarding_run& run) {
+    forward_answer answer;
+    answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
+    answer.reason = forward_reason::caller_gone;
+    finish(run, std::move(answer));
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "part_dispatcher.h"
+
+namespace tamarack {
+
+/** A request's way from its arrival to its one answer. Internal to the module. */
+class request_flow {
+public:
+    request_flow(forwarding_core& core, part_dispatcher& dispatcher) : m_core(core), m_dispatcher(dispatcher) {}
+
+    void on_arrival(forward_request request);
+    void on_caller_gone(forwarding_run& run);
+    /** An exchange of a request has a reply. */
+    void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
+    /** The connection of a request's exchange was lost. */
+    void on_lost(forwarding_run& run, std::size_t part, target_connection connection);
+    /** A time that the request asked for has come. */
+    void on_wake(forwarding_run& run);
+
+private:
+    forwarding_core& m_core;
+    part_dispatcher& m_dispatcher;
+
+    void refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason, duration retry_after);
+    void make_parts(forwarding_run& run);
+    bool can_be_covered(const forwarding_run& run) const;
+    bool is_admitted(forwarding_run& run);
+    void cover(forwarding_run& run, run_part& part, target_reply reply);
+    /** An exchange ended without a usable reply: another one, or the part stays out. */
+    void try_again(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
+    void give_up(forwarding_run& run, run_part& part, const char* cause);
+    void hedge(forwarding_run& run, std::size_t part);
+    bool take_extra(forwarding_run& run, const run_part& part);
+    /** Answers the request if it is time to. */
+    void settle(forwarding_run& run);
+    void answer_merged(forwarding_run& run);
+    void answer_reply(forwarding_run& run, target_reply reply);
+    void answer_failed(forwarding_run& run, forward_reason reason);
+    void finish(forwarding_run& run, forward_answer answer);
+    static double coverage(const forwarding_run& run);
+    static bool covers_enough(const forwarding_run& run, std::size_t covered);
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "../explain/request_trace.h"
+#include "target_exchange.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/** How a forwarded request ended. */
+enum class forward_outcome {
+    replied, ///< one target's reply, unchanged
+    merged,  ///< the parts of several shards
+    not_run, ///< refused; nothing of it has run or will run
+    unknown, ///< it may have run; there is no answer
+    invalid, ///< no route takes it
+};
+
+template <>
+struct name_table<forward_outcome> {
+    static constexpr std::array<std::pair<forward_outcome, std::string_view>, 5> entries{{
+        {forward_outcome::replied, "replied"},
+        {forward_outcome::merged, "merged"},
+        {forward_outcome::not_run, "not_run"},
+        {forward_outcome::unknown, "unknown"},
+        {forward_outcome::invalid, "invalid"},
+    }};
+};
+
+/** Why a request got no reply of a target, or a merged answer without all shards. */
+enum class forward_reason {
+    none,
+    no_configuration, ///< this host knows no ticket yet
+    no_route,
+    no_target,        ///< too few services of the route have a usable target
+    overloaded,       ///< it would not be served in time
+    timed_out,
+    targets_refused,  ///< every target that was asked refused to run it
+    targets_failed,
+    connection_lost,
+    caller_gone,
+};
+
+template <>
+struct name_table<forward_reason> {
+    static constexpr std::array<std::pair<forward_reason, std::string_view>, 10> entries{{
+        {forward_reason::none, "none"},
+        {forward_reason::no_configuration, "no_configuration"},
+        {forward_reason::no_route, "no_route"},
+        {forward_reason::no_target, "no_target"},
+        {forward_reason::overloaded, "overloaded"},
+        {forward_reason::timed_out, "timed_out"},
+        {forward_reason::targets_refused, "targets_refused"},
+        {forward_reason::targets_failed, "targets_failed"},
+        {forward_reason::connection_lost, "connection_lost"},
+        {forward_reason::caller_gone, "caller_gone"},
+    }};
+};
+
+/** The final answer to one request. */
+struct forward_answer {
+    forward_number number = 0;
+    request_id id;
+    forward_outcome outcome = forward_outcome::not_run;
+    forward_reason reason = forward_reason::none;
+    std::optional<target_reply> reply; ///< of `replied`
+    std::vector<std::string> tokens;   ///< of `merged`: one for each shard that is in
+    std::size_t missing = 0;           ///< of `merged`: shards that are not in
+    std::string body;                  ///< of `merged`
+    duration retry_after{};            ///< of `not_run`
+    request_trace trace;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/placement/placement.cpp
@@ -0,0 +1,74 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+/** A report's weight falls to 1/e after this: a target with few slots turns over its load in about as long. */
+constexpr duration report_fade = 100ms;
+/** Time that a message takes to another data centre and back, and the price of the bytes. */
+constexpr double far_cost = 1'500.0;
+/** Work of a cold target takes longer by this factor. */
+constexpr double cold_factor = 1.6;
+/** An exchange that runs for this many times the high percentile is taken for one at a paused target. */
+constexpr double stall_factor = 2.0;
+/** Added for a paused target: a typical pause. */
+constexpr double stall_cost = 100'000.0;
+/** Added for an ejected target: used only when there is no other. */
+constexpr double ejected_cost = 2'000'000.0;
+/** Slots that are taken slow the others down a little. */
+constexpr double contention = 0.15;
+/** Costs are spread by up to this share, so that hosts with the same picture don't all choose alike. */
+constexpr double spread = 0.15;
+
+double expected_load(const placement_candidate& candidate) {
+    double reported = 0.0;
+    if (candidate.report_age) {
+        const double age = static_cast<double>(candidate.report_age->count());
+        reported = candidate.reported * std::exp(-age / static_cast<double>(report_fade.count()));
+    }
+    return std::max<double>(candidate.own, reported);
+}
+
+} // namespace
+
+double placement_cost(const placement_candidate& candidate, const placement_demand& demand) {
+    const double usual = static_cast<double>(demand.usual.count()) * candidate.speed *
+                         (candidate.cold ? cold_factor : 1.0);
+    const double slots = std::max<double>(candidate.slots, 1.0);
+    const double load = expected_load(candidate);
+    const double queued = std::max(0.0, load + 1.0 - slots);
+    double cost = usual * (1.0 + queued / slots + contention * std::min(load, slots) / slots);
+    cost += candidate.error_share * static_cast<double>(demand.objective.count());
+    if (candidate.far) {
+        cost += far_cost;
+    }
+    const double stalled_after = stall_factor * static_cast<double>(demand.high.count()) * candidate.speed;
+    if (candidate.own > 0 && static_cast<double>(candidate.oldest_exchange.count()) > stalled_after) {
+        cost += stall_cost;
+    }
+    if (candidate.ejected) {
+        cost += ejected_cost;
+    }
+    return cost;
+}
+
+std::size_t place(const std::vector<placement_candidate>& candidates, const placement_demand& demand,
+                  random_source& random) {
+    require_invariant(!candidates.empty(), "there is a target to choose");
+    std::size_t best = 0;
+    double best_cost = 0.0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const double cost = placement_cost(candidates[index], demand) * (1.0 + spread * random.unit());
+        if (index == 0 || cost < best_cost) {
+            best = index;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "../budget/extra_budget.h"
+#include "../explain/request_trace.h"
+#include "../payload/target_exchange.h"
+#include "../view/forwarding_view.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+struct known_service;
+
+/** One target as the engine knows it: its connections, its load, its health. */
+struct known_target {
+    forwarding_target known;
+    bool usable = true; ///< false once it left the view or said that it is another one
+    bool far = false;
+    known_service* service = nullptr; ///< valid while the target is usable
+    std::vector<target_connection> idle;
+    std::size_t opening = 0;
+    std::size_t busy = 0; ///< connections that carry an exchange, unwanted ones included
+    time_point open_after{}; ///< no connection is opened before, after one failed
+    std::uint32_t failed_opens = 0;
+    std::optional<target_load> load;
+    time_point load_at{};
+    std::uint32_t sent_since_load = 0;
+    double speed = 1.0;
+    double error_share = 0.0;
+    time_point error_at{};
+    std::uint32_t failures_in_row = 0;
+    time_point ejected_until{};
+    std::vector<time_point> running_since; ///< of own exchanges, oldest first
+
+    std::size_t connections() const { return idle.size() + opening + busy; }
+};
+
+using known_target_pointer = std::shared_ptr<known_target>;
+
+/** A shard or request that waits for a connection. */
+struct waiting_part {
+    forward_number request = 0;
+    std::size_t part = 0;
+    std::uint32_t priority = 0;
+    time_point objective_at;
+    trace_step step = trace_step::sent;
+};
+
+/** One service: its targets, and what waits for them. */
+struct known_service {
+    service_id id;
+    std::uint32_t connection_limit = 1; ///< of one target, for all hosts together
+    std::vector<known_target_pointer> targets;
+    std::list<waiting_part> waiting; ///< the most urgent first, then the one due first
+    extra_budget budget;
+
+    explicit known_service(service_id name) : id(std::move(name)) {}
+};
+
+using known_service_pointer = std::shared_ptr<known_service>;
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/targets/target_observations.cpp
@@ -0,0 +1,61 @@
+#include "target_observations.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+/** Weight of one observation in the aged means. */
+constexpr double speed_weight = 0.1;
+constexpr double error_weight = 0.15;
+/** One exchange changes the relative speed by no more than this factor: a pause is no slowness. */
+constexpr double most_relative = 6.0;
+constexpr double least_speed = 0.3;
+/** A share of failures falls to 1/e after this without use, so that the target is tried again. */
+constexpr duration error_fade = 3s;
+/** So many failures in a row eject a target. */
+constexpr std::uint32_t failures_to_eject = 3;
+constexpr duration first_ejection = 500ms;
+constexpr std::uint32_t most_doublings = 3;
+
+} // namespace
+
+double error_share_of(const known_target& target, time_point now) {
+    const double age = static_cast<double>((now - target.error_at).count());
+    return target.error_share * std::exp(-age / static_cast<double>(error_fade.count()));
+}
+
+void observe_success(known_target& target, time_point now, duration taken, duration usual) {
+    const double relative =
+        static_cast<double>(taken.count()) / std::max(1.0, static_cast<double>(usual.count()));
+    target.speed += speed_weight * (std::min(relative, most_relative) - target.speed);
+    target.speed = std::max(target.speed, least_speed);
+    target.error_share = error_share_of(target, now) * (1.0 - error_weight);
+    target.error_at = now;
+    target.failures_in_row = 0;
+    target.ejected_until = time_point{};
+}
+
+void observe_failure(known_target& target, time_point now) {
+    const double before = error_share_of(target, now);
+    target.error_share = before + error_weight * (1.0 - before);
+    target.error_at = now;
+    ++target.failures_in_row;
+    if (target.failures_in_row >= failures_to_eject) {
+        const std::uint32_t doublings = std::min(target.failures_in_row - failures_to_eject, most_doublings);
+        target.ejected_until = now + first_ejection * (1U << doublings);
+    }
+}
+
+void observe_load(known_target& target, time_point now, const std::optional<target_load>& load) {
+    if (!load) {
+        return;
+    }
+    target.load = load;
+    target.load_at = now;
+    target.sent_since_load = 0;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <tamarack_tickets/tamarack_tickets.h>
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace tamarack {
+
+/** A target that may be used now. */
+struct forwarding_target {
+    target_id id;
+    incarnation life; ///< another life is another process: nothing carries over
+    service_id service;
+    endpoint address;
+    data_center_id data_center;
+    std::uint32_t slots = 1;
+    time_point warm_at{}; ///< it is slow until then
+};
+
+/** Everything from outside that the engine's decisions rest on; immutable, replaced as a whole. */
+struct forwarding_view {
+    ticket_number ticket;
+    std::shared_ptr<const route_table> routes; ///< nullptr while no ticket is known
+    std::vector<forwarding_target> targets;
+    std::size_t hosts = 1; ///< that share the targets and the budget for extra load
+};
+
+using forwarding_view_pointer = std::shared_ptr<const forwarding_view>;
+
+} // namespace tamarack
--- a/modules/tamarack_membership/targets/announcement_checks.cpp
+++ b/modules/tamarack_membership/targets/announcement_checks.cpp
@@ -101,6 +101,10 @@
     return check_versions(value, service->second);
 }
 
+outcome<done> check_announcement_form(const announcement& value, const announcement_bounds& bounds) {
+    return check_form(value, bounds);
+}
+
 outcome<done> check_same_life(const announcement& before, const announcement& after) {
     if (after.sequence <= before.sequence) {
         return error{error_code::stale, "sequence must grow with each announcement of one life"};
--- a/modules/tamarack_membership/targets/announcement_checks.h
+++ b/modules/tamarack_membership/targets/announcement_checks.h
@@ -20,6 +20,9 @@
 outcome<done> check_announcement(const announcement& value, const configuration& in_force,
                                  const announcement_bounds& bounds = {});
 
+/** Checks an announcement by itself only: the services of the configuration are not asked. */
+outcome<done> check_announcement_form(const announcement& value, const announcement_bounds& bounds = {});
+
 /** @return done, or what changed although it stays fixed within one life of a target */
 outcome<done> check_same_life(const announcement& before, const announcement& after);
 
--- a/modules/tamarack_membership/targets/announcement_codec.cpp
+++ b/modules/tamarack_membership/targets/announcement_codec.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint64_t highest_sequence = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t highest_life = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t highest_count = 1'000'000;
+constexpr std::uint64_t longest_warmup_ms = 3'600'000;
 
 Json::Value encode_versions(const std::vector<served_version>& versions) {
     Json::Value list{Json::arrayValue};
@@ -73,6 +74,9 @@
     json["connections"] = value.connections;
     json["state"] = std::string{to_name(value.state)};
     encode_load(json, value.load);
+    if (value.warmup_left > duration{0}) {
+        json["warmup_left_ms"] = Json::Int64{value.warmup_left / 1ms};
+    }
     return json;
 }
 
@@ -114,6 +118,7 @@
     value.connections = static_cast<std::uint32_t>(reader.number("connections", 0, highest_count));
     value.state = reader.named<target_state>("state", target_state::starting);
     value.load = decode_load(reader, json);
+    value.warmup_left = std::chrono::milliseconds{reader.optional_number("warmup_left_ms", 0, longest_warmup_ms)};
     if (!reader.good()) {
         return reader.fault();
     }
--- a/modules/tamarack_membership/targets/target_index.cpp
+++ b/modules/tamarack_membership/targets/target_index.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-template <typename Key>
-void remove_from(std::map<Key, std::set<target_id>>& index, const Key& key, const target_id& target) {
+template <typename Key, typename Holders>
+void remove_from(std::map<Key, Holders>& index, const Key& key, const target_id& target) {
     const auto found = index.find(key);
     if (found != index.end() && found->second.erase(target) > 0 && found->second.empty()) {
         index.erase(found);
@@ -19,7 +19,7 @@
 void target_index::add(const announcement& value, bool alive) {
     m_by_service[value.service].insert(value.target);
     if (alive) {
-        m_by_address[value.address].insert(value.target);
+        m_by_address[value.address].insert_or_assign(value.target, value.life);
     }
 }
 
@@ -39,12 +39,28 @@
         return false;
     }
     return std::any_of(found->second.begin(), found->second.end(),
-                       [&](const target_id& holder) { return holder != value.target; });
+                       [&](const auto& holder) { return holder.first != value.target; });
 }
 
 bool target_index::owns_address(const announcement& value) const {
     const auto found = m_by_address.find(value.address);
-    return found != m_by_address.end() && *found->second.begin() == value.target;
+    if (found == m_by_address.end()) {
+        return false;
+    }
+    const auto owner = std::max_element(found->second.begin(), found->second.end(), [](const auto& left, const auto& right) {
+        return left.second < right.second;
+    });
+    return owner->first == value.target;
+}
+
+std::map<target_id, incarnation> target_index::others_at(const announcement& value) const {
+    const auto found = m_by_address.find(value.address);
+    std::map<target_id, incarnation> others;
+    if (found != m_by_address.end()) {
+        others = found->second;
+        others.erase(value.target);
+    }
+    return others;
 }
 
 } // namespace tamarack
--- a/modules/tamarack_membership/targets/target_index.h
+++ b/modules/tamarack_membership/targets/target_index.h
@@ -25,13 +25,18 @@
     /** @return whether a live target other than this one holds its address */
     bool address_taken(const announcement& value) const;
 
-    /** @return whether a live target is the one to use at its address, should two hosts have let in one each
+    /** @return the live targets other than this one at its address, with their lives */
+    std::map<target_id, incarnation> others_at(const announcement& value) const;
+
+    /**
+     * @return whether a live target is the one to use at its address, should two hosts have let in one each: the
+     * one with the highest life
      */
     bool owns_address(const announcement& value) const;
 
 private:
     std::map<service_id, std::set<target_id>> m_by_service;
-    std::map<endpoint, std::set<target_id>> m_by_address;
+    std::map<endpoint, std::map<target_id, incarnation>> m_by_address;
 };
 
 } // namespace tamarack
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -33,7 +33,8 @@
 
 outcome<announcement_receipt> target_registry::on_announcement(time_point now, const announcement& value,
                                                                const configuration& in_force) {
-    const outcome<done> checked = check_announcement(value, in_force);
+    const outcome<done> checked = m_options.only_known_services ? check_announcement(value, in_force)
+                                                                : check_announcement_form(value);
     if (!succeeded(checked)) {
         return error_of(checked);
     }
@@ -41,6 +42,9 @@
     if (!succeeded(fits)) {
         return error_of(fits);
     }
+    if (m_options.lives_are_start_times) {
+        end_others_at(now, value);
+    }
     accept(now, m_entries[value.target], value);
     return receipt_for(value);
 }
@@ -64,8 +68,8 @@
 }
 
 outcome<done> target_registry::check_against_known(const announcement& value) const {
-    if (m_options.protections.one_target_an_address && m_index.address_taken(value)) {
-        return error{error_code::conflict, "another live target has the address " + value.address.value()};
+    if (const auto free = check_address(value); !succeeded(free)) {
+        return free;
     }
     const auto found = m_entries.find(value.target);
     if (found == m_entries.end()) {
@@ -77,10 +81,20 @@
     }
     const entry& known = found->second;
     if (known.record.latest.life == value.life) {
+        if (std::find(known.ended.begin(), known.ended.end(), value.life) != known.ended.end()) {
+            return error{error_code::stale, value.target.value() + " has said that it ends"};
+        }
+        const bool left = known.record.latest.state == target_state::draining;
+        if (m_options.lives_are_start_times && left && value.state != target_state::draining) {
+            return error{error_code::stale, value.target.value() + " has said that it drains"};
+        }
         announcement before = known.record.latest;
         before.sequence = std::max(before.sequence, known.heard_sequence);
         return check_same_life(before, value);
     }
+    if (m_options.lives_are_start_times && value.life < known.record.latest.life) {
+        return error{error_code::conflict, "a later life of " + value.target.value() + " announced itself"};
+    }
     const bool ended = std::find(known.ended.begin(), known.ended.end(), value.life) != known.ended.end();
     if (ended && m_options.protections.refuse_ended_lives) {
         return error{error_code::conflict, "this life of " + value.target.value() +
@@ -90,6 +104,54 @@
     return done{};
 }
 
+outcome<done> target_registry::check_address(const announcement& value) const {
+    if (!m_options.protections.one_target_an_address || !m_index.address_taken(value)) {
+        return done{};
+    }
+    const auto others = m_index.others_at(value);
+    const bool latest = m_options.lives_are_start_times &&
+                        std::all_of(others.begin(), others.end(),
+                                    [&](const auto& other) { return other.second < value.life; });
+    if (latest) {
+        return done{};
+    }
+    return error{error_code::conflict, "another live target has the address " + value.address.value()};
+}
+
+void target_registry::end_others_at(time_point now, const announcement& value) {
+    for (const auto& [other, life] : m_index.others_at(value)) {
+        end(now, m_entries.at(other));
+    }
+}
+
+void target_registry::end(time_point now, entry& known) {
+    m_index.remove(known.record.latest);
+    known.record.alive = false;
+    known.record.latest.state = target_state::draining;
+    end_life(known, known.record.latest.life);
+    set_kept(known, false);
+    set_deadline(known, now + m_options.forget_after);
+    m_index.add(known.record.latest, false);
+    ++m_generation;
+    restate(now, known);
+}
+
+outcome<done> target_registry::on_departure(time_point now, const target_id& target,
+                                            std::optional<incarnation> life) {
+    const auto found = m_entries.find(target);
+    if (found == m_entries.end()) {
+        return error{error_code::not_found, "no target is known as " + target.value()};
+    }
+    entry& known = found->second;
+    if (life && *life != known.record.latest.life) {
+        return error{error_code::stale, "another life of " + target.value() + " is known"};
+    }
+    if (known.record.alive) {
+        end(now, known);
+    }
+    return done{};
+}
+
 void target_registry::accept(time_point now, entry& kept, const announcement& value) {
     const bool is_new = kept.record.latest.target.empty();
     const bool new_life = !is_new && kept.record.latest.life != value.life;
@@ -102,6 +164,9 @@
         end_life(kept, kept.record.latest.life);
         ++kept.record.lives;
     }
+    if (m_options.lives_are_start_times) {
+        kept.record.lives = value.life.value;
+    }
     const std::uint64_t told_sequence = kept.record.latest.sequence;
     kept.record.latest = value;
     kept.record.latest.sequence = changed ? value.sequence : told_sequence;
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -59,6 +59,8 @@
     std::size_t ended_lives = 4; ///< remembered of each target
     std::size_t targets = 10'000;
     std::size_t changes_in_message = 200;
+    bool only_known_services = true; ///< otherwise a target may announce itself before a ticket names its service
+    bool lives_are_start_times = false; ///< lives are ordered: the latest one holds an address, earlier ones are refused
     registry_protections protections;
 };
 
@@ -100,6 +102,13 @@
      */
     outcome<announcement_receipt> on_heartbeat(time_point now, const target_heartbeat& value);
 
+    /**
+     * A target says that it ends: it gets no new work, and nothing more is heard of this life.
+     *
+     * @param life  of the target; nothing when it did not say
+     */
+    outcome<done> on_departure(time_point now, const target_id& target, std::optional<incarnation> life);
+
     /** Changes arrived from another host. @return those that were news here, to be spread further */
     std::vector<target_record> on_changes(time_point now, const std::vector<target_record>& changes);
 
@@ -175,6 +184,9 @@
     };
 
     outcome<done> check_against_known(const announcement& value) const;
+    outcome<done> check_address(const announcement& value) const;
+    void end_others_at(time_point now, const announcement& value);
+    void end(time_point now, entry& known);
     announcement_receipt receipt_for(const announcement& value) const;
     std::vector<const keeper_candidate*> rank_keepers(const announcement& value) const;
     void accept(time_point now, entry& kept, const announcement& value);
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -3,6 +3,7 @@
 #include <tamarack_base/tamarack_base.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,42 @@
     duration request_receipt = 10s; ///< longest time to receive one request
 };
 
+/** How callers, targets and operators are met. */
+enum class edge_kind {
+    own,      ///< the product's own interface: JSON over HTTP
+    platform, ///< the users' platform: plain requests, passed on by a route table
+};
+
+template <>
+struct name_table<edge_kind> {
+    static constexpr std::array<std::pair<edge_kind, std::string_view>, 2> entries{{
+        {edge_kind::own, "own"},
+        {edge_kind::platform, "platform"},
+    }};
+};
+
+/** Further addresses that the platform's edge listens on. */
+struct edge_settings {
+    edge_kind kind = edge_kind::own;
+    endpoint readiness; ///< whether this host takes callers
+    endpoint directory; ///< callers ask which hosts to use
+    endpoint control;   ///< targets announce themselves, operators send configurations
+};
+
+/** How control hosts come together without an operator. */
+struct formation_settings {
+    bool automatic = false;   ///< seeds are named by their IP address; voters are chosen by the hosts themselves
+    bool first_start = false; ///< the whole deployment starts for the first time, with empty disks
+    std::uint32_t tolerated_losses = 1; ///< control hosts that may be lost at the same time
+};
+
+/** Bounds on passing requests on by a route table. */
+struct forwarding_settings {
+    double extra_ratio = 0.2;       ///< hedges and retries over requests, for each service on all hosts
+    double extra_allowance = 50.0;  ///< further ones in a window, whatever the load
+    duration extra_window = 10s;
+};
+
 /** All settings of one daemon, already checked. */
 struct settings {
     host_id host;
@@ -69,6 +106,9 @@
     std::vector<seed_host> seeds; ///< control hosts, this one among them when it is one
     protocol_times times;
     host_limits limits;
+    edge_settings edge;
+    formation_settings formation;
+    forwarding_settings forwarding;
     std::string token_file; ///< bearer tokens of operators; empty leaves the operators' edge open
 };
 
--- a/modules/tamarack_settings/model/settings_reader.cpp
+++ b/modules/tamarack_settings/model/settings_reader.cpp
@@ -25,6 +25,9 @@
     read_host(source, value);
     read_listen(source, value);
     read_seeds(source, value);
+    read_edge(source, value);
+    read_formation(source, value);
+    read_forwarding(source, value.forwarding);
     read_times(source, value.times);
     read_limits(source, value.limits);
     check_together(source, value);
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -4,12 +4,16 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 namespace tamarack {
 
 namespace {
 
 constexpr std::size_t longest_name = 64;
+constexpr std::uint64_t most_tolerated_losses = 3;
+constexpr double most_extra_ratio = 1.0;
+constexpr double most_extra_allowance = 1e6;
 constexpr auto allowed_name = "1 to 64 letters, digits, '-', '_' or '.'";
 constexpr auto allowed_listen = "an IP address of this host with a port, such as 192.0.2.1:7100; no wildcard";
 constexpr auto allowed_seed = "a host's address for hosts, such as 192.0.2.1:7300, with a port above 0";
@@ -84,15 +88,19 @@
     into.role = *role;
 }
 
-endpoint read_listen_address(settings_source& source, const std::string& key) {
-    const std::string value = source.find("listen", key).value_or("");
+endpoint read_address(settings_source& source, const std::string& section, const std::string& key) {
+    const std::string value = source.find(section, key).value_or("");
     const auto parts = parse_address(value);
     if (!parts || parts->wildcard) {
-        source.report("listen", key, allowed_listen);
+        source.report(section, key, allowed_listen);
     }
     return endpoint{value};
 }
 
+endpoint read_listen_address(settings_source& source, const std::string& key) {
+    return read_address(source, "listen", key);
+}
+
 template <typename Key, typename Limits>
 void read_duration(settings_source& source, const char* section, const Key& key, Limits& into) {
     const auto text = source.find(section, key.name);
@@ -147,6 +155,77 @@
     }
 }
 
+void read_edge(settings_source& source, settings& into) {
+    const std::string kind = source.find("edge", "kind").value_or(std::string{to_name(edge_kind::own)});
+    const auto known = from_name<edge_kind>(kind);
+    if (!known) {
+        source.report("edge", "kind", "own or platform");
+        return;
+    }
+    into.edge.kind = *known;
+    if (into.edge.kind == edge_kind::platform) {
+        into.edge.readiness = read_address(source, "edge", "readiness");
+        into.edge.directory = read_address(source, "edge", "directory");
+        into.edge.control = read_address(source, "edge", "control");
+    }
+}
+
+void read_formation(settings_source& source, settings& into) {
+    const auto listed = source.find("formation", "seeds");
+    const auto first = source.find("formation", "first_start");
+    const auto losses = source.find("formation", "tolerated_losses");
+    if (!listed) {
+        return;
+    }
+    into.formation.automatic = true;
+    into.formation.first_start = first && *first == "true";
+    if (first && *first != "true" && *first != "false") {
+        source.report("formation", "first_start", "true or false");
+    }
+    const auto tolerated = parse_count(losses.value_or("1"));
+    if (!tolerated || *tolerated > most_tolerated_losses) {
+        source.report("formation", "tolerated_losses", "0 to " + std::to_string(most_tolerated_losses));
+    } else {
+        into.formation.tolerated_losses = static_cast<std::uint32_t>(*tolerated);
+    }
+    const auto own = parse_address(into.listen.hosts.value());
+    std::istringstream list{*listed};
+    std::string address;
+    while (std::getline(list, address, ',')) {
+        const auto parts = parse_address(address);
+        if (!parts || parts->wildcard) {
+            source.report("formation", "seeds", "IP addresses with ports, separated by commas");
+            return;
+        }
+        const std::string port = std::to_string(own ? own->port : 0);
+        into.seeds.push_back({host_id{parts->ip}, endpoint{parts->ip + ":" + port}});
+    }
+}
+
+void read_forwarding(settings_source& source, forwarding_settings& into) {
+    if (const auto text = source.find("forwarding", "extra_ratio")) {
+        if (const auto value = parse_real(*text); value && *value >= 0.0 && *value <= most_extra_ratio) {
+            into.extra_ratio = *value;
+        } else {
+            source.report("forwarding", "extra_ratio", "0 to 1");
+        }
+    }
+    if (const auto text = source.find("forwarding", "extra_allowance")) {
+        if (const auto value = parse_real(*text); value && *value >= 0.0 && *value <= most_extra_allowance) {
+            into.extra_allowance = *value;
+        } else {
+            source.report("forwarding", "extra_allowance", "0 to 1000000");
+        }
+    }
+    if (const auto text = source.find("forwarding", "extra_window")) {
+        if (const auto value = parse_duration(*text); value && *value >= 1s && *value <= 10min) {
+            into.extra_window = *value;
+        } else {
+            source.report("forwarding", "extra_window", "1s to 10min");
+        }
+    }
+}
+
 void read_times(settings_source& source, protocol_times& into) {
     for (const time_key& key : time_keys) {
         read_duration(source, "times", key, into);
--- a/modules/tamarack_settings/parsing/section_readers.h
+++ b/modules/tamarack_settings/parsing/section_readers.h
@@ -14,6 +14,15 @@
 /** Reads `[seeds]`. */
 void read_seeds(settings_source& source, settings& into);
 
+/** Reads `[edge]`. */
+void read_edge(settings_source& source, settings& into);
+
+/** Reads `[formation]`; its seeds are named by their IP address and reached at this host's own port for hosts. */
+void read_formation(settings_source& source, settings& into);
+
+/** Reads `[forwarding]`. */
+void read_forwarding(settings_source& source, forwarding_settings& into);
+
 /** Reads `[times]`. */
 void read_times(settings_source& source, protocol_times& into);
 
--- a/modules/tamarack_settings/parsing/value_parsers.cpp
+++ b/modules/tamarack_settings/parsing/value_parsers.cpp
@@ -89,6 +89,16 @@
     return parse_with_unit(text, size_units);
 }
 
+std::optional<double> parse_real(const std::string& text) {
+    double value = 0.0;
+    const char* end = text.data() + text.size();
+    const auto [stopped_at, problem] = std::from_chars(text.data(), end, value);
+    if (text.empty() || problem != std::errc{} || stopped_at != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::optional<address_parts> parse_address(const std::string& text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos) {
--- a/modules/tamarack_settings/parsing/value_parsers.h
+++ b/modules/tamarack_settings/parsing/value_parsers.h
@@ -21,6 +21,9 @@
 /** Reads a whole number without a sign. @return the number, or nothing */
 std::optional<std::uint64_t> parse_count(const std::string& text);
 
+/** Reads a number such as "0.2" or "62". @return the number, or nothing */
+std::optional<double> parse_real(const std::string& text);
+
 /** An address split into its parts. */
 struct address_parts {
     std::string ip;
--- a/modules/tamarack_tickets/checks/apply_ticket.cpp
+++ b/modules/tamarack_tickets/checks/apply_ticket.cpp
@@ -35,6 +35,9 @@
     for (const auto& rule : accepted.rules) {
         result.rules.insert_or_assign(rule.name, rule);
     }
+    if (accepted.routes) {
+        result.routes = accepted.routes;
+    }
     for (const auto& order : accepted.hosts) {
         result.hosts.insert_or_assign(order.host, order);
     }
--- a/modules/tamarack_tickets/checks/describe_difference.cpp
+++ b/modules/tamarack_tickets/checks/describe_difference.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+std::map<std::string, route> routes_of(const configuration& value) {
+    std::map<std::string, route> routes;
+    if (value.routes) {
+        for (const route& item : value.routes->routes) {
+            routes.emplace(item.authority + item.prefix, item);
+        }
+    }
+    return routes;
+}
+
 } // namespace
 
 std::vector<std::string> describe_difference(const configuration& before, const configuration& after) {
@@ -44,6 +54,7 @@
     compare("limits", before.limits, after.limits, lines);
     compare("rule", before.rules, after.rules, lines);
     compare("host", before.hosts, after.hosts, lines);
+    compare("route", routes_of(before), routes_of(after), lines);
     return lines;
 }
 
--- /dev/null
+++ b/modules/tamarack_tickets/checks/route_checks.cpp
@@ -0,0 +1,90 @@
+#include "route_checks.h"
+
+#include "../model/object_reader.h"
+
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t most_routes = 20'000;
+constexpr std::size_t most_routed_services = 20'000;
+
+std::string item_of(const std::string& list, std::size_t index) {
+    return "routes." + list + "[" + std::to_string(index) + "]";
+}
+
+bool is_prefix(const std::string& prefix) {
+    return !prefix.empty() && prefix.front() == '/' && prefix.back() == '/';
+}
+
+void check_services_of(const std::string& path, const route& value, const std::set<service_id>& known,
+                       fault_list& faults) {
+    if (value.services.empty()) {
+        faults.add(path + ".services", "must name a service");
+    }
+    if (value.destination == route_destination::service && value.services.size() > 1) {
+        faults.add(path + ".services", "must name one service only");
+    }
+    std::uint64_t weights = 0;
+    std::set<service_id> seen;
+    for (const route_service& part : value.services) {
+        weights += part.weight;
+        if (!known.contains(part.service)) {
+            faults.add(path + ".services", "names the unknown service " + part.service.value());
+        }
+        if (!seen.insert(part.service).second) {
+            faults.add(path + ".services", "names " + part.service.value() + " twice");
+        }
+    }
+    if (value.destination == route_destination::split && weights == 0) {
+        faults.add(path + ".services", "must have weights that add up to more than 0");
+    }
+}
+
+void check_route(const std::string& path, const route& value, const std::set<service_id>& known,
+                 fault_list& faults) {
+    if (value.authority.empty()) {
+        faults.add(path + ".authority", "must not be empty");
+    }
+    if (!is_prefix(value.prefix)) {
+        faults.add(path + ".prefix", "must begin and end with a slash");
+    }
+    faults.check_time(path + ".timeout_ms", value.timeout);
+    if (value.attempts == 0) {
+        faults.add(path + ".attempts", "must be 1 or more");
+    }
+    check_services_of(path, value, known, faults);
+    if (value.destination == route_destination::shards) {
+        faults.check_share(path + ".least_coverage", value.least_coverage, 0.0, 1.0);
+    }
+}
+
+} // namespace
+
+void check_route_table(const route_table& table, fault_list& faults) {
+    faults.check_count("routes.routes", table.routes.size(), 0, most_routes);
+    faults.check_count("routes.services", table.services.size(), 0, most_routed_services);
+    std::set<service_id> known;
+    for (std::size_t index = 0; index < table.services.size(); ++index) {
+        const service_id& id = table.services[index].id;
+        faults.check_name(item_of("services", index) + ".service", id.value());
+        if (!known.insert(id).second) {
+            faults.add(item_of("services", index), "is given twice");
+        }
+    }
+    std::set<std::pair<std::string, std::string>> taken;
+    for (std::size_t index = 0; index < table.routes.size(); ++index) {
+        const route& value = table.routes[index];
+        const std::string path = item_of("routes", index);
+        check_route(path, value, known, faults);
+        if (!taken.emplace(value.authority, value.prefix).second) {
+            faults.add(path, "shares its authority and prefix with another route");
+        }
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_tickets/checks/route_checks.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "../model/route_table.h"
+#include "fault_list.h"
+
+namespace tamarack {
+
+/** Checks a route table as a whole; every fault is reported. Internal to the module. */
+void check_route_table(const route_table& table, fault_list& faults);
+
+} // namespace tamarack
--- a/modules/tamarack_tickets/checks/ticket_checks.cpp
+++ b/modules/tamarack_tickets/checks/ticket_checks.cpp
@@ -1,6 +1,7 @@
 #include "ticket_checks.h"
 
 #include "object_checks.h"
+#include "route_checks.h"
 
 #include <set>
 
@@ -157,6 +158,9 @@
     check_items("limits", candidate.limits, check_limits, faults);
     check_items("rules", candidate.rules, check_rule, faults);
     check_items("hosts", candidate.hosts, check_host_order, faults);
+    if (candidate.routes) {
+        check_route_table(*candidate.routes, faults);
+    }
     check_all_removals(candidate, current, faults);
     const configuration after = apply_ticket(candidate, current);
     check_references(candidate, after, faults);
--- a/modules/tamarack_tickets/model/configuration.h
+++ b/modules/tamarack_tickets/model/configuration.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "route_table.h"
 #include <tamarack_base/tamarack_base.h>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -115,6 +117,7 @@
     std::map<limits_key, replica_limits> limits;
     std::map<std::string, routing_rule> rules;
     std::map<host_id, host_order> hosts;
+    std::optional<route_table> routes; ///< of requests that are passed on unread
 
     bool operator==(const configuration&) const = default;
 
--- a/modules/tamarack_tickets/model/configuration_codec.cpp
+++ b/modules/tamarack_tickets/model/configuration_codec.cpp
@@ -1,6 +1,7 @@
 #include "ticket_codec.h"
 
 #include "object_codec.h"
+#include "route_codec.h"
 
 namespace tamarack {
 
@@ -25,6 +26,9 @@
     json["limits"] = encode_values(value.limits, encode_limits);
     json["rules"] = encode_values(value.rules, encode_rule);
     json["hosts"] = encode_values(value.hosts, encode_host_order);
+    if (value.routes) {
+        json["routes"] = encode_route_table(*value.routes);
+    }
     return json;
 }
 
@@ -50,6 +54,10 @@
         const host_id key = order.host;
         value.hosts.insert_or_assign(key, std::move(order));
     }
+    if (const Json::Value& routes = reader.any("routes", presence::optional); !routes.isNull()) {
+        object_reader table{routes, "routes", faults};
+        value.routes = read_route_table(table);
+    }
     reader.refuse_unknown();
     if (!faults.empty()) {
         return error_of_faults(faults);
--- a/modules/tamarack_tickets/model/object_reader.h
+++ b/modules/tamarack_tickets/model/object_reader.h
@@ -32,6 +32,12 @@
     optional,
 };
 
+/** What becomes of members that nothing asks for. */
+enum class unknown_members {
+    refused,
+    ignored,
+};
+
 /**
  * Reads typed members of a JSON object and collects every fault instead of stopping at the first.
  *
@@ -87,16 +93,20 @@
     /**
      * Reads an optional list of objects.
      *
-     * @param read  called with each item's object_reader; returns the item
+     * @param read     called with each item's object_reader; returns the item
+     * @param unknown  whether an item may have further members
      */
     template <typename Item, typename Read>
-    std::vector<Item> objects(const std::string& name, Read read) {
+    std::vector<Item> objects(const std::string& name, Read read,
+                              unknown_members unknown = unknown_members::refused) {
         std::vector<Item> result;
         const Json::Value& list = array(name);
         for (Json::ArrayIndex index = 0; index < list.size(); ++index) {
             object_reader item{list[index], path_of(name) + "[" + std::to_string(index) + "]", m_faults};
             result.push_back(read(item));
-            item.refuse_unknown();
+            if (unknown == unknown_members::refused) {
+                item.refuse_unknown();
+            }
         }
         return result;
     }
--- a/modules/tamarack_tickets/model/ticket.h
+++ b/modules/tamarack_tickets/model/ticket.h
@@ -2,6 +2,7 @@
 
 #include "configuration.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     std::vector<replica_limits> limits;
     std::vector<routing_rule> rules;
     std::vector<host_order> hosts;
+    std::optional<route_table> routes; ///< replaces the whole route table; absent leaves it as it is
     ticket_removals removals;
 
     bool operator==(const ticket&) const = default;
--- a/modules/tamarack_tickets/model/ticket_codec.cpp
+++ b/modules/tamarack_tickets/model/ticket_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "json_text.h"
 #include "object_codec.h"
+#include "route_codec.h"
 
 #include <algorithm>
 
@@ -26,6 +27,15 @@
     return value;
 }
 
+std::optional<route_table> read_routes(object_reader& owner) {
+    const Json::Value& json = owner.any("routes", presence::optional);
+    if (json.isNull()) {
+        return std::nullopt;
+    }
+    object_reader reader{json, owner.path_of("routes"), owner.faults()};
+    return read_route_table(reader);
+}
+
 ticket read_ticket(object_reader& reader) {
     ticket value;
     value.number = ticket_number{reader.number("number")};
@@ -34,6 +44,7 @@
     value.limits = reader.objects<replica_limits>("limits", read_limits);
     value.rules = reader.objects<routing_rule>("rules", read_rule);
     value.hosts = reader.objects<host_order>("hosts", read_host_order);
+    value.routes = read_routes(reader);
     value.removals = read_removals(reader);
     reader.refuse_unknown();
     return value;
@@ -115,6 +126,9 @@
     json["limits"] = encode_list(ordered.limits, encode_limits);
     json["rules"] = encode_list(ordered.rules, encode_rule);
     json["hosts"] = encode_list(ordered.hosts, encode_host_order);
+    if (ordered.routes) {
+        json["routes"] = encode_route_table(*ordered.routes);
+    }
     json["removals"] = encode_removals(ordered.removals);
     return json;
 }
--- a/modules/tamarack_tickets/tamarack_tickets.h
+++ b/modules/tamarack_tickets/tamarack_tickets.h
@@ -12,6 +12,7 @@
 #include "model/json_lines.h"
 #include "model/json_text.h"
 #include "model/object_reader.h"
+#include "model/route_table.h"
 #include "model/ticket.h"
 #include "model/ticket_codec.h"
 
--- a/modules/tamarack_transport/http/beast_conversion.cpp
+++ b/modules/tamarack_transport/http/beast_conversion.cpp
@@ -2,6 +2,7 @@
 
 #include "beast_conversion.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
 
@@ -36,7 +37,18 @@
 template <typename Message>
 void put_fields(Message& message, const http_fields& fields) {
     for (const auto& [name, value] : fields) {
-        message.set(name, value);
+        message.insert(name, value);
+    }
+}
+
+/** Repeated fields are kept; a Host among them takes the place of the connection's own. */
+void put_request_fields(beast_request& message, const http_fields& fields) {
+    for (const auto& [name, value] : fields) {
+        if (boost::beast::iequals(name, "Host")) {
+            message.set(http::field::host, value);
+        } else {
+            message.insert(name, value);
+        }
     }
 }
 
@@ -45,6 +57,7 @@
 http_request from_beast(beast_request&& request) {
     http_request converted;
     converted.method = from_verb(request.method());
+    converted.method_name = std::string{request.method_string()};
     converted.target = std::string{request.target()};
     converted.fields = copy_fields(request);
     converted.body = std::move(request.body());
@@ -63,7 +76,10 @@
     const http::verb verb = request.method == http_method::post ? http::verb::post : http::verb::get;
     beast_request converted{verb, request.target, http_1_1};
     converted.set(http::field::host, host_field);
-    put_fields(converted, request.fields);
+    if (!request.method_name.empty()) {
+        converted.method_string(request.method_name);
+    }
+    put_request_fields(converted, request.fields);
     converted.body() = request.body;
     converted.prepare_payload();
     return converted;
--- a/modules/tamarack_transport/http/http_server.cpp
+++ b/modules/tamarack_transport/http/http_server.cpp
@@ -110,6 +110,14 @@
     return to_endpoint(m_implementation->acceptor.local_endpoint());
 }
 
+void http_server::set_limits(const http_server_limits& limits) {
+    m_implementation->context->limits = limits;
+}
+
+void http_server::close_after_responses() {
+    m_implementation->context->accepting = false;
+}
+
 void http_server::stop_accepting() {
     m_implementation->context->accepting = false;
     if (!m_implementation->acceptor.is_open()) {
--- a/modules/tamarack_transport/http/http_server.h
+++ b/modules/tamarack_transport/http/http_server.h
@@ -50,6 +50,12 @@
      */
     outcome<endpoint> listen(const endpoint& address);
 
+    /** Replaces the limits; connections that are open keep to them from their next request on. */
+    void set_limits(const http_server_limits& limits);
+
+    /** Closes each connection after its next response, and goes on accepting. */
+    void close_after_responses();
+
     /** Closes the listening socket; open connections are answered with "Connection: close" from now on. */
     void stop_accepting();
 
