--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -81,7 +81,9 @@
 void hosts_duty::register_methods() {
     m_dispatcher.on(raft_method, [this](const Json::Value& parameters) {
         auto envelope = decode_envelope(parameters);
-        if (succeeded(envelope) && m_hooks.to_log) {
+        if (!succeeded(envelope)) {
+            report_unreadable(raft_method, error_of(envelope));
+        } else if (m_hooks.to_log) {
             m_hooks.to_log(value_of(std::move(envelope)));
         }
     });
@@ -89,12 +91,16 @@
         const auto message = decode_control_message(parameters);
         if (succeeded(message)) {
             route_control(value_of(message));
+        } else {
+            report_unreadable(control_method, error_of(message));
         }
     });
     m_dispatcher.on(membership_method, [this](const Json::Value& parameters) {
         const auto message = decode_membership_message(parameters);
         if (succeeded(message)) {
             carry_out(m_detector->on_message(steady_now(), value_of(message), *m_registry));
+        } else {
+            report_unreadable(membership_method, error_of(message));
         }
     });
     m_dispatcher.on(suspicion_method, [this](const Json::Value& parameters) {
@@ -117,6 +123,11 @@
     });
 }
 
+void hosts_duty::report_unreadable(const std::string& method, const error& reason) const {
+    log_state_change(log_level::warning, "host_message_unreadable", m_control->current().number,
+                     {{"method", method}, {"reason", reason.message}});
+}
+
 bool hosts_duty::post_raft(raft_envelope envelope) {
     return m_thread.try_post([this, envelope = std::move(envelope)] {
         m_links.send(address_of(envelope.to.host), raft_method, encode_envelope(envelope));
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -102,6 +102,8 @@
 
 private:
     void register_methods();
+    /** Another host's message can't be decoded; it is dropped, as if it were lost. */
+    void report_unreadable(const std::string& method, const error& reason) const;
     /** @return the live hosts, this one left out, that a service is assigned to, with their addresses */
     std::map<host_id, endpoint> other_hosts_of(const service_id& service) const;
     void on_timer(time_point now);
--- a/modules/tamarack_membership/targets/announcement_codec.cpp
+++ b/modules/tamarack_membership/targets/announcement_codec.cpp
@@ -111,7 +111,7 @@
     value.address = endpoint{reader.text("address")};
     value.data_center = data_center_id{reader.text("data_center")};
     value.service = service_id{reader.text("service")};
-    value.shard = shard_id{reader.text("shard")};
+    value.shard = shard_id{reader.optional_text("shard")};
     value.replica = static_cast<std::uint32_t>(reader.number("replica", 0, highest_count));
     value.versions = decode_versions(reader);
     value.slots = static_cast<std::uint32_t>(reader.number("slots", 0, highest_count));
