Keep data folders over restarts without inode numbers; reload settings; learn control hosts from membership

Cause: a data folder was taken for a copy after each restart, since the platform's file system does not keep inode numbers; control hosts lost their log and nothing was served after a final fault. SIGHUP ended the process.

--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -55,7 +55,8 @@
 /** Opens a data folder's log; one that can't be trusted is set aside and a new incarnation begun. */
 outcome<opened_log> open_trusted_log(const settings& chosen) {
     random_source random = system_random();
-    auto folder = open_data_folder(chosen.data_folder, chosen.host, random);
+    const copy_check check = chosen.recognise_copies ? copy_check::by_file_marks : copy_check::none;
+    auto folder = open_data_folder(chosen.data_folder, chosen.host, random, check);
     if (!succeeded(folder)) {
         return error_of(folder);
     }
@@ -159,6 +160,10 @@
     return addresses;
 }
 
+void host_daemon::apply(const settings& changed) {
+    m_hosts->post_seeds(changed.seeds);
+}
+
 void host_daemon::leave_directory() {
     m_hosts->post_draining();
     if (m_forwarding) {
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -39,6 +39,9 @@
     /** Opens the data folder, listens and starts all duties. @return the addresses in use */
     outcome<daemon_addresses> start();
 
+    /** Applies what may change while the host runs; the rest takes effect with the next start. */
+    void apply(const settings& changed);
+
     /** Leaves the directory; kept answers of it may still name this host. */
     void leave_directory();
 
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -43,6 +43,7 @@
                    [this](const endpoint& address, const std::string& method, Json::Value parameters) {
                        m_links.send(address, method, std::move(parameters));
                    }) {
+    m_seeds = m_settings.seeds;
     register_methods();
 }
 
@@ -205,6 +206,30 @@
     return others;
 }
 
+bool hosts_duty::post_seeds(std::vector<seed_host> seeds) {
+    return m_thread.try_post([this, seeds = std::move(seeds)] {
+        m_seeds = seeds;
+        update_control_hosts();
+    });
+}
+
+/** The control hosts to ask: those that are known to live, and the seeds. */
+void hosts_duty::update_control_hosts() {
+    std::vector<host_id> hosts;
+    for (const host_record& known : m_detector->hosts()) {
+        const bool running = known.state == host_state::alive || known.state == host_state::suspect;
+        if (known.control && running) {
+            hosts.push_back(known.host);
+        }
+    }
+    for (const seed_host& seed : m_seeds) {
+        if (std::find(hosts.begin(), hosts.end(), seed.host) == hosts.end()) {
+            hosts.push_back(seed.host);
+        }
+    }
+    m_control->set_control_hosts(std::move(hosts));
+}
+
 bool hosts_duty::post_draining() {
     return m_thread.try_post([this] {
         m_leaving = true;
@@ -272,7 +297,7 @@
         }
         return;
     }
-    for (const seed_host& seed : m_settings.seeds) {
+    for (const seed_host& seed : m_seeds) {
         if (seed.host != m_settings.host) {
             m_links.send(seed.address, identity_method, parameters);
         }
@@ -348,6 +373,9 @@
 
 void hosts_duty::on_host_changed(const host_record& record) {
     m_picture_stale = true;
+    if (m_settings.formation.automatic) {
+        update_control_hosts();
+    }
     log_state_change(log_level::info, "host_changed", m_control->current().number,
                      {{"about", record.host.value()},
                       {"state", std::string{to_name(record.state)}},
@@ -531,7 +559,7 @@
 }
 
 endpoint hosts_duty::address_of(const host_id& host) const {
-    for (const seed_host& seed : m_settings.seeds) {
+    for (const seed_host& seed : m_seeds) {
         if (seed.host == host) {
             return seed.address;
         }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -94,6 +94,9 @@
     bool post_suspicion(spread_suspicion found, std::function<void()> known);
     bool post_quarantine(spread_quarantine found);
 
+    /** From any thread: the settings name other seeds. */
+    bool post_seeds(std::vector<seed_host> seeds);
+
     /** From any thread: leave the directory; or say goodbye and give the lease back. */
     bool post_draining();
     bool post_leave();
@@ -152,6 +155,9 @@
     forwarding_picture build_forwarding_picture(time_point now);
     bool may_enter_forwarding(time_point now);
 
+    void update_control_hosts();
+
+    std::vector<seed_host> m_seeds; ///< as last set
     std::map<host_id, introduced_host> m_identities;
     std::shared_ptr<const route_table> m_routes;
     ticket_number m_routes_number;
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -66,6 +66,7 @@
     self.data_center = chosen.data_center;
     self.hosts_address = hosts;
     self.callers_address = callers;
+    self.control = chosen.role != host_role::entry;
     self.draining = serves_callers(chosen);
     return self;
 }
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -7,7 +7,9 @@
 #include <csignal>
 #include <ctime>
 #include <exception>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,6 +25,8 @@
 constexpr int exit_failed_start = 1;
 constexpr int exit_bad_settings = 2;
 constexpr int exit_unfinished_requests = 3;
+/** A changed settings file takes effect within this, also without SIGHUP. */
+constexpr time_t settings_poll_seconds = 1;
 
 struct command_line {
     std::string settings_file;
@@ -64,14 +68,51 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-void wait_for_signal(const sigset_t& signals) {
-    int received = 0;
-    sigwait(&signals, &received);
+std::string content_of(const std::string& path) {
+    std::ifstream file{path};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** Reads the settings file again; one with mistakes changes nothing. */
+void reload(host_daemon& host, const std::string& path, std::string& known) {
+    std::string content = content_of(path);
+    if (content == known) {
+        log_state_change(log_level::info, "settings_unchanged", {}, {});
+        return;
+    }
+    known = std::move(content);
+    const auto read = read_settings_file(path);
+    if (!succeeded(read)) {
+        for (const settings_mistake& mistake : error_of(read)) {
+            log_state_change(log_level::error, "settings_refused", {}, {{"mistake", describe(mistake)}});
+        }
+        return;
+    }
+    host.apply(value_of(read));
+    log_state_change(log_level::info, "settings_reloaded", {}, {});
+}
+
+/** Waits for a signal to stop; meanwhile the settings file is read again on SIGHUP, and when it has changed. */
+void wait_for_stop(const sigset_t& signals, host_daemon& host, const std::string& path) {
+    std::string known = content_of(path);
+    while (true) {
+        const timespec interval{settings_poll_seconds, 0};
+        const int received = sigtimedwait(&signals, nullptr, &interval);
+        if (received == SIGTERM || received == SIGINT) {
+            return;
+        }
+        if (received == SIGHUP || content_of(path) != known) {
+            reload(host, path, known);
+        }
+    }
 }
 
 /** Waits for a further stop signal. @return whether one came before the time was over */
@@ -81,7 +122,8 @@
     timespec wait{};
     wait.tv_sec = seconds.count();
     wait.tv_nsec = rest.count();
-    return sigtimedwait(&signals, nullptr, &wait) > 0;
+    const int received = sigtimedwait(&signals, nullptr, &wait);
+    return received == SIGTERM || received == SIGINT;
 }
 
 void print_addresses(const daemon_addresses& addresses) {
@@ -103,7 +145,7 @@
     return finished ? exit_success : exit_unfinished_requests;
 }
 
-int run(const settings& chosen) {
+int run(const settings& chosen, const std::string& path) {
     const sigset_t signals = block_stop_signals();
     start_state_log(chosen.host);
     host_daemon host{chosen, [] { ::kill(::getpid(), SIGTERM); }, platform_edge()};
@@ -114,7 +156,7 @@
     }
     print_addresses(value_of(started));
     log_state_change(log_level::info, "started", {}, {{"role", std::string{to_name(chosen.role)}}});
-    wait_for_signal(signals);
+    wait_for_stop(signals, host, path);
     return shut_down(host, chosen, signals);
 }
 
@@ -134,7 +176,7 @@
         std::cout << "settings are good\n";
         return exit_success;
     }
-    return run(value_of(read));
+    return run(value_of(read), line.settings_file);
 }
 
 } // namespace
--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -94,6 +94,10 @@
     return m_implementation->finish(now);
 }
 
+void control_client::set_control_hosts(std::vector<host_id> hosts) {
+    m_implementation->m_route.set_hosts(std::move(hosts));
+}
+
 control_client_actions control_client::release(time_point now) {
     m_implementation->m_lease.release(now, m_implementation->m_route, m_implementation->m_actions);
     return m_implementation->finish(now);
--- a/modules/tamarack_control/client/control_client.h
+++ b/modules/tamarack_control/client/control_client.h
@@ -55,6 +55,9 @@
     /** This host drains and is taken out of assignments, or is to be assigned services again. */
     control_client_actions set_draining(time_point now, bool draining);
 
+    /** The control hosts that are known changed. */
+    void set_control_hosts(std::vector<host_id> hosts);
+
     /** Gives the lease back, at the end of a graceful shutdown. */
     control_client_actions release(time_point now);
 
--- a/modules/tamarack_control/client/control_route.cpp
+++ b/modules/tamarack_control/client/control_route.cpp
@@ -12,6 +12,14 @@
     }
 }
 
+void control_route::set_hosts(std::vector<host_id> hosts) {
+    m_hosts = std::move(hosts);
+    if (m_target.empty() && !m_hosts.empty()) {
+        m_position %= m_hosts.size();
+        m_target = m_hosts[m_position];
+    }
+}
+
 void control_route::on_answer(time_point now, const host_id& from) {
     m_leader = from;
     m_target = from;
--- a/modules/tamarack_control/client/control_route.h
+++ b/modules/tamarack_control/client/control_route.h
@@ -22,6 +22,9 @@
     /** @return the host that last answered as the leader, or empty */
     const host_id& leader() const { return m_leader; }
 
+    /** Replaces the control hosts to ask; the believed leader stays. */
+    void set_hosts(std::vector<host_id> hosts);
+
     /** A host answered as the leader. */
     void on_answer(time_point now, const host_id& from);
 
--- a/modules/tamarack_membership/hosts/membership_codec.cpp
+++ b/modules/tamarack_membership/hosts/membership_codec.cpp
@@ -208,6 +208,9 @@
     if (record.draining) {
         json["draining"] = true;
     }
+    if (record.control) {
+        json["control"] = true;
+    }
     json["data_center"] = record.data_center.value();
     json["hosts_address"] = record.hosts_address.value();
     if (!record.callers_address.empty()) {
@@ -224,6 +227,7 @@
     record.version = reader.number("version", 0, highest);
     record.state = reader.named<host_state>("state", host_state::alive);
     record.draining = reader.optional_flag("draining");
+    record.control = reader.optional_flag("control");
     record.data_center = data_center_id{reader.optional_text("data_center")};
     record.hosts_address = endpoint{reader.text("hosts_address")};
     record.callers_address = endpoint{reader.optional_text("callers_address")};
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -103,6 +103,7 @@
     host_role role = host_role::entry;
     listen_addresses listen;
     std::string data_folder;      ///< empty for a host without a disk
+    bool recognise_copies = true; ///< a data folder put back from a copy is set aside; needs stable inode numbers
     std::vector<seed_host> seeds; ///< control hosts, this one among them when it is one
     protocol_times times;
     host_limits limits;
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -134,6 +134,11 @@
     read_role(source, into);
     into.data_folder = source.find("host", "data_folder").value_or("");
     into.token_file = source.find("operators", "token_file").value_or("");
+    const std::string recognise = source.find("host", "recognise_copies").value_or("true");
+    if (recognise != "true" && recognise != "false") {
+        source.report("host", "recognise_copies", "true or false");
+    }
+    into.recognise_copies = recognise == "true";
 }
 
 void read_listen(settings_source& source, settings& into) {
--- a/modules/tamarack_storage/folder/data_folder.cpp
+++ b/modules/tamarack_storage/folder/data_folder.cpp
@@ -112,7 +112,7 @@
     return folder;
 }
 
-outcome<opened_folder> judge_identity(opened_folder folder) {
+outcome<opened_folder> judge_identity(opened_folder folder, copy_check check) {
     const std::string path = folder.path + "/" + identity_name;
     const unique_file file{::open(path.c_str(), O_RDONLY | O_CLOEXEC)};
     if (!file.is_open()) {
@@ -134,7 +134,8 @@
                                                record->identity.host.value()};
     }
     folder.identity = record->identity;
-    folder.condition = record->marks == value_of(marks) ? folder_condition::intact : folder_condition::copied;
+    const bool same = check == copy_check::none || record->marks == value_of(marks);
+    folder.condition = same ? folder_condition::intact : folder_condition::copied;
     return folder;
 }
 
@@ -162,7 +163,8 @@
 
 } // namespace
 
-outcome<opened_folder> open_data_folder(const std::string& path, const host_id& host, random_source& random) {
+outcome<opened_folder> open_data_folder(const std::string& path, const host_id& host, random_source& random,
+                                        copy_check check) {
     auto lock = lock_folder(path);
     if (!succeeded(lock)) {
         return error_of(lock);
@@ -175,7 +177,7 @@
     if (holds_nothing(value_of(names))) {
         return begin_incarnation(std::move(folder), random);
     }
-    return judge_identity(std::move(folder));
+    return judge_identity(std::move(folder), check);
 }
 
 outcome<opened_folder> renew_data_folder(const opened_folder& folder, random_source& random) {
--- a/modules/tamarack_storage/folder/data_folder.h
+++ b/modules/tamarack_storage/folder/data_folder.h
@@ -41,6 +41,12 @@
     std::shared_ptr<const folder_lock> lock; ///< the folder stays locked while a copy of this lives
 };
 
+/** Whether a folder that was put back from a copy is looked for. */
+enum class copy_check {
+    by_file_marks, ///< by inode number and time of birth
+    none,          ///< the file system does not keep them over a restart
+};
+
 /**
  * Opens a data folder for one daemon, and locks it against a second.
  *
@@ -54,9 +60,11 @@
  * @param path    an existing folder
  * @param host    the name that the identity must carry
  * @param random  draws the incarnation of a fresh folder
+ * @param check   whether a copy is looked for
  * @return the folder, or an error when it belongs to another host, is locked or can't be written
  */
-outcome<opened_folder> open_data_folder(const std::string& path, const host_id& host, random_source& random);
+outcome<opened_folder> open_data_folder(const std::string& path, const host_id& host, random_source& random,
+                                        copy_check check = copy_check::by_file_marks);
 
 /**
  * Sets aside what a folder holds and begins a new incarnation in it.
