Tell each request's way in the log, bounded; admit by the queues at targets; tests of the forwarding decisions and of the platform's codecs

Cause, found by replaying load patterns in virtual time: admission counted only what waits for a connection on this host. Now the wait at the targets counts, and shards that an answer can do without do not.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -184,6 +184,9 @@
         m_metrics.count(counter_id::refusals_total, to_name(answer.reason));
     }
     m_metrics.observe(histogram_id::request_duration_seconds, answer.trace.taken, answer.trace.route);
+    m_metrics.count(counter_id::hedges_total, {}, static_cast<double>(answer.trace.hedges));
+    m_metrics.count(counter_id::retries_total, {}, static_cast<double>(answer.trace.retries));
+    m_log.write(steady_now(), answer);
     const auto waiting = m_waiting.find(answer.number);
     if (waiting == m_waiting.end()) {
         return;
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange_connections.h"
+#include "request_log.h"
 
 #include <tamarack_edge/tamarack_edge.h>
 #include <tamarack_forwarding/tamarack_forwarding.h>
@@ -67,6 +68,7 @@
     http_server m_readiness;
     http_server m_directory;
     forwarding_picture m_picture;
+    request_log m_log;
     random_source m_random;
     bool m_leaving = false;
     forward_number m_next_request = 1;
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -145,9 +145,7 @@
     return finished ? exit_success : exit_unfinished_requests;
 }
 
-int run(const settings& chosen, const std::string& path) {
-    const sigset_t signals = block_stop_signals();
-    start_state_log(chosen.host);
+int serve(const settings& chosen, const std::string& path, const sigset_t& signals) {
     host_daemon host{chosen, [] { ::kill(::getpid(), SIGTERM); }, platform_edge()};
     const auto started = host.start();
     if (!succeeded(started)) {
@@ -160,6 +158,15 @@
     return shut_down(host, chosen, signals);
 }
 
+int run(const settings& chosen, const std::string& path) {
+    const sigset_t signals = block_stop_signals();
+    start_state_log(chosen.host);
+    start_log_writer();
+    const int code = serve(chosen, path, signals);
+    stop_log_writer();
+    return code;
+}
+
 int check_and_run(int count, char** values) {
     const command_line line = read_command_line(count, values);
     if (line.exit_code) {
--- a/cmake/tamarack_libraries.cmake
+++ b/cmake/tamarack_libraries.cmake
@@ -25,5 +25,5 @@
 add_library(tamarack_easylogging STATIC ${TAMARACK_EASYLOGGING_INCLUDE}/easylogging++.cc)
 target_include_directories(tamarack_easylogging SYSTEM PUBLIC ${TAMARACK_EASYLOGGING_INCLUDE})
 target_compile_definitions(tamarack_easylogging PUBLIC
-  ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING ELPP_CUSTOM_COUT=std::cerr)
+  ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
 target_link_libraries(tamarack_easylogging PUBLIC Threads::Threads)
--- a/modules/tamarack_forwarding/admission/admission.cpp
+++ b/modules/tamarack_forwarding/admission/admission.cpp
@@ -23,8 +23,7 @@
 
 admission_decision admit(const forward_admission& inputs) {
     admission_decision decision;
-    const double rounds = static_cast<double>(inputs.waiting) / static_cast<double>(std::max<std::size_t>(inputs.parallel, 1));
-    decision.expected_wait = scaled(inputs.usual, rounds);
+    decision.expected_wait = inputs.queue;
     const duration behind = inputs.lag > tolerated_lag ? inputs.lag : duration{0};
     const duration needed = decision.expected_wait + behind + inputs.usual;
     if (needed > inputs.until_cut_off) {
--- a/modules/tamarack_forwarding/admission/admission.h
+++ b/modules/tamarack_forwarding/admission/admission.h
@@ -13,8 +13,7 @@
     duration until_cut_off{};
     duration usual{};           ///< median time of the route's exchanges
     std::uint32_t priority = 0; ///< 0 is the most urgent
-    std::size_t waiting = 0;    ///< exchanges that wait for a connection to the narrowest service of the route
-    std::size_t parallel = 1;   ///< exchanges that this host can have there at once
+    duration queue{};           ///< time that its exchanges wait for a connection and at their targets
     duration lag{};             ///< how far this host's event loop is behind
 };
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -51,6 +51,27 @@
     return candidate;
 }
 
+std::optional<duration> part_dispatcher::expected_wait(const known_service& service,
+                                                       const placement_demand& demand) const {
+    std::optional<duration> shortest;
+    std::size_t fit = 0;
+    for (const known_target_pointer& target : service.targets) {
+        const placement_candidate candidate = describe(*target);
+        if (!target->usable || candidate.ejected || is_stalled(candidate, demand)) {
+            continue;
+        }
+        ++fit;
+        const duration wait = queue_wait(candidate, demand);
+        shortest = shortest ? std::min(*shortest, wait) : wait;
+    }
+    if (!shortest) {
+        return std::nullopt;
+    }
+    const std::size_t parallel = fit * m_core.connection_share(service);
+    const double rounds = static_cast<double>(service.waiting.size()) / static_cast<double>(parallel);
+    return *shortest + duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.usual.count()))};
+}
+
 void part_dispatcher::list_candidates(const run_part& part, bool tried_too) {
     m_eligible.clear();
     m_candidates.clear();
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -4,6 +4,7 @@
 #include "forwarding_core.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace tamarack {
@@ -21,6 +22,11 @@
     void send_or_wait(forwarding_run& run, std::size_t part, trace_step step);
     /** Sends what waits for a service while connections are free. */
     void serve_waiting(known_service& service);
+    /**
+     * @return how long an exchange sent now would wait for a connection and at its target; nothing when every target
+     * is ejected or paused
+     */
+    std::optional<duration> expected_wait(const known_service& service, const placement_demand& demand) const;
     /** @return whether a usable target is left that has not been tried for this part */
     static bool has_untried(const run_part& part);
 
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -4,6 +4,7 @@
 #include "../merging/record_merge.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace tamarack {
@@ -116,6 +117,25 @@
     return covers_enough(run, static_cast<std::size_t>(reachable));
 }
 
+/** Shards that an answer can do without don't count; a request to one target is tried in any case. */
+duration request_flow::expected_queue(const forwarding_run& run) const {
+    const placement_demand demand{run.timing->median(), run.timing->high(), run.taken->objective};
+    std::vector<duration> waits;
+    for (const run_part& part : run.parts) {
+        if (const auto wait = m_dispatcher.expected_wait(*part.service, demand)) {
+            waits.push_back(*wait);
+        }
+    }
+    if (waits.empty()) {
+        return duration{0};
+    }
+    std::sort(waits.begin(), waits.end());
+    const double share = run.merges() ? run.taken->least_coverage : 1.0;
+    const double needed = std::ceil(share * static_cast<double>(run.parts.size()) - rounding);
+    const auto rank = static_cast<std::size_t>(std::max(needed, 1.0)) - 1;
+    return waits[std::min(rank, waits.size() - 1)];
+}
+
 bool request_flow::is_admitted(forwarding_run& run) {
     forward_admission inputs;
     inputs.until_objective = run.times.objective_at - m_core.now;
@@ -123,14 +143,7 @@
     inputs.usual = run.timing->median();
     inputs.priority = run.taken->priority;
     inputs.lag = m_core.lag;
-    for (const run_part& part : run.parts) {
-        const std::size_t parallel =
-            std::max<std::size_t>(usable_targets(*part.service), 1) * m_core.connection_share(*part.service);
-        if (part.service->waiting.size() * inputs.parallel >= inputs.waiting * parallel) {
-            inputs.waiting = part.service->waiting.size();
-            inputs.parallel = parallel;
-        }
-    }
+    inputs.queue = expected_queue(run);
     const admission_decision decision = admit(inputs);
     if (decision.admitted) {
         return true;
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -25,6 +25,7 @@
     void refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason, duration retry_after);
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
+    duration expected_queue(const forwarding_run& run) const;
     bool is_admitted(forwarding_run& run);
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** An exchange ended without a usable reply: another one, or the part stays out. */
--- a/modules/tamarack_forwarding/placement/placement.cpp
+++ b/modules/tamarack_forwarding/placement/placement.cpp
@@ -35,6 +35,18 @@
 
 } // namespace
 
+bool is_stalled(const placement_candidate& candidate, const placement_demand& demand) {
+    const double stalled_after = stall_factor * static_cast<double>(demand.high.count()) * candidate.speed;
+    return candidate.own > 0 && static_cast<double>(candidate.oldest_exchange.count()) > stalled_after;
+}
+
+duration queue_wait(const placement_candidate& candidate, const placement_demand& demand) {
+    const double slots = std::max<double>(candidate.slots, 1.0);
+    const double queued = std::max(0.0, expected_load(candidate) + 1.0 - slots);
+    const double usual = static_cast<double>(demand.usual.count()) * candidate.speed;
+    return duration{static_cast<std::int64_t>(usual * queued / slots)};
+}
+
 double placement_cost(const placement_candidate& candidate, const placement_demand& demand) {
     const double usual = static_cast<double>(demand.usual.count()) * candidate.speed *
                          (candidate.cold ? cold_factor : 1.0);
@@ -46,8 +58,7 @@
     if (candidate.far) {
         cost += far_cost;
     }
-    const double stalled_after = stall_factor * static_cast<double>(demand.high.count()) * candidate.speed;
-    if (candidate.own > 0 && static_cast<double>(candidate.oldest_exchange.count()) > stalled_after) {
+    if (is_stalled(candidate, demand)) {
         cost += stall_cost;
     }
     if (candidate.ejected) {
--- a/modules/tamarack_forwarding/placement/placement.h
+++ b/modules/tamarack_forwarding/placement/placement.h
@@ -44,6 +44,12 @@
  */
 double placement_cost(const placement_candidate& candidate, const placement_demand& demand);
 
+/** @return how long an exchange waits at this target before its work begins, as far as is known here */
+duration queue_wait(const placement_candidate& candidate, const placement_demand& demand);
+
+/** @return whether the target holds an exchange for so long that it is taken for paused or dead */
+bool is_stalled(const placement_candidate& candidate, const placement_demand& demand);
+
 /**
  * Chooses the target with the lowest cost; costs that differ by little are as good as equal.
  *
--- a/modules/tamarack_telemetry/logging/state_log.cpp
+++ b/modules/tamarack_telemetry/logging/state_log.cpp
@@ -1,15 +1,33 @@
 #include "state_log.h"
 
+#include "line_limiter.h"
 #include "log_line.h"
 
 #include <easylogging++.h>
 
+#include <atomic>
+#include <memory>
+#include <semaphore>
+#include <thread>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace tamarack {
 
 namespace {
 
+/** Lines that may wait for the writer; further ones are counted and left out. */
+constexpr std::size_t waiting_lines = 4'096;
+/** After a first line the writer waits for more, so that it wakes less often than lines come. */
+constexpr std::chrono::milliseconds gathering_time{20};
+constexpr duration left_out_interval = 1s;
+
+struct log_entry {
+    log_level level = log_level::info;
+    std::string event;
+    std::string text;
+};
+
 host_id& logging_host() {
     static host_id host;
     return host;
@@ -20,6 +38,104 @@
     return logger;
 }
 
+void write(const log_entry& entry) {
+    switch (entry.level) {
+    case log_level::info:
+        state_logger().info(entry.text);
+        return;
+    case log_level::warning:
+        state_logger().warn(entry.text);
+        return;
+    case log_level::error:
+        state_logger().error(entry.text);
+        return;
+    }
+}
+
+time_point log_now() {
+    return time_point{
+        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+}
+
+/** Writes lines on a thread of its own, so that no duty waits for standard output. */
+class log_writer {
+public:
+    log_writer() : m_ring(waiting_lines), m_thread([this] { run(); }) {}
+
+    ~log_writer() {
+        m_stopping.store(true);
+        m_wake.release();
+        m_thread.join();
+    }
+
+    log_writer(const log_writer&) = delete;
+    log_writer& operator=(const log_writer&) = delete;
+    log_writer(log_writer&&) = delete;
+    log_writer& operator=(log_writer&&) = delete;
+
+    void post(log_entry entry) {
+        if (!m_ring.try_push(std::move(entry))) {
+            m_dropped.fetch_add(1);
+            return;
+        }
+        if (!m_awake.exchange(true)) {
+            m_wake.release();
+        }
+    }
+
+private:
+    void run() {
+        while (!m_stopping.load()) {
+            m_wake.acquire();
+            if (!m_stopping.load()) {
+                std::this_thread::sleep_for(gathering_time);
+            }
+            m_awake.store(false);
+            write_waiting();
+        }
+        write_waiting();
+    }
+
+    void write_waiting() {
+        const time_point now = log_now();
+        while (auto entry = m_ring.try_pop()) {
+            if (m_limiter.allow(now, entry->event)) {
+                write(*entry);
+            }
+        }
+        if (now < m_told_at + left_out_interval) {
+            return;
+        }
+        m_told_at = now;
+        for (const auto& [event, count] : m_limiter.take_left_out()) {
+            write_left_out(event, count, "rate");
+        }
+        if (const std::uint64_t dropped = m_dropped.exchange(0); dropped > 0) {
+            write_left_out("any", dropped, "ring_full");
+        }
+    }
+
+    static void write_left_out(const std::string& event, std::uint64_t count, const char* cause) {
+        write({log_level::warning, {},
+               format_log_line(logging_host(), "lines_left_out", {},
+                               {{"of", event}, {"count", std::to_string(count)}, {"cause", cause}})});
+    }
+
+    bounded_ring<log_entry> m_ring;
+    line_limiter m_limiter;
+    time_point m_told_at{};
+    std::atomic<std::uint64_t> m_dropped{0};
+    std::atomic<bool> m_awake{false};
+    std::atomic<bool> m_stopping{false};
+    std::counting_semaphore<> m_wake{0};
+    std::thread m_thread; ///< last: it uses the members before it
+};
+
+std::unique_ptr<log_writer>& running_writer() {
+    static std::unique_ptr<log_writer> writer;
+    return writer;
+}
+
 } // namespace
 
 void start_state_log(const host_id& host) {
@@ -32,19 +148,21 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+void start_log_writer() {
+    running_writer() = std::make_unique<log_writer>();
+}
+
+void stop_log_writer() {
+    running_writer().reset();
+}
+
 void log_state_change(log_level level, std::string_view event, ticket_number ticket,
                       std::initializer_list<log_field> fields) {
-    const std::string line = format_log_line(logging_host(), event, ticket, fields);
-    switch (level) {
-    case log_level::info:
-        state_logger().info(line);
-        return;
-    case log_level::warning:
-        state_logger().warn(line);
-        return;
-    case log_level::error:
-        state_logger().error(line);
-        return;
+    log_entry entry{level, std::string{event}, format_log_line(logging_host(), event, ticket, fields)};
+    if (running_writer()) {
+        running_writer()->post(std::move(entry));
+    } else {
+        write(entry);
     }
 }
 
--- a/modules/tamarack_telemetry/logging/state_log.h
+++ b/modules/tamarack_telemetry/logging/state_log.h
@@ -20,7 +20,7 @@
 using log_field = std::pair<std::string_view, std::string>;
 
 /**
- * Sets up the process's log: one line a change of state, on standard error, as `time level host event
+ * Sets up the process's log: one line a decision or a change of state, on standard output, as `time level host event
  * key=value`.
  *
  * Call once, before any thread starts.
@@ -29,6 +29,17 @@
  */
 void start_state_log(const host_id& host);
 
+/**
+ * Has lines written by a thread of its own from now on: whoever logs never waits. Lines beyond each event's rate, or
+ * beyond what may wait, are left out and counted in `lines_left_out`.
+ *
+ * Call before other threads start.
+ */
+void start_log_writer();
+
+/** Writes what waits and ends the writer. Call after all other threads have ended. */
+void stop_log_writer();
+
 /**
  * Writes one line for a change of state.
  *
--- /dev/null
+++ b/tests/forwarding/decisions_test.cpp
@@ -0,0 +1,255 @@
+#include <tamarack_forwarding/tamarack_forwarding.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace tamarack {
+namespace {
+
+constexpr time_point start{1h};
+
+std::shared_ptr<const route_table> table_with(std::vector<std::pair<std::string, std::string>> places) {
+    auto table = std::make_shared<route_table>();
+    for (const auto& [authority, prefix] : places) {
+        route item;
+        item.name = authority + prefix;
+        item.authority = authority;
+        item.prefix = prefix;
+        table->routes.push_back(item);
+    }
+    return table;
+}
+
+TEST(route_index, finds_the_longest_prefix_of_the_authority) {
+    const route_index index{table_with({{"a.example", "/"}, {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/z/"}})};
+    EXPECT_EQ(index.find("a.example", "/x/y/1")->prefix, "/x/y/");
+    EXPECT_EQ(index.find("a.example", "/x/1")->prefix, "/x/");
+    EXPECT_EQ(index.find("a.example", "/other")->prefix, "/");
+    EXPECT_EQ(index.find("b.example", "/x/1"), nullptr);
+    EXPECT_EQ(index.find("c.example", "/"), nullptr);
+}
+
+TEST(split_choice, keeps_to_the_weights_over_any_run_of_requests) {
+    route split;
+    split.name = "split";
+    split.destination = route_destination::split;
+    split.services = {{service_id{"a"}, 70}, {service_id{"b"}, 25}, {service_id{"c"}, 5}};
+    split_choice choice;
+    std::map<std::size_t, int> counts;
+    for (int request = 0; request < 200; ++request) {
+        ++counts[choice.next(split)];
+    }
+    EXPECT_EQ(counts[0], 140);
+    EXPECT_EQ(counts[1], 50);
+    EXPECT_EQ(counts[2], 10);
+}
+
+TEST(split_choice, never_chooses_a_weight_of_zero) {
+    route split;
+    split.name = "split";
+    split.services = {{service_id{"a"}, 0}, {service_id{"b"}, 1}};
+    split_choice choice;
+    for (int request = 0; request < 20; ++request) {
+        EXPECT_EQ(choice.next(split), 1U);
+    }
+}
+
+std::string record(char first) {
+    return std::string(1, first) + std::string(record_bytes - 1, 'x');
+}
+
+TEST(record_merge, keeps_the_greatest_records_of_all_parts_in_falling_order) {
+    const std::string one = record('b') + record('d') + "rest";
+    const std::string two = record('a') + record('e') + record('d');
+    EXPECT_EQ(merge_greatest({&one, &two}, 4), record('e') + record('d') + record('d') + record('b'));
+    EXPECT_EQ(merge_greatest({&one, &two}, 100).size(), 5 * record_bytes);
+    EXPECT_EQ(merge_greatest({}, 5), "");
+}
+
+TEST(record_merge, compares_bytes_as_unsigned_numbers) {
+    const std::string part = record('\x7f') + record('\xff');
+    EXPECT_EQ(merge_greatest({&part}, 1), record('\xff'));
+}
+
+TEST(record_merge, merges_merged_parts_to_the_same_records) {
+    const std::string one = record('b') + record('d');
+    const std::string two = record('a') + record('e');
+    const std::string three = record('c') + record('f');
+    const std::string inner = merge_greatest({&one, &two}, 3);
+    EXPECT_EQ(merge_greatest({&inner, &three}, 3), merge_greatest({&one, &two, &three}, 3));
+}
+
+TEST(extra_budget, keeps_the_bound_of_all_hosts_in_any_sliding_window) {
+    constexpr std::size_t hosts = 9;
+    const extra_budget_limits limits{0.2, 58.0, 10s};
+    std::vector<extra_budget> budgets(hosts, extra_budget{limits});
+    random_source random{1};
+    std::vector<time_point> requests;
+    std::vector<time_point> taken;
+    for (time_point now = start; now < start + 60s; now += 5ms) {
+        const bool busy = (now - start) % 20s < 12s;
+        const std::size_t host = random.below(hosts);
+        if (busy || random.chance(0.05)) {
+            budgets[host].on_request(now);
+            requests.push_back(now);
+        }
+        if (budgets[host].try_take(now, hosts)) {
+            taken.push_back(now);
+        }
+    }
+    for (time_point end = start + 10s; end < start + 60s; end += 100ms) {
+        const auto within = [&](const std::vector<time_point>& times, duration span) {
+            return static_cast<double>(std::count_if(times.begin(), times.end(), [&](time_point when) {
+                return when > end - span && when <= end;
+            }));
+        };
+        EXPECT_LE(within(taken, 10s), 0.2 * within(requests, 10s) + 58.0) << (end - start).count();
+    }
+    EXPECT_GT(taken.size(), 300U);
+}
+
+placement_demand usual_demand() {
+    return {8ms, 15ms, 80ms};
+}
+
+TEST(placement, prefers_the_faster_the_idler_and_the_nearer) {
+    placement_candidate base;
+    base.slots = 2;
+    placement_candidate slow = base;
+    slow.speed = 3.0;
+    placement_candidate loaded = base;
+    loaded.reported = 4;
+    loaded.report_age = 1ms;
+    placement_candidate far = base;
+    far.far = true;
+    const double cost = placement_cost(base, usual_demand());
+    EXPECT_LT(cost, placement_cost(slow, usual_demand()));
+    EXPECT_LT(cost, placement_cost(loaded, usual_demand()));
+    EXPECT_LT(cost, placement_cost(far, usual_demand()));
+}
+
+TEST(placement, believes_a_report_less_the_older_it_is) {
+    placement_candidate candidate;
+    candidate.slots = 2;
+    candidate.reported = 8;
+    candidate.report_age = 1ms;
+    const double fresh = placement_cost(candidate, usual_demand());
+    candidate.report_age = 1s;
+    EXPECT_LT(placement_cost(candidate, usual_demand()), fresh);
+}
+
+TEST(placement, avoids_a_paused_target_until_it_answers) {
+    placement_candidate paused;
+    paused.slots = 2;
+    paused.own = 1;
+    paused.oldest_exchange = 60ms;
+    placement_candidate busy;
+    busy.slots = 2;
+    busy.own = 2;
+    busy.speed = 2.0;
+    busy.oldest_exchange = 10ms;
+    EXPECT_GT(placement_cost(paused, usual_demand()), placement_cost(busy, usual_demand()));
+}
+
+TEST(placement, uses_an_ejected_target_only_when_there_is_no_other) {
+    placement_candidate ejected;
+    ejected.ejected = true;
+    placement_candidate terrible;
+    terrible.speed = 6.0;
+    terrible.error_share = 0.9;
+    terrible.own = 9;
+    terrible.oldest_exchange = 1s;
+    random_source random{1};
+    EXPECT_EQ(place({ejected, terrible}, usual_demand(), random), 1U);
+    EXPECT_EQ(place({ejected}, usual_demand(), random), 0U);
+}
+
+TEST(exchange_timing, follows_median_and_high_percentile_and_takes_a_pause_for_one_observation) {
+    exchange_timing timing{80ms};
+    random_source random{3};
+    for (int exchange = 0; exchange < 2'000; ++exchange) {
+        timing.observe(random.chance(0.03) ? duration{100ms} : random.between(6ms, 10ms));
+    }
+    EXPECT_GT(timing.median(), 7ms);
+    EXPECT_LT(timing.median(), 9ms);
+    EXPECT_GT(timing.high(), 9ms);
+    EXPECT_LT(timing.high(), 20ms);
+}
+
+TEST(request_times, counts_what_passed_of_the_timeout_before_this_attempt) {
+    route taken;
+    taken.timeout = 800ms;
+    taken.objective = 80ms;
+    const request_times first = times_of(taken, start, 800ms);
+    EXPECT_LT(first.objective_at, start + 80ms);
+    EXPECT_GT(first.objective_at, start + 60ms);
+    EXPECT_LT(first.cut_off, start + 800ms);
+    const request_times second = times_of(taken, start, 700ms);
+    EXPECT_EQ(second.objective_at, first.objective_at - 100ms);
+    const request_times silent = times_of(taken, start, std::nullopt);
+    EXPECT_EQ(silent.cut_off, first.cut_off);
+}
+
+TEST(request_times, leaves_a_hedge_time_to_answer) {
+    EXPECT_EQ(hedge_delay(10ms, 60ms), 14ms);
+    EXPECT_EQ(hedge_delay(50ms, 60ms), 30ms);
+    EXPECT_GE(hedge_delay(1ms, 60ms), 3ms);
+}
+
+TEST(admission, takes_everything_while_nothing_waits) {
+    forward_admission inputs;
+    inputs.until_objective = 5ms;
+    inputs.until_cut_off = 500ms;
+    inputs.usual = 10ms;
+    EXPECT_TRUE(admit(inputs).admitted);
+}
+
+TEST(admission, refuses_at_once_what_would_miss_its_objective_in_the_queue) {
+    forward_admission inputs;
+    inputs.until_objective = 60ms;
+    inputs.until_cut_off = 700ms;
+    inputs.usual = 10ms;
+    inputs.queue = 200ms;
+    const admission_decision decision = admit(inputs);
+    EXPECT_FALSE(decision.admitted);
+    EXPECT_GE(decision.retry_after, 200ms);
+}
+
+TEST(admission, refuses_less_urgent_requests_at_a_shorter_queue) {
+    forward_admission inputs;
+    inputs.until_objective = 60ms;
+    inputs.until_cut_off = 700ms;
+    inputs.usual = 10ms;
+    inputs.queue = 40ms;
+    inputs.priority = 0;
+    EXPECT_TRUE(admit(inputs).admitted);
+    inputs.priority = 2;
+    EXPECT_FALSE(admit(inputs).admitted);
+}
+
+TEST(admission, refuses_when_the_event_loop_is_behind) {
+    forward_admission inputs;
+    inputs.until_objective = 60ms;
+    inputs.until_cut_off = 700ms;
+    inputs.usual = 10ms;
+    inputs.lag = 80ms;
+    EXPECT_FALSE(admit(inputs).admitted);
+}
+
+TEST(admission, spreads_returning_callers) {
+    random_source random{5};
+    std::set<std::int64_t> moments;
+    for (int caller = 0; caller < 50; ++caller) {
+        const duration told = spread_return(100ms, random);
+        EXPECT_GE(told, 100ms);
+        EXPECT_LE(told, 150ms);
+        moments.insert(told / 1ms);
+    }
+    EXPECT_GT(moments.size(), 20U);
+}
+
+} // namespace
+} // namespace tamarack
--- /dev/null
+++ b/tests/forwarding/forwarding_world.cpp
@@ -0,0 +1,328 @@
+#include "forwarding_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr duration one_way = 500us;
+constexpr duration handshake = 6ms;
+constexpr double two_pi = 6.283185307179586;
+
+duration scaled(duration value, double factor) {
+    return duration{static_cast<std::int64_t>(static_cast<double>(value.count()) * factor)};
+}
+
+} // namespace
+
+forwarding_world::forwarding_world(std::uint64_t seed, std::size_t hosts, forwarding_options options)
+    : m_random(seed), m_hosts(hosts) {
+    options.data_center = data_center_id{"near"};
+    options.fewest_hosts = hosts;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        m_hosts[host].engine = std::make_unique<forwarding_engine>(options, random_source{seed * 100 + host});
+    }
+}
+
+void forwarding_world::add_service(const std::string& service, std::size_t replicas, const world_target& like) {
+    m_table.services.push_back({service_id{service}, "/health", static_cast<std::uint32_t>(like.connections)});
+    for (std::size_t replica = 0; replica < replicas; ++replica) {
+        simulated_target target;
+        target.behaviour = like;
+        target.behaviour.pause_phase = m_random.between(duration{0}, like.pause_every);
+        const std::string name = service + "-" + std::to_string(replica);
+        target.behaviour.known = {target_id{name}, incarnation{1}, service_id{service}, endpoint{name},
+                                  data_center_id{replica == 0 ? "near" : "far"},
+                                  static_cast<std::uint32_t>(like.slots), time_point{}};
+        m_targets[target_id{name}] = std::move(target);
+    }
+}
+
+route& forwarding_world::add_route(const std::string& name, const std::vector<std::string>& services) {
+    route added;
+    added.name = name;
+    added.authority = "example";
+    added.prefix = "/" + name + "/";
+    for (const std::string& service : services) {
+        added.services.push_back({service_id{service}, 1});
+    }
+    if (services.size() > 1) {
+        added.destination = route_destination::shards;
+        added.result_limit = 5;
+    }
+    added.attempts = 2;
+    m_table.routes.push_back(std::move(added));
+    return m_table.routes.back();
+}
+
+void forwarding_world::publish() {
+    if (!m_published || !(*m_published == m_table)) {
+        m_published = std::make_shared<const route_table>(m_table);
+    }
+    auto view = std::make_shared<forwarding_view>();
+    view->ticket = ticket_number{1};
+    view->routes = m_published;
+    view->hosts = m_hosts.size();
+    for (const auto& [id, target] : m_targets) {
+        if (!m_hidden.contains(id)) {
+            view->targets.push_back(target.behaviour.known);
+        }
+    }
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        carry_out(host, m_hosts[host].engine->on_view(m_now, view));
+    }
+}
+
+void forwarding_world::load(const std::string& route_name, double per_second, duration from, duration until) {
+    const auto mean = duration{static_cast<std::int64_t>(1e6 / per_second)};
+    for (time_point when = m_start + from + m_random.exponential(mean); when < m_start + until;
+         when += m_random.exponential(mean)) {
+        schedule(when, [this, route_name] { arrive(route_name); });
+    }
+}
+
+void forwarding_world::at(duration when, std::function<void()> action) {
+    schedule(m_start + when, std::move(action));
+}
+
+void forwarding_world::schedule(time_point when, std::function<void()> action) {
+    m_events.push({std::max(when, m_now), m_order++, std::move(action)});
+}
+
+void forwarding_world::run_until(duration end) {
+    while (!m_events.empty() && m_events.top().at <= m_start + end) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.action();
+    }
+    m_now = m_start + end;
+}
+
+void forwarding_world::arrive(const std::string& route_name) {
+    const auto taken = std::find_if(m_published->routes.begin(), m_published->routes.end(),
+                                    [&](const route& item) { return item.name == route_name; });
+    const std::size_t host = m_random.below(m_hosts.size());
+    forward_request request;
+    request.number = m_next_request++;
+    request.id = request_id{"r" + std::to_string(request.number)};
+    request.authority = "example";
+    request.path = "/" + route_name + "/x";
+    request.payload = std::make_shared<message_payload>();
+    m_open[request.number] = {host, m_now, &*taken, request.id};
+    for (const route_service& service : taken->services) {
+        ++m_requests_for[service.service.value()];
+    }
+    carry_out(host, m_hosts[host].engine->on_request(m_now, std::move(request)));
+}
+
+void forwarding_world::arm(std::size_t host) {
+    simulated_host& owner = m_hosts[host];
+    const time_point due = owner.engine->next_timer();
+    if (due == time_point::max() || due >= owner.timer_at) {
+        return;
+    }
+    owner.timer_at = due;
+    schedule(due, [this, host, due] {
+        if (m_hosts[host].timer_at == due) {
+            m_hosts[host].timer_at = time_point::max();
+            carry_out(host, m_hosts[host].engine->on_timer(m_now));
+        }
+    });
+}
+
+void forwarding_world::carry_out(std::size_t host, forwarding_actions actions) {
+    for (forwarding_action& action : actions) {
+        if (const auto* open = std::get_if<open_target_connection>(&action)) {
+            const target_connection connection = open->connection;
+            m_hosts[host].connections[connection] = open->target;
+            simulated_target& target = m_targets.at(open->target);
+            ++target.open_connections;
+            target.most_connections = std::max(target.most_connections, target.open_connections);
+            if (!target.behaviour.dark) {
+                schedule(m_now + 2 * one_way + handshake, [this, host, connection] {
+                    if (m_hosts[host].connections.contains(connection)) {
+                        carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
+                    }
+                });
+            } else {
+                schedule(m_now + 1s, [this, host, connection] {
+                    const auto found = m_hosts[host].connections.find(connection);
+                    if (found != m_hosts[host].connections.end()) {
+                        --m_targets.at(found->second).open_connections;
+                        m_hosts[host].connections.erase(found);
+                        carry_out(host, m_hosts[host].engine->on_connection_lost(m_now, connection));
+                    }
+                });
+            }
+        } else if (const auto* close = std::get_if<close_target_connection>(&action)) {
+            const auto found = m_hosts[host].connections.find(close->connection);
+            if (found != m_hosts[host].connections.end()) {
+                --m_targets.at(found->second).open_connections;
+                m_hosts[host].connections.erase(found);
+            }
+        } else if (const auto* send = std::get_if<send_target_exchange>(&action)) {
+            on_exchange(host, *send);
+        } else if (const auto* delivered = std::get_if<deliver_answer>(&action)) {
+            on_answer(delivered->answer);
+        }
+    }
+    arm(host);
+}
+
+void forwarding_world::on_exchange(std::size_t host, const send_target_exchange& send) {
+    const target_id id = send.exchange.target;
+    const running_work work{host, send.connection, send.exchange.id};
+    schedule(m_now + one_way, [this, id, work] {
+        simulated_target& target = m_targets.at(id);
+        ++target.arrivals;
+        if (target.behaviour.dark) {
+            return;
+        }
+        if (target.running < target.behaviour.slots) {
+            start_work(target, work);
+        } else if (target.waiting.size() < target.behaviour.queue) {
+            target.waiting.push_back(work);
+        } else {
+            reply(work, id, target_verdict::not_run);
+        }
+    });
+}
+
+duration forwarding_world::pause_left(const simulated_target& target) const {
+    if (target.behaviour.pause_every == duration{0}) {
+        return duration{0};
+    }
+    const duration phase = (m_now - m_start + target.behaviour.pause_phase) % target.behaviour.pause_every;
+    return std::max(target.behaviour.pause - phase, duration{0});
+}
+
+void forwarding_world::start_work(simulated_target& target, const running_work& work) {
+    ++target.running;
+    if (m_said_not_run.contains(work.id.value())) {
+        m_violations.push_back("request " + work.id.value() + " ran after it was said not to run");
+    }
+    ++m_runs[{work.id.value(), target.behaviour.known.service.value()}];
+    const double normal = std::sqrt(-2.0 * std::log(1.0 - m_random.unit())) * std::cos(two_pi * m_random.unit());
+    const duration needed = scaled(target.behaviour.work, target.behaviour.slow * std::exp(target.behaviour.spread * normal));
+    const target_id id = target.behaviour.known.id;
+    schedule(m_now + pause_left(target) + needed, [this, id, work] { end_work(id, work); });
+}
+
+void forwarding_world::end_work(const target_id& id, const running_work& work) {
+    simulated_target& target = m_targets.at(id);
+    --target.running;
+    if (!target.waiting.empty()) {
+        const running_work next = target.waiting.front();
+        target.waiting.erase(target.waiting.begin());
+        start_work(target, next);
+    }
+    if (target.behaviour.dark) {
+        return;
+    }
+    if (m_random.chance(target.behaviour.lose_reply)) {
+        schedule(m_now + one_way, [this, work] {
+            const auto found = m_hosts[work.host].connections.find(work.connection);
+            if (found != m_hosts[work.host].connections.end()) {
+                --m_targets.at(found->second).open_connections;
+                m_hosts[work.host].connections.erase(found);
+                carry_out(work.host, m_hosts[work.host].engine->on_connection_lost(m_now, work.connection));
+            }
+        });
+        return;
+    }
+    reply(work, id, m_random.chance(target.behaviour.fail) ? target_verdict::failed : target_verdict::completed);
+}
+
+void forwarding_world::reply(const running_work& work, const target_id& id, target_verdict verdict) {
+    schedule(m_now + one_way, [this, work, id, verdict] {
+        if (!m_hosts[work.host].connections.contains(work.connection)) {
+            return;
+        }
+        const simulated_target& target = m_targets.at(id);
+        target_reply answer;
+        answer.verdict = verdict;
+        answer.status = verdict == target_verdict::completed ? 200 : 500;
+        answer.token = id.value() + "/" + work.id.value();
+        answer.body = std::string(16, 'a');
+        answer.load = target_load{static_cast<std::uint32_t>(target.running), static_cast<std::uint32_t>(target.waiting.size()),
+                                  static_cast<std::uint32_t>(target.behaviour.slots), 1.0};
+        carry_out(work.host, m_hosts[work.host].engine->on_reply(m_now, work.connection, std::move(answer)));
+    });
+}
+
+void forwarding_world::on_answer(const forward_answer& answer) {
+    const auto found = m_open.find(answer.number);
+    if (found == m_open.end()) {
+        m_violations.push_back("request " + std::to_string(answer.number) + " was answered twice");
+        return;
+    }
+    const open_request request = found->second;
+    m_open.erase(found);
+    if (answer.outcome == forward_outcome::not_run) {
+        m_said_not_run.insert(request.id.value());
+        for (const auto& [key, count] : m_runs) {
+            if (key.first == request.id.value()) {
+                m_violations.push_back("request " + key.first + " was said not to have run");
+            }
+        }
+    }
+    world_result result;
+    result.outcome = answer.outcome;
+    result.reason = answer.reason;
+    result.taken = m_now - request.arrived;
+    result.covered = answer.tokens.size();
+    result.shards = answer.trace.shards;
+    const bool replied = answer.outcome == forward_outcome::merged ||
+                         (answer.outcome == forward_outcome::replied && answer.reason == forward_reason::none);
+    result.in_objective = replied && result.taken <= request.taken->objective;
+    result.retry_after = answer.retry_after;
+    result.priority = request.taken->priority;
+    result.arrived = request.arrived;
+    m_results.push_back(result);
+}
+
+void forwarding_world::for_each_target(const std::function<void(const std::string&, world_target&)>& visit) {
+    for (auto& [id, target] : m_targets) {
+        visit(id.value(), target.behaviour);
+    }
+}
+
+double forwarding_world::good_share(duration from, duration until, std::int64_t priority) const {
+    double all = 0;
+    double good = 0;
+    for (const world_result& result : m_results) {
+        const bool counts = result.arrived >= m_start + from && result.arrived < m_start + until &&
+                            (priority < 0 || result.priority == static_cast<std::uint32_t>(priority));
+        all += counts ? 1 : 0;
+        good += counts && result.in_objective ? 1 : 0;
+    }
+    return all > 0 ? good / all : 0.0;
+}
+
+std::size_t forwarding_world::arrivals(const std::string& service) const {
+    std::size_t count = 0;
+    for (const auto& [id, target] : m_targets) {
+        count += target.behaviour.known.service.value() == service ? target.arrivals : 0;
+    }
+    return count;
+}
+
+std::size_t forwarding_world::requests_for(const std::string& service) const {
+    const auto found = m_requests_for.find(service);
+    return found == m_requests_for.end() ? 0 : found->second;
+}
+
+std::size_t forwarding_world::runs_of(const std::string& request, const std::string& service) const {
+    const auto found = m_runs.find({request, service});
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+std::size_t forwarding_world::unanswered() const {
+    return m_open.size();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/forwarding/forwarding_world.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <tamarack_forwarding/tamarack_forwarding.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/** How one target behaves. */
+struct world_target {
+    forwarding_target known;
+    duration work = 8ms;         ///< usual time of an exchange
+    double spread = 0.35;        ///< of the logarithm of the time
+    std::size_t slots = 2;
+    std::size_t queue = 12;      ///< exchanges that may wait; further ones are refused as not run
+    std::size_t connections = 26;
+    duration pause{0};           ///< how long it stops
+    duration pause_every{0};     ///< how often
+    duration pause_phase{0};
+    double slow = 1.0;           ///< work takes this many times as long
+    double fail = 0.0;           ///< share of exchanges that fail
+    double lose_reply = 0.0;     ///< share whose reply is lost: the connection breaks after the work
+    bool dark = false;           ///< answers nothing at all
+};
+
+/** What became of one request. */
+struct world_result {
+    forward_outcome outcome = forward_outcome::not_run;
+    forward_reason reason = forward_reason::none;
+    duration taken{};
+    std::size_t covered = 0;
+    std::size_t shards = 0;
+    bool in_objective = false;
+    duration retry_after{};
+    std::uint32_t priority = 0;
+    time_point arrived;
+};
+
+/**
+ * Several hosts with a forwarding engine each, and targets, in virtual time.
+ *
+ * Checks on its way: each request has one answer; "not run" is true; no target has more connections than it takes.
+ */
+class forwarding_world {
+public:
+    explicit forwarding_world(std::uint64_t seed, std::size_t hosts = 3, forwarding_options options = {});
+
+    /** Adds the replicas of a service; their ids are "SERVICE-N". */
+    void add_service(const std::string& service, std::size_t replicas, const world_target& like);
+    /** Routes all requests under /NAME/ of "example". */
+    route& add_route(const std::string& name, const std::vector<std::string>& services);
+    /** Gives all hosts the routes and the targets that are known now. */
+    void publish();
+
+    /** Requests of a route arrive at random times, at a rate, until a time. */
+    void load(const std::string& route_name, double per_second, duration from, duration until);
+    /** Calls a function at a time. */
+    void at(duration when, std::function<void()> action);
+    void run_until(duration end);
+
+    world_target& target(const std::string& id) { return m_targets.at(target_id{id}).behaviour; }
+    void for_each_target(const std::function<void(const std::string&, world_target&)>& visit);
+    void hide(const std::string& id) { m_hidden.insert(target_id{id}); }
+
+    const std::vector<world_result>& results() const { return m_results; }
+    /** @return share of the requests that arrived in a span and were answered within their objective */
+    double good_share(duration from, duration until, std::int64_t priority = -1) const;
+    std::size_t arrivals(const std::string& service) const;
+    std::size_t requests_for(const std::string& service) const;
+    std::size_t most_connections(const std::string& id) const { return m_targets.at(target_id{id}).most_connections; }
+    std::size_t runs_of(const std::string& request, const std::string& service) const;
+    const std::vector<std::string>& violations() const { return m_violations; }
+    std::size_t unanswered() const;
+    time_point now() const { return m_now; }
+
+private:
+    struct running_work {
+        std::size_t host = 0;
+        target_connection connection = 0;
+        request_id id;
+    };
+    struct simulated_target {
+        world_target behaviour;
+        std::size_t running = 0;
+        std::vector<running_work> waiting;
+        std::size_t open_connections = 0;
+        std::size_t most_connections = 0;
+        std::size_t arrivals = 0;
+    };
+    struct event {
+        time_point at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const event& other) const {
+            return at > other.at || (at == other.at && order > other.order);
+        }
+    };
+    struct simulated_host {
+        std::unique_ptr<forwarding_engine> engine;
+        std::map<target_connection, target_id> connections;
+        time_point timer_at = time_point::max();
+    };
+    struct open_request {
+        std::size_t host = 0;
+        time_point arrived;
+        const route* taken = nullptr;
+        request_id id;
+    };
+
+    void schedule(time_point when, std::function<void()> action);
+    void arrive(const std::string& route_name);
+    void carry_out(std::size_t host, forwarding_actions actions);
+    void arm(std::size_t host);
+    void on_exchange(std::size_t host, const send_target_exchange& send);
+    void start_work(simulated_target& target, const running_work& work);
+    void end_work(const target_id& id, const running_work& work);
+    void reply(const running_work& work, const target_id& id, target_verdict verdict);
+    duration pause_left(const simulated_target& target) const;
+    void on_answer(const forward_answer& answer);
+
+    random_source m_random;
+    std::vector<simulated_host> m_hosts;
+    std::map<target_id, simulated_target> m_targets;
+    std::set<target_id> m_hidden;
+    route_table m_table;
+    std::shared_ptr<const route_table> m_published;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_order = 0;
+    time_point m_start{1h};
+    time_point m_now{1h};
+    forward_number m_next_request = 1;
+    std::map<forward_number, open_request> m_open;
+    std::map<std::pair<std::string, std::string>, std::size_t> m_runs; ///< by request and service
+    std::set<std::string> m_said_not_run;
+    std::map<std::string, std::size_t> m_requests_for;
+    std::vector<world_result> m_results;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/platform/request_codec_test.cpp
@@ -0,0 +1,191 @@
+#include "request_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace tamarack {
+namespace {
+
+http_request example_request() {
+    http_request message;
+    message.method_name = "GET";
+    message.target = "/nono601/no91/2f?q=1";
+    message.fields = {{"Host", "leno12.example"},
+                      {"X-Tamarackstand-Request-Id", "9c41d07be2a35f68"},
+                      {"X-Tamarackstand-Deadline-Ms", "400"},
+                      {"Connection", "keep-alive, X-Hop"},
+                      {"X-Hop", "1"},
+                      {"Accept", "a"},
+                      {"Accept", "b"}};
+    return message;
+}
+
+std::string_view field(const http_fields& fields, std::string_view name) {
+    return find_field(fields, name);
+}
+
+TEST(read_request, decodes_the_example_of_the_pages) {
+    const auto read = wire::read_request(example_request());
+    ASSERT_TRUE(succeeded(read));
+    const forward_request& request = value_of(read);
+    EXPECT_EQ(request.id.value(), "9c41d07be2a35f68");
+    EXPECT_EQ(request.authority, "leno12.example");
+    EXPECT_EQ(request.path, "/nono601/no91/2f");
+    EXPECT_EQ(request.patience, duration{400ms});
+    EXPECT_EQ(request.payload->target, "/nono601/no91/2f?q=1");
+}
+
+TEST(read_request, passes_end_to_end_fields_only_and_keeps_repeated_ones) {
+    const auto read = wire::read_request(example_request());
+    const message_fields& fields = value_of(read).payload->fields;
+    EXPECT_EQ(field(fields, "X-Hop"), "");
+    EXPECT_EQ(field(fields, "Connection"), "");
+    EXPECT_EQ(field(fields, "X-Tamarackstand-Deadline-Ms"), "");
+    EXPECT_EQ(field(fields, "X-Tamarackstand-Request-Id"), "9c41d07be2a35f68");
+    EXPECT_EQ(std::count_if(fields.begin(), fields.end(), [](const auto& item) { return item.first == "Accept"; }), 2);
+}
+
+TEST(read_request, drops_a_port_of_the_host_and_a_target_that_the_caller_names) {
+    http_request message = example_request();
+    message.fields.front().second = "leno12.example:8080";
+    message.fields.emplace_back("X-Tamarackstand-Target-Replica", "i-1");
+    const auto read = wire::read_request(std::move(message));
+    EXPECT_EQ(value_of(read).authority, "leno12.example");
+    EXPECT_EQ(field(value_of(read).payload->fields, "X-Tamarackstand-Target-Replica"), "");
+}
+
+TEST(read_request, refuses_what_has_no_id_no_host_or_no_readable_deadline) {
+    for (const std::size_t removed : {0U, 1U}) {
+        http_request message = example_request();
+        message.fields.erase(message.fields.begin() + static_cast<std::ptrdiff_t>(removed));
+        EXPECT_FALSE(succeeded(wire::read_request(std::move(message)))) << removed;
+    }
+    for (const char* deadline : {"soon", "-1", "nan", "4e", ""}) {
+        http_request message = example_request();
+        message.fields[2].second = deadline;
+        const bool absent = std::string_view{deadline}.empty();
+        EXPECT_EQ(succeeded(wire::read_request(std::move(message))), absent) << deadline;
+    }
+}
+
+TEST(write_exchange, names_the_target_and_the_time_that_is_left) {
+    target_exchange exchange;
+    exchange.id = request_id{"9c41d07be2a35f68"};
+    exchange.target = target_id{"i-7f3a91c2"};
+    exchange.patience = 123'456us;
+    exchange.payload = value_of(wire::read_request(example_request())).payload;
+    const http_request message = wire::write_exchange(exchange);
+    EXPECT_EQ(message.method_name, "GET");
+    EXPECT_EQ(message.target, "/nono601/no91/2f?q=1");
+    EXPECT_EQ(field(message.fields, "Host"), "leno12.example");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Deadline-Ms"), "123");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Target-Replica"), "i-7f3a91c2");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Request-Id"), "9c41d07be2a35f68");
+}
+
+const request_id id{"9c41d07be2a35f68"};
+
+http_response good_reply() {
+    http_response message;
+    message.status = 200;
+    message.fields = {{"X-Tamarackstand-Request-Id", id.value()},
+                      {"X-Tamarackstand-Response-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1"},
+                      {"X-Tamarackstand-Replica-Load", "3,0,8"},
+                      {"Keep-Alive", "timeout=5, max=100"},
+                      {"X-Other", "kept"}};
+    message.body = "body";
+    return message;
+}
+
+TEST(read_reply, decodes_a_success_with_its_token_load_and_idle_limit) {
+    const target_reply reply = wire::read_reply(id, good_reply());
+    EXPECT_EQ(reply.verdict, target_verdict::completed);
+    EXPECT_EQ(reply.token, "3e1b.07.5a2.600.0.c9f2a4d1");
+    ASSERT_TRUE(reply.load);
+    EXPECT_EQ(reply.load->running, 3U);
+    EXPECT_EQ(reply.load->slots, 8U);
+    EXPECT_EQ(reply.load->slowness, 1.0);
+    EXPECT_EQ(reply.idle_limit, duration{5s});
+    EXPECT_TRUE(reply.keeps_connection);
+    EXPECT_EQ(field(reply.fields, "X-Other"), "kept");
+    EXPECT_EQ(field(reply.fields, "X-Tamarackstand-Replica-Load"), "");
+}
+
+TEST(read_reply, reads_the_fourth_figure_of_a_load_as_slowness) {
+    http_response message = good_reply();
+    message.fields[2].second = "1, 2, 4, 250";
+    EXPECT_EQ(wire::read_reply(id, std::move(message)).load->slowness, 2.5);
+}
+
+TEST(read_reply, takes_only_a_stated_refusal_for_not_run) {
+    http_response message = good_reply();
+    message.status = 503;
+    EXPECT_EQ(wire::read_reply(id, http_response{message}).verdict, target_verdict::failed);
+    message.fields.emplace_back("X-Tamarackstand-Not-Executed", "1");
+    EXPECT_EQ(wire::read_reply(id, http_response{message}).verdict, target_verdict::not_run);
+    message.status = 421;
+    EXPECT_EQ(wire::read_reply(id, http_response{message}).verdict, target_verdict::wrong_target);
+}
+
+TEST(read_reply, takes_a_reply_to_another_request_or_without_token_for_malformed) {
+    EXPECT_EQ(wire::read_reply(request_id{"other"}, good_reply()).verdict, target_verdict::malformed);
+    http_response without_token = good_reply();
+    without_token.fields.erase(without_token.fields.begin() + 1);
+    EXPECT_EQ(wire::read_reply(id, std::move(without_token)).verdict, target_verdict::malformed);
+    http_response encoded = good_reply();
+    encoded.fields.emplace_back("Content-Encoding", "gzip");
+    EXPECT_EQ(wire::read_reply(id, std::move(encoded)).verdict, target_verdict::malformed);
+}
+
+TEST(read_reply, survives_damaged_figures) {
+    http_response message = good_reply();
+    message.fields[2].second = "3,,x";
+    message.fields[3].second = "timeout=soon";
+    const target_reply reply = wire::read_reply(id, std::move(message));
+    EXPECT_FALSE(reply.load);
+    EXPECT_FALSE(reply.idle_limit);
+    EXPECT_EQ(reply.verdict, target_verdict::completed);
+}
+
+TEST(write_answer, returns_a_targets_reply_unchanged) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::replied;
+    answer.reply = wire::read_reply(id, good_reply());
+    const http_response message = wire::write_answer(std::move(answer));
+    EXPECT_EQ(message.status, 200U);
+    EXPECT_EQ(message.body, "body");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Response-Stamp"), "3e1b.07.5a2.600.0.c9f2a4d1");
+}
+
+TEST(write_answer, lists_the_tokens_of_the_parts_and_counts_the_missing) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::merged;
+    answer.tokens = {"a", "b"};
+    answer.missing = 1;
+    answer.body = "records";
+    const http_response message = wire::write_answer(std::move(answer));
+    EXPECT_EQ(message.status, 200U);
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Shard-Stamps"), "a, b");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Shards-Missing"), "1");
+    EXPECT_EQ(message.body, "records");
+}
+
+TEST(write_answer, promises_not_run_only_for_what_did_not_run) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::not_run;
+    answer.reason = forward_reason::overloaded;
+    answer.retry_after = 125ms;
+    const http_response refused = wire::write_answer(forward_answer{answer});
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_EQ(field(refused.fields, "Retry-After"), "0.125");
+    answer.outcome = forward_outcome::unknown;
+    EXPECT_EQ(wire::write_answer(forward_answer{answer}).status, 502U);
+    answer.reason = forward_reason::timed_out;
+    EXPECT_EQ(wire::write_answer(forward_answer{answer}).status, 504U);
+    answer.outcome = forward_outcome::invalid;
+    EXPECT_EQ(wire::write_answer(forward_answer{answer}).status, 404U);
+}
+
+} // namespace
+} // namespace tamarack
