--- a/apps/tamarackd/control/control_duty.h
+++ b/apps/tamarackd/control/control_duty.h
@@ -60,7 +60,8 @@
     bool post_overview(std::function<void(control_overview)> answer);
     /** Reads the latest configuration, confirmed by a majority; not_leader names the leader. */
     bool post_read_latest(std::function<void(outcome<configuration>, host_id leader)> answer);
-    /** Replaces lost voters, if this host leads. @param known  every control host that has introduced itself */
+    /** Replaces lost voters, if this host leads. @param known  every control host that has introduced itself
+     */
     bool post_voter_candidates(std::vector<voter_candidate> known);
 
     /** From any thread: hands leadership over, before a graceful shutdown. */
--- a/apps/tamarackd/forwarding/exchange_connections.h
+++ b/apps/tamarackd/forwarding/exchange_connections.h
@@ -18,7 +18,8 @@
 };
 
 /**
- * The sockets behind the forwarding engine's connections: carries out what the engine decides, decides nothing itself.
+ * The sockets behind the forwarding engine's connections: carries out what the engine decides, decides
+ * nothing itself.
  */
 class exchange_connections {
 public:
--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -156,23 +156,24 @@
 
 void forwarding_duty::carry_out(forwarding_actions actions) {
     for (forwarding_action& action : actions) {
-        std::visit(overloaded{
-                       [this](const open_target_connection& open) {
-                           m_metrics.count(counter_id::connections_opened_total);
-                           m_connections.open(open, forwarding_options{}.connect_limit);
-                       },
-                       [this](const close_target_connection& close) { m_connections.close(close.connection); },
-                       [this](const send_target_exchange& send) { m_connections.send(send); },
-                       [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
-                       [this](const target_changed& changed) {
-                           log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
-                                            {{"target", changed.target.value()},
-                                             {"service", changed.service.value()},
-                                             {"change", std::string{to_name(changed.change)}},
-                                             {"failures", std::to_string(changed.failures)}});
-                       },
-                   },
-                   action);
+        std::visit(
+            overloaded{
+                [this](const open_target_connection& open) {
+                    m_metrics.count(counter_id::connections_opened_total);
+                    m_connections.open(open, forwarding_options{}.connect_limit);
+                },
+                [this](const close_target_connection& close) { m_connections.close(close.connection); },
+                [this](const send_target_exchange& send) { m_connections.send(send); },
+                [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
+                [this](const target_changed& changed) {
+                    log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
+                                     {{"target", changed.target.value()},
+                                      {"service", changed.service.value()},
+                                      {"change", std::string{to_name(changed.change)}},
+                                      {"failures", std::to_string(changed.failures)}});
+                },
+            },
+            action);
     }
     m_timer.rearm();
     check_drained();
--- a/apps/tamarackd/forwarding/request_log.cpp
+++ b/apps/tamarackd/forwarding/request_log.cpp
@@ -22,21 +22,23 @@
 }
 
 bool ended_well(const forward_answer& answer) {
-    const bool replied = answer.outcome == forward_outcome::replied || answer.outcome == forward_outcome::merged;
+    const bool replied =
+        answer.outcome == forward_outcome::replied || answer.outcome == forward_outcome::merged;
     return replied && answer.reason == forward_reason::none && answer.missing == 0 && !answer.trace.late;
 }
 
 void write_step(const forward_answer& answer, const trace_entry& entry) {
-    log_state_change(log_level::info, "request_step", answer.trace.ticket,
-                     {{"request", answer.id.value()},
-                      {"after_ms", milliseconds(entry.after)},
-                      {"step", std::string{to_name(entry.step)}},
-                      {"service", entry.service.value()},
-                      {"target", entry.target.value()},
-                      {"result", entry.result},
-                      {"load", std::to_string(entry.load)},
-                      {"load_age_ms", entry.load_age < duration{0} ? std::string{"-"} : milliseconds(entry.load_age)},
-                      {"candidates", std::to_string(entry.candidates)}});
+    log_state_change(
+        log_level::info, "request_step", answer.trace.ticket,
+        {{"request", answer.id.value()},
+         {"after_ms", milliseconds(entry.after)},
+         {"step", std::string{to_name(entry.step)}},
+         {"service", entry.service.value()},
+         {"target", entry.target.value()},
+         {"result", entry.result},
+         {"load", std::to_string(entry.load)},
+         {"load_age_ms", entry.load_age < duration{0} ? std::string{"-"} : milliseconds(entry.load_age)},
+         {"candidates", std::to_string(entry.candidates)}});
 }
 
 void write_end(const forward_answer& answer) {
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -110,8 +110,8 @@
         return m_serving->start();
     }
     m_forwarding = std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics);
-    m_control_edge =
-        std::make_unique<control_edge>(m_settings, m_edge, control_edge_hooks{m_hosts.get(), m_control.get()});
+    m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
+                                                    control_edge_hooks{m_hosts.get(), m_control.get()});
     return m_forwarding->start();
 }
 
@@ -242,8 +242,9 @@
     if (m_control) {
         hooks.found = [this](std::vector<member_id> voters) {
             return m_control->post_bootstrap(std::move(voters), [](const outcome<done>& formed) {
-                log_state_change(log_level::info, "history_formed", {},
-                                 {{"result", succeeded(formed) ? std::string{"done"} : error_of(formed).message}});
+                log_state_change(
+                    log_level::info, "history_formed", {},
+                    {{"result", succeeded(formed) ? std::string{"done"} : error_of(formed).message}});
             });
         };
         hooks.voters = [this](std::vector<voter_candidate> known) {
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -313,7 +313,8 @@
         return;
     }
     std::vector<member_id> voters;
-    const std::size_t wanted = std::min<std::size_t>(2U * formation.tolerated_losses + 1U, m_settings.seeds.size());
+    const std::size_t wanted =
+        std::min<std::size_t>(2U * formation.tolerated_losses + 1U, m_settings.seeds.size());
     for (std::size_t index = 0; index < wanted; ++index) {
         const auto known = m_identities.find(m_settings.seeds[index].host);
         if (known == m_identities.end()) {
@@ -528,9 +529,10 @@
         return false;
     }
     const auto& services = m_control->current().routes->services;
-    const bool all_known = std::all_of(services.begin(), services.end(), [this](const routed_service& service) {
-        return !m_registry->usable(service.id).empty();
-    });
+    const bool all_known =
+        std::all_of(services.begin(), services.end(), [this](const routed_service& service) {
+            return !m_registry->usable(service.id).empty();
+        });
     return all_known || now >= m_routed_since + longest_wait_for_targets;
 }
 
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -9,8 +9,8 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -100,7 +100,8 @@
     log_state_change(log_level::info, "settings_reloaded", {}, {});
 }
 
-/** Waits for a signal to stop; meanwhile the settings file is read again on SIGHUP, and when it has changed. */
+/** Waits for a signal to stop; meanwhile the settings file is read again on SIGHUP, and when it has changed.
+ */
 void wait_for_stop(const sigset_t& signals, host_daemon& host, const std::string& path) {
     std::string known = content_of(path);
     while (true) {
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -134,8 +134,8 @@
 }
 
 void control_edge::announce(announcement value, const answerer& answer) {
-    const bool posted =
-        m_hooks.hosts->post_announcement(std::move(value), [this, answer](const outcome<announcement_receipt>& receipt) {
+    const bool posted = m_hooks.hosts->post_announcement(
+        std::move(value), [this, answer](const outcome<announcement_receipt>& receipt) {
             if (succeeded(receipt)) {
                 control_outcome accepted;
                 accepted.announce_to = m_settings.edge.control;
@@ -146,7 +146,8 @@
             if (code == error_code::stale) {
                 answer(control_outcome{});
             } else {
-                answer(failed(code == error_code::overloaded ? control_result::unavailable : control_result::refused,
+                answer(failed(code == error_code::overloaded ? control_result::unavailable
+                                                             : control_result::refused,
                               error_of(receipt).message));
             }
         });
@@ -156,9 +157,10 @@
 }
 
 void control_edge::depart(const depart_target& departed, const answerer& answer) {
-    const bool posted = m_hooks.hosts->post_departure(
-        departed.target, departed.life, [answer](const outcome<done>& result) {
-            // An acknowledgement promises that no host sends there any more; an unknown target may be known elsewhere.
+    const bool posted =
+        m_hooks.hosts->post_departure(departed.target, departed.life, [answer](const outcome<done>& result) {
+            // An acknowledgement promises that no host sends there any more; an unknown target may be known
+            // elsewhere.
             const bool unknown = !succeeded(result) && error_of(result).code == error_code::not_found;
             answer(unknown ? unavailable(error_of(result).message) : control_outcome{});
         });
@@ -168,7 +170,8 @@
 }
 
 void control_edge::send_to_leader(const answerer& answer) {
-    const bool posted = m_hooks.hosts->post_leader([this, answer](const host_id& leader) { answer(at_leader(leader)); });
+    const bool posted =
+        m_hooks.hosts->post_leader([this, answer](const host_id& leader) { answer(at_leader(leader)); });
     if (!posted) {
         answer(unavailable(busy));
     }
--- a/apps/tamarackd/operators/control_edge.h
+++ b/apps/tamarackd/operators/control_edge.h
@@ -38,7 +38,8 @@
     /** Names the leader, or says that none is known. */
     void send_to_leader(const answerer& answer);
     control_outcome at_leader(const host_id& leader) const;
-    void answer_ticket(const outcome<ticket_answer>& result, const host_id& leader, const answerer& answer) const;
+    void answer_ticket(const outcome<ticket_answer>& result, const host_id& leader,
+                       const answerer& answer) const;
 
     const settings& m_settings;
     edge_protocol m_edge;
--- a/modules/tamarack_control/node/control_actions.h
+++ b/modules/tamarack_control/node/control_actions.h
@@ -50,9 +50,8 @@
 };
 
 /** What the shell has to do after an event, in order. */
-using control_action =
-    std::variant<send_raft_message, send_control_message, store_change, answer_ticket, answer_read,
-                 control_changed>;
+using control_action = std::variant<send_raft_message, send_control_message, store_change, answer_ticket,
+                                    answer_read, control_changed>;
 using control_actions = std::vector<control_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_control/node/control_node_log.cpp
+++ b/modules/tamarack_control/node/control_node_log.cpp
@@ -133,7 +133,8 @@
     m_state_confirmed = false;
     m_settled_epoch = 0;
     while (!m_operator_reads.empty()) {
-        end_operator_read(m_operator_reads.begin()->first, error{error_code::unavailable, "leadership was lost"});
+        end_operator_read(m_operator_reads.begin()->first,
+                          error{error_code::unavailable, "leadership was lost"});
     }
     const error lost{error_code::unavailable,
                      "leadership was lost; the request may still be accepted: send it again to learn"};
--- a/modules/tamarack_control/node/voter_plan.cpp
+++ b/modules/tamarack_control/node/voter_plan.cpp
@@ -28,7 +28,8 @@
 }
 
 /** @return the best host to add: one in the data centre with the fewest voters */
-const voter_candidate* choose_addition(const log_members& members, const std::vector<voter_candidate>& candidates,
+const voter_candidate* choose_addition(const log_members& members,
+                                       const std::vector<voter_candidate>& candidates,
                                        const voter_plan_options& options) {
     const voter_candidate* best = nullptr;
     std::size_t fewest = 0;
--- a/modules/tamarack_control/node/voter_plan.h
+++ b/modules/tamarack_control/node/voter_plan.h
@@ -10,9 +10,9 @@
 
 /** A control host as the leader knows it. */
 struct voter_candidate {
-    member_id member;       ///< its present incarnation
+    member_id member; ///< its present incarnation
     data_center_id data_center;
-    duration silent_for{};  ///< since it was last heard of
+    duration silent_for{}; ///< since it was last heard of
 };
 
 /** Bounds of the choice of voters. */
@@ -25,9 +25,9 @@
 /**
  * Keeps twice the tolerated losses and one as voters, without an operator.
  *
- * An even number of voters would lose its majority when they are cut in halves, so further control hosts take no part
- * until a voter is lost. A lost voter's successor is added first and the lost one removed afterwards: one change at a
- * time, each from a working majority.
+ * An even number of voters would lose its majority when they are cut in halves, so further control hosts take
+ * no part until a voter is lost. A lost voter's successor is added first and the lost one removed afterwards:
+ * one change at a time, each from a working majority.
  *
  * @param members     present voters and learners
  * @param candidates  all control hosts that are known, voters among them
--- a/modules/tamarack_control/tamarack_control.h
+++ b/modules/tamarack_control/tamarack_control.h
@@ -17,8 +17,8 @@
 
 #include "node/control_actions.h"
 #include "node/control_node.h"
-#include "node/voter_plan.h"
 #include "node/control_options.h"
+#include "node/voter_plan.h"
 
 #include "client/control_client.h"
 #include "client/control_client_actions.h"
--- a/modules/tamarack_edge/calls/control_call.h
+++ b/modules/tamarack_edge/calls/control_call.h
@@ -62,11 +62,11 @@
 /** Answer to a call of an operator or a target. */
 struct control_outcome {
     control_result result = control_result::done;
-    std::string message;        ///< why, for people
-    std::string document;       ///< of read_configuration
-    endpoint other;             ///< of `elsewhere`: the control address to ask
-    std::string path;           ///< of the call, for `elsewhere`
-    endpoint announce_to;       ///< for a target's next announcements; empty leaves it the choice
+    std::string message;  ///< why, for people
+    std::string document; ///< of read_configuration
+    endpoint other;       ///< of `elsewhere`: the control address to ask
+    std::string path;     ///< of the call, for `elsewhere`
+    endpoint announce_to; ///< for a target's next announcements; empty leaves it the choice
 };
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/admission/admission.cpp
+++ b/modules/tamarack_forwarding/admission/admission.cpp
@@ -33,7 +33,8 @@
     const bool queues = decision.expected_wait + behind > duration{0};
     if (hurries && queues) {
         const double share = std::max(least_wait_share, urgent_wait_share - priority_step * inputs.priority);
-        decision.admitted = decision.admitted && needed <= scaled(inputs.until_objective, share) + inputs.usual;
+        decision.admitted =
+            decision.admitted && needed <= scaled(inputs.until_objective, share) + inputs.usual;
     }
     if (!decision.admitted) {
         decision.retry_after = std::max({least_retry_after, decision.expected_wait, behind});
--- a/modules/tamarack_forwarding/admission/admission.h
+++ b/modules/tamarack_forwarding/admission/admission.h
@@ -27,10 +27,10 @@
 /**
  * Decides at once whether a request is taken on.
  *
- * Load patterns: a load of 1.7 to 4 times the usual, half of the hosts killed so that the others have twice their
- * share, callers that repeat at once and often. What would miss its deadline, or miss its objective because of a
- * queue, is refused at once, so that the caller can go elsewhere while there is time. Less urgent requests are
- * refused at a shorter queue than urgent ones.
+ * Load patterns: a load of 1.7 to 4 times the usual, half of the hosts killed so that the others have twice
+ * their share, callers that repeat at once and often. What would miss its deadline, or miss its objective
+ * because of a queue, is refused at once, so that the caller can go elsewhere while there is time. Less
+ * urgent requests are refused at a shorter queue than urgent ones.
  */
 admission_decision admit(const forward_admission& inputs);
 
--- a/modules/tamarack_forwarding/budget/extra_budget.cpp
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 extra_budget::slice& extra_budget::current(time_point now) {
-    const std::int64_t length = std::max<std::int64_t>(m_limits.window.count() / static_cast<std::int64_t>(slices), 1);
+    const std::int64_t length =
+        std::max<std::int64_t>(m_limits.window.count() / static_cast<std::int64_t>(slices), 1);
     const std::int64_t number = now.time_since_epoch().count() / length;
     slice& found = m_slices.at(static_cast<std::size_t>(number) % m_slices.size());
     if (found.number != number) {
--- a/modules/tamarack_forwarding/budget/extra_budget.h
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -18,12 +18,12 @@
 /**
  * One host's share of a service's budget for hedges and retries, in any sliding window.
  *
- * Load pattern: periodic pauses of targets make hedges pay all the time, and replies that fail in numbers make
- * retries pay for seconds; both must not add up to a multiple of the load. The ratio is kept by each host for the
- * requests that it has itself; the allowance is divided by the number of hosts.
+ * Load pattern: periodic pauses of targets make hedges pay all the time, and replies that fail in numbers
+ * make retries pay for seconds; both must not add up to a multiple of the load. The ratio is kept by each
+ * host for the requests that it has itself; the allowance is divided by the number of hosts.
  *
- * Watch out: a host that joins or leaves changes the divisor at once while spent exchanges stay in the window, so
- * only a part of the whole is given out (see share_used).
+ * Watch out: a host that joins or leaves changes the divisor at once while spent exchanges stay in the
+ * window, so only a part of the whole is given out (see share_used).
  */
 class extra_budget {
 public:
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -30,9 +30,9 @@
     connection_phase phase = connection_phase::opening;
     forward_number request = 0;
     std::size_t part = 0;
-    time_point since;                     ///< of the phase
-    std::optional<duration> idle_limit;   ///< as the target last said
-    duration usual{};                     ///< median time of such exchanges when it was sent
+    time_point since;                   ///< of the phase
+    std::optional<duration> idle_limit; ///< as the target last said
+    duration usual{};                   ///< median time of such exchanges when it was sent
 };
 
 /** What is due at a time. */
@@ -66,7 +66,7 @@
     std::unordered_map<target_connection, held_connection> connections;
     std::unordered_map<forward_number, std::unique_ptr<forwarding_run>> runs;
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
-    std::map<std::string, exchange_timing> timings; ///< by route
+    std::map<std::string, exchange_timing> timings;     ///< by route
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     std::size_t opening = 0;
     target_connection last_connection = 0;
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -320,7 +320,8 @@
     return m_implementation->handle(now, [&] { m_implementation->on_connection_lost(connection); });
 }
 
-forwarding_actions forwarding_engine::on_reply(time_point now, target_connection connection, target_reply reply) {
+forwarding_actions forwarding_engine::on_reply(time_point now, target_connection connection,
+                                               target_reply reply) {
     return m_implementation->handle(now, [&] { m_implementation->on_reply(connection, std::move(reply)); });
 }
 
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -14,10 +14,12 @@
 /**
  * Passes callers' requests on to targets on one host, unread, apart from I/O.
  *
- * Use it for requests that a route table describes; requests over an index with versions are query_engine's. Feed it
- * events with the time; carry out the returned actions in order. Each request ends in exactly one deliver_answer.
+ * Use it for requests that a route table describes; requests over an index with versions are query_engine's.
+ * Feed it events with the time; carry out the returned actions in order. Each request ends in exactly one
+ * deliver_answer.
  *
- * Watch out: the shell reports what happens to a connection by its number, and nothing of one that the engine closed.
+ * Watch out: the shell reports what happens to a connection by its number, and nothing of one that the engine
+ * closed.
  *
  * @see forwarding_actions.h, forwarding_options
  */
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -69,7 +69,8 @@
     }
     const std::size_t parallel = fit * m_core.connection_share(service);
     const double rounds = static_cast<double>(service.waiting.size()) / static_cast<double>(parallel);
-    return *shortest + duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.usual.count()))};
+    return *shortest +
+           duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.usual.count()))};
 }
 
 void part_dispatcher::list_candidates(const run_part& part, bool tried_too) {
@@ -142,8 +143,7 @@
     ++m_core.counted.exchanges;
     m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size());
     if (step == trace_step::sent && part.used < run.taken->attempts) {
-        part.hedge_at =
-            m_core.now + hedge_delay(run.timing->high(), run.times.objective_at - m_core.now);
+        part.hedge_at = m_core.now + hedge_delay(run.timing->high(), run.times.objective_at - m_core.now);
         m_core.wake(run, part.hedge_at);
     }
     target_exchange exchange;
@@ -162,7 +162,8 @@
     part.progress = part_progress::waiting;
     part.queued = true;
     m_core.trace(run, trace_step::waits, part.service->id, nullptr, {}, part.service->waiting.size());
-    const waiting_part item{run.request.number, part_index, run.taken->priority, run.times.objective_at, step};
+    const waiting_part item{run.request.number, part_index, run.taken->priority, run.times.objective_at,
+                            step};
     auto& waiting = part.service->waiting;
     const auto later = std::find_if(waiting.begin(), waiting.end(), [&](const waiting_part& other) {
         return other.priority > item.priority ||
@@ -207,7 +208,8 @@
     held.phase = connection_phase::idle;
     held.since = m_core.now;
     target.idle.push_back(connection);
-    const bool within = target.connections() <= (target.service == nullptr ? 0 : m_core.connection_share(*target.service));
+    const bool within =
+        target.connections() <= (target.service == nullptr ? 0 : m_core.connection_share(*target.service));
     if (!keep || !target.usable || !within) {
         close(connection);
     }
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -16,21 +16,23 @@
 public:
     explicit part_dispatcher(forwarding_core& core) : m_core(core) {}
 
-    /** Sends an exchange for a part now. @return false when no target with a free connection is left for it */
+    /** Sends an exchange for a part now. @return false when no target with a free connection is left for it
+     */
     bool try_send(forwarding_run& run, std::size_t part, trace_step step);
     /** Sends an exchange now, or as soon as a connection is free. */
     void send_or_wait(forwarding_run& run, std::size_t part, trace_step step);
     /** Sends what waits for a service while connections are free. */
     void serve_waiting(known_service& service);
     /**
-     * @return how long an exchange sent now would wait for a connection and at its target; nothing when every target
-     * is ejected or paused
+     * @return how long an exchange sent now would wait for a connection and at its target; nothing when every
+     * target is ejected or paused
      */
     std::optional<duration> expected_wait(const known_service& service, const placement_demand& demand) const;
     /** @return whether a usable target is left that has not been tried for this part */
     static bool has_untried(const run_part& part);
 
-    /** The exchange's reply is no longer wanted; it is awaited for a short time, so that the connection stays. */
+    /** The exchange's reply is no longer wanted; it is awaited for a short time, so that the connection
+     * stays. */
     void abandon(const running_exchange& unwanted);
     /** The connection's exchange has ended: it is idle again, or closed. */
     void release(target_connection connection, held_connection& held, bool keep);
@@ -53,7 +55,8 @@
     placement_candidate describe(const known_target& target) const;
     void send(forwarding_run& run, std::size_t part, trace_step step, const known_target_pointer& target,
               target_connection connection);
-    /** Takes an idle connection that the target will not close at the same time. @return 0 when there is none */
+    /** Takes an idle connection that the target will not close at the same time. @return 0 when there is none
+     */
     target_connection take_idle(known_target& target);
     bool may_open(const known_target& target) const;
     void open(const known_target_pointer& target);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -34,7 +34,8 @@
 }
 
 bool request_flow::covers_enough(const forwarding_run& run, std::size_t covered) {
-    const double share = static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(run.parts.size(), 1));
+    const double share =
+        static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(run.parts.size(), 1));
     return covered > 0 && share + rounding >= run.taken->least_coverage;
 }
 
@@ -83,7 +84,8 @@
     if (!is_admitted(run)) {
         return;
     }
-    m_core.trace(run, trace_step::routed, run.parts.front().service->id, nullptr, taken->name, run.parts.size());
+    m_core.trace(run, trace_step::routed, run.parts.front().service->id, nullptr, taken->name,
+                 run.parts.size());
     for (std::size_t index = 0; index < run.parts.size(); ++index) {
         run.parts[index].service->budget.on_request(m_core.now);
         m_dispatcher.send_or_wait(run, index, trace_step::sent);
@@ -111,9 +113,9 @@
 }
 
 bool request_flow::can_be_covered(const forwarding_run& run) const {
-    const auto reachable =
-        std::count_if(run.parts.begin(), run.parts.end(),
-                      [](const run_part& part) { return usable_targets(*part.service) > 0; });
+    const auto reachable = std::count_if(run.parts.begin(), run.parts.end(), [](const run_part& part) {
+        return usable_targets(*part.service) > 0;
+    });
     return covers_enough(run, static_cast<std::size_t>(reachable));
 }
 
@@ -159,8 +161,9 @@
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
-    const auto running = std::find_if(part.exchanges.begin(), part.exchanges.end(),
-                                      [connection](const running_exchange& item) { return item.connection == connection; });
+    const auto running =
+        std::find_if(part.exchanges.begin(), part.exchanges.end(),
+                     [connection](const running_exchange& item) { return item.connection == connection; });
     if (running != part.exchanges.end()) {
         m_core.trace(run, trace_step::reply, part.service->id, running->target.get(),
                      std::string{to_name(reply.verdict)});
@@ -217,7 +220,8 @@
 }
 
 bool request_flow::take_extra(forwarding_run& run, const run_part& part) {
-    if (!m_core.options.protections.limit_extra_load || part.service->budget.try_take(m_core.now, m_core.hosts())) {
+    if (!m_core.options.protections.limit_extra_load ||
+        part.service->budget.try_take(m_core.now, m_core.hosts())) {
         return true;
     }
     ++m_core.counted.refused_by_budget;
@@ -225,13 +229,15 @@
     return false;
 }
 
-void request_flow::try_again(forwarding_run& run, std::size_t part_index, bool did_not_run, const char* cause) {
+void request_flow::try_again(forwarding_run& run, std::size_t part_index, bool did_not_run,
+                             const char* cause) {
     run_part& part = run.parts[part_index];
     if (run.ended || part.progress == part_progress::covered || !part.exchanges.empty() || part.queued) {
         return;
     }
     part.hedge_at = time_point::max();
-    const bool once = run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
+    const bool once =
+        run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
     const bool may_repeat = did_not_run || !once;
     const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
     if (!may_repeat || !in_time || !part_dispatcher::has_untried(part)) {
@@ -256,8 +262,8 @@
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
     const bool once = run.taken->repeats == repeatability::once;
-    const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts &&
-                        !once && part_dispatcher::has_untried(part);
+    const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts && !once &&
+                        part_dispatcher::has_untried(part);
     if (!wanted || !take_extra(run, part)) {
         return;
     }
@@ -313,7 +319,8 @@
         answer_failed(run, cause);
         return;
     }
-    const bool unsent = run.sent == 0 && m_core.now >= run.times.objective_at && run.times.objective_at > run.arrived;
+    const bool unsent =
+        run.sent == 0 && m_core.now >= run.times.objective_at && run.times.objective_at > run.arrived;
     if (m_core.now >= run.times.cut_off || unsent) {
         answer_failed(run, run.may_have_run() ? forward_reason::timed_out : forward_reason::overloaded);
     }
@@ -338,7 +345,8 @@
 void request_flow::answer_reply(forwarding_run& run, target_reply reply) {
     forward_answer answer;
     answer.outcome = forward_outcome::replied;
-    answer.reason = reply.verdict == target_verdict::completed ? forward_reason::none : forward_reason::targets_failed;
+    answer.reason =
+        reply.verdict == target_verdict::completed ? forward_reason::none : forward_reason::targets_failed;
     answer.reply = std::move(reply);
     finish(run, std::move(answer));
 }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -7,7 +7,8 @@
 /** A request's way from its arrival to its one answer. Internal to the module. */
 class request_flow {
 public:
-    request_flow(forwarding_core& core, part_dispatcher& dispatcher) : m_core(core), m_dispatcher(dispatcher) {}
+    request_flow(forwarding_core& core, part_dispatcher& dispatcher)
+        : m_core(core), m_dispatcher(dispatcher) {}
 
     void on_arrival(forward_request request);
     void on_caller_gone(forwarding_run& run);
@@ -22,7 +23,8 @@
     forwarding_core& m_core;
     part_dispatcher& m_dispatcher;
 
-    void refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason, duration retry_after);
+    void refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason,
+                         duration retry_after);
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
     duration expected_queue(const forwarding_run& run) const;
--- a/modules/tamarack_forwarding/explain/request_trace.h
+++ b/modules/tamarack_forwarding/explain/request_trace.h
@@ -10,15 +10,15 @@
 
 /** A decision about one request. */
 enum class trace_step {
-    routed,   ///< a route of the ticket in force takes it
-    waits,    ///< no connection to a target of the service is free
-    sent,     ///< first exchange for a shard or for the request
-    hedged,   ///< a second exchange while the first is running
-    retried,  ///< a further exchange after a failure
-    reply,    ///< a target's reply came
-    lost,     ///< the connection of an exchange was lost
-    unwanted, ///< an exchange is no longer needed; its reply is awaited for a short time
-    given_up, ///< a shard stays out
+    routed,    ///< a route of the ticket in force takes it
+    waits,     ///< no connection to a target of the service is free
+    sent,      ///< first exchange for a shard or for the request
+    hedged,    ///< a second exchange while the first is running
+    retried,   ///< a further exchange after a failure
+    reply,     ///< a target's reply came
+    lost,      ///< the connection of an exchange was lost
+    unwanted,  ///< an exchange is no longer needed; its reply is awaited for a short time
+    given_up,  ///< a shard stays out
     no_budget, ///< a further exchange is not allowed by the budget for extra load
 };
 
@@ -44,9 +44,9 @@
     trace_step step = trace_step::routed;
     service_id service;
     target_id target;
-    std::string result;         ///< verdict of a reply, or why
-    std::uint32_t load = 0;     ///< exchanges believed to be at the target
-    duration load_age{};        ///< of the target's last report; negative when there is none
+    std::string result;           ///< verdict of a reply, or why
+    std::uint32_t load = 0;       ///< exchanges believed to be at the target
+    duration load_age{};          ///< of the target's last report; negative when there is none
     std::uint32_t candidates = 0; ///< targets that could have been chosen
 };
 
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -34,10 +34,10 @@
     none,
     no_configuration, ///< this host knows no ticket yet
     no_route,
-    no_target,        ///< too few services of the route have a usable target
-    overloaded,       ///< it would not be served in time
+    no_target,  ///< too few services of the route have a usable target
+    overloaded, ///< it would not be served in time
     timed_out,
-    targets_refused,  ///< every target that was asked refused to run it
+    targets_refused, ///< every target that was asked refused to run it
     targets_failed,
     connection_lost,
     caller_gone,
--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -15,7 +15,7 @@
 /** One request to one target. */
 struct target_exchange {
     request_id id;
-    target_id target; ///< no other target may run it
+    target_id target;    ///< no other target may run it
     duration patience{}; ///< the target stops working after this
     std::shared_ptr<const message_payload> payload;
 };
--- a/modules/tamarack_forwarding/placement/placement.cpp
+++ b/modules/tamarack_forwarding/placement/placement.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/** A report's weight falls to 1/e after this: a target with few slots turns over its load in about as long. */
+/** A report's weight falls to 1/e after this: a target with few slots turns over its load in about as long.
+ */
 constexpr duration report_fade = 100ms;
 /** Time that a message takes to another data centre and back, and the price of the bytes. */
 constexpr double far_cost = 1'500.0;
@@ -48,8 +49,8 @@
 }
 
 double placement_cost(const placement_candidate& candidate, const placement_demand& demand) {
-    const double usual = static_cast<double>(demand.usual.count()) * candidate.speed *
-                         (candidate.cold ? cold_factor : 1.0);
+    const double usual =
+        static_cast<double>(demand.usual.count()) * candidate.speed * (candidate.cold ? cold_factor : 1.0);
     const double slots = std::max<double>(candidate.slots, 1.0);
     const double load = expected_load(candidate);
     const double queued = std::max(0.0, load + 1.0 - slots);
--- a/modules/tamarack_forwarding/routes/route_index.cpp
+++ b/modules/tamarack_forwarding/routes/route_index.cpp
@@ -20,9 +20,9 @@
     if (found == m_by_authority.end()) {
         return nullptr;
     }
-    const auto matching =
-        std::find_if(found->second.begin(), found->second.end(),
-                     [path](const route* item) { return path.substr(0, item->prefix.size()) == item->prefix; });
+    const auto matching = std::find_if(found->second.begin(), found->second.end(), [path](const route* item) {
+        return path.substr(0, item->prefix.size()) == item->prefix;
+    });
     return matching == found->second.end() ? nullptr : *matching;
 }
 
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -2,10 +2,10 @@
  * @file
  * Passing callers' requests on to targets by a route table, apart from I/O.
  *
- * Purpose: plain requests reach one target, one of several services, or all shards, whose records are merged; each
- * gets one true answer in time while targets misbehave and load is high.
- * Dependencies: tamarack_base, tamarack_tickets (route table).
- * No socket, file, thread or clock: events come in with the time, actions come out.
+ * Purpose: plain requests reach one target, one of several services, or all shards, whose records are merged;
+ * each gets one true answer in time while targets misbehave and load is high. Dependencies: tamarack_base,
+ * tamarack_tickets (route table). No socket, file, thread or clock: events come in with the time, actions
+ * come out.
  */
 #pragma once
 
--- a/modules/tamarack_forwarding/targets/known_target.h
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -25,7 +25,7 @@
     known_service* service = nullptr; ///< valid while the target is usable
     std::vector<target_connection> idle;
     std::size_t opening = 0;
-    std::size_t busy = 0; ///< connections that carry an exchange, unwanted ones included
+    std::size_t busy = 0;    ///< connections that carry an exchange, unwanted ones included
     time_point open_after{}; ///< no connection is opened before, after one failed
     std::uint32_t failed_opens = 0;
     std::optional<target_load> load;
--- a/modules/tamarack_forwarding/timing/exchange_timing.h
+++ b/modules/tamarack_forwarding/timing/exchange_timing.h
@@ -9,8 +9,8 @@
 /**
  * Follows the median and a high percentile of the time that exchanges of one route take.
  *
- * Each observation moves the estimates by a fixed share up or down, so that a pause of a target, however long,
- * counts as one observation. Needs no memory of the past.
+ * Each observation moves the estimates by a fixed share up or down, so that a pause of a target, however
+ * long, counts as one observation. Needs no memory of the past.
  */
 class exchange_timing {
 public:
@@ -25,7 +25,9 @@
     std::uint64_t observations() const { return m_observations; }
 
 private:
-    static duration to_duration(double microseconds) { return duration{static_cast<std::int64_t>(microseconds)}; }
+    static duration to_duration(double microseconds) {
+        return duration{static_cast<std::int64_t>(microseconds)};
+    }
 
     double m_median;
     double m_high;
--- a/modules/tamarack_forwarding/timing/request_times.cpp
+++ b/modules/tamarack_forwarding/timing/request_times.cpp
@@ -30,7 +30,8 @@
 }
 
 duration hedge_delay(duration high, duration left) {
-    const auto after_high = duration{static_cast<std::int64_t>(hedge_factor * static_cast<double>(high.count()))};
+    const auto after_high =
+        duration{static_cast<std::int64_t>(hedge_factor * static_cast<double>(high.count()))};
     const duration latest = std::max(left / 2, duration{0});
     return std::max(least_hedge_delay, latest > duration{0} ? std::min(after_high, latest) : after_high);
 }
--- a/modules/tamarack_forwarding/timing/request_times.h
+++ b/modules/tamarack_forwarding/timing/request_times.h
@@ -15,8 +15,8 @@
 /**
  * Works out when a request's answer is due.
  *
- * A caller's objective and deadline run from its first attempt. What it says it will still wait tells how much of the
- * route's timeout has passed already.
+ * A caller's objective and deadline run from its first attempt. What it says it will still wait tells how
+ * much of the route's timeout has passed already.
  *
  * @param arrived   when the request was read
  * @param patience  how much longer the caller waits; absent when it did not say
@@ -26,9 +26,9 @@
 /**
  * When to send a second exchange for a shard.
  *
- * Load pattern: each target pauses for a moment now and then, and a request over ten shards meets a pause often. A
- * hedge after the time that one exchange in ten exceeds catches the pauses at little extra load; it must leave
- * enough time for the second exchange.
+ * Load pattern: each target pauses for a moment now and then, and a request over ten shards meets a pause
+ * often. A hedge after the time that one exchange in ten exceeds catches the pauses at little extra load; it
+ * must leave enough time for the second exchange.
  *
  * @param high  time that one exchange of the route in ten exceeds
  * @param left  until the objective
--- a/modules/tamarack_membership/hosts/host_record.h
+++ b/modules/tamarack_membership/hosts/host_record.h
@@ -31,10 +31,10 @@
     std::uint64_t version = 0; ///< raised by the host itself to refute a suspicion
     host_state state = host_state::alive;
     bool draining = false; ///< leaves the directory, serves until kept answers have run out
-    bool control = false;  ///< takes part in the replicated log
     data_center_id data_center;
     endpoint hosts_address;   ///< where other hosts reach it
     endpoint callers_address; ///< where callers and targets reach it; empty for a pure control host
+    bool control = false;     ///< takes part in the replicated log
 
     bool operator==(const host_record&) const = default;
 };
--- a/modules/tamarack_membership/targets/announcement_codec.cpp
+++ b/modules/tamarack_membership/targets/announcement_codec.cpp
@@ -118,7 +118,8 @@
     value.connections = static_cast<std::uint32_t>(reader.number("connections", 0, highest_count));
     value.state = reader.named<target_state>("state", target_state::starting);
     value.load = decode_load(reader, json);
-    value.warmup_left = std::chrono::milliseconds{reader.optional_number("warmup_left_ms", 0, longest_warmup_ms)};
+    value.warmup_left =
+        std::chrono::milliseconds{reader.optional_number("warmup_left_ms", 0, longest_warmup_ms)};
     if (!reader.good()) {
         return reader.fault();
     }
--- a/modules/tamarack_membership/targets/target_index.cpp
+++ b/modules/tamarack_membership/targets/target_index.cpp
@@ -47,9 +47,9 @@
     if (found == m_by_address.end()) {
         return false;
     }
-    const auto owner = std::max_element(found->second.begin(), found->second.end(), [](const auto& left, const auto& right) {
-        return left.second < right.second;
-    });
+    const auto owner =
+        std::max_element(found->second.begin(), found->second.end(),
+                         [](const auto& left, const auto& right) { return left.second < right.second; });
     return owner->first == value.target;
 }
 
--- a/modules/tamarack_membership/targets/target_index.h
+++ b/modules/tamarack_membership/targets/target_index.h
@@ -29,8 +29,8 @@
     std::map<target_id, incarnation> others_at(const announcement& value) const;
 
     /**
-     * @return whether a live target is the one to use at its address, should two hosts have let in one each: the
-     * one with the highest life
+     * @return whether a live target is the one to use at its address, should two hosts have let in one each:
+     * the one with the highest life
      */
     bool owns_address(const announcement& value) const;
 
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -33,8 +33,8 @@
 
 outcome<announcement_receipt> target_registry::on_announcement(time_point now, const announcement& value,
                                                                const configuration& in_force) {
-    const outcome<done> checked = m_options.only_known_services ? check_announcement(value, in_force)
-                                                                : check_announcement_form(value);
+    const outcome<done> checked =
+        m_options.only_known_services ? check_announcement(value, in_force) : check_announcement_form(value);
     if (!succeeded(checked)) {
         return error_of(checked);
     }
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -59,8 +59,10 @@
     std::size_t ended_lives = 4; ///< remembered of each target
     std::size_t targets = 10'000;
     std::size_t changes_in_message = 200;
-    bool only_known_services = true; ///< otherwise a target may announce itself before a ticket names its service
-    bool lives_are_start_times = false; ///< lives are ordered: the latest one holds an address, earlier ones are refused
+    bool only_known_services =
+        true; ///< otherwise a target may announce itself before a ticket names its service
+    bool lives_are_start_times =
+        false; ///< lives are ordered: the latest one holds an address, earlier ones are refused
     registry_protections protections;
 };
 
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -84,15 +84,16 @@
 
 /** How control hosts come together without an operator. */
 struct formation_settings {
-    bool automatic = false;   ///< seeds are named by their IP address; voters are chosen by the hosts themselves
-    bool first_start = false; ///< the whole deployment starts for the first time, with empty disks
+    bool automatic =
+        false; ///< seeds are named by their IP address; voters are chosen by the hosts themselves
+    bool first_start = false;           ///< the whole deployment starts for the first time, with empty disks
     std::uint32_t tolerated_losses = 1; ///< control hosts that may be lost at the same time
 };
 
 /** Bounds on passing requests on by a route table. */
 struct forwarding_settings {
-    double extra_ratio = 0.2;       ///< hedges and retries over requests, for each service on all hosts
-    double extra_allowance = 50.0;  ///< further ones in a window, whatever the load
+    double extra_ratio = 0.2;      ///< hedges and retries over requests, for each service on all hosts
+    double extra_allowance = 50.0; ///< further ones in a window, whatever the load
     duration extra_window = 10s;
 };
 
@@ -102,8 +103,9 @@
     data_center_id data_center;
     host_role role = host_role::entry;
     listen_addresses listen;
-    std::string data_folder;      ///< empty for a host without a disk
-    bool recognise_copies = true; ///< a data folder put back from a copy is set aside; needs stable inode numbers
+    std::string data_folder; ///< empty for a host without a disk
+    bool recognise_copies =
+        true; ///< a data folder put back from a copy is set aside; needs stable inode numbers
     std::vector<seed_host> seeds; ///< control hosts, this one among them when it is one
     protocol_times times;
     host_limits limits;
--- a/modules/tamarack_settings/parsing/section_readers.h
+++ b/modules/tamarack_settings/parsing/section_readers.h
@@ -17,7 +17,8 @@
 /** Reads `[edge]`. */
 void read_edge(settings_source& source, settings& into);
 
-/** Reads `[formation]`; its seeds are named by their IP address and reached at this host's own port for hosts. */
+/** Reads `[formation]`; its seeds are named by their IP address and reached at this host's own port for
+ * hosts. */
 void read_formation(settings_source& source, settings& into);
 
 /** Reads `[forwarding]`. */
--- a/modules/tamarack_telemetry/logging/state_log.cpp
+++ b/modules/tamarack_telemetry/logging/state_log.cpp
@@ -116,7 +116,8 @@
     }
 
     static void write_left_out(const std::string& event, std::uint64_t count, const char* cause) {
-        write({log_level::warning, {},
+        write({log_level::warning,
+               {},
                format_log_line(logging_host(), "lines_left_out", {},
                                {{"of", event}, {"count", std::to_string(count)}, {"cause", cause}})});
     }
--- a/modules/tamarack_telemetry/logging/state_log.h
+++ b/modules/tamarack_telemetry/logging/state_log.h
@@ -20,8 +20,8 @@
 using log_field = std::pair<std::string_view, std::string>;
 
 /**
- * Sets up the process's log: one line a decision or a change of state, on standard output, as `time level host event
- * key=value`.
+ * Sets up the process's log: one line a decision or a change of state, on standard output, as `time level
+ * host event key=value`.
  *
  * Call once, before any thread starts.
  *
@@ -30,8 +30,8 @@
 void start_state_log(const host_id& host);
 
 /**
- * Has lines written by a thread of its own from now on: whoever logs never waits. Lines beyond each event's rate, or
- * beyond what may wait, are left out and counted in `lines_left_out`.
+ * Has lines written by a thread of its own from now on: whoever logs never waits. Lines beyond each event's
+ * rate, or beyond what may wait, are left out and counted in `lines_left_out`.
  *
  * Call before other threads start.
  */
--- a/modules/tamarack_tickets/model/route_table.h
+++ b/modules/tamarack_tickets/model/route_table.h
@@ -54,12 +54,12 @@
     route_destination destination = route_destination::service;
     std::vector<route_service> services; ///< one, or several for a split or for shards
     repeatability repeats = repeatability::repeatable;
-    std::uint32_t attempts = 1;    ///< most targets that may run one request; for shards, at each of them
-    duration timeout = 1s;         ///< longest time that a caller is kept waiting
-    duration objective = 100ms;    ///< time within which an answer is good
-    std::uint32_t priority = 0;    ///< 0 is the most urgent
+    std::uint32_t attempts = 1;     ///< most targets that may run one request; for shards, at each of them
+    duration timeout = 1s;          ///< longest time that a caller is kept waiting
+    duration objective = 100ms;     ///< time within which an answer is good
+    std::uint32_t priority = 0;     ///< 0 is the most urgent
     std::uint32_t result_limit = 0; ///< most records in a merged answer
-    double least_coverage = 1.0;   ///< share of the shards that a merged answer needs
+    double least_coverage = 1.0;    ///< share of the shards that a merged answer needs
 
     bool operator==(const route&) const = default;
 };
--- a/modules/tamarack_transport/http/http_message.h
+++ b/modules/tamarack_transport/http/http_message.h
@@ -24,7 +24,7 @@
 struct http_request {
     http_method method = http_method::get;
     std::string method_name; ///< as on the wire; decides when it is not empty
-    std::string target; ///< path with query
+    std::string target;      ///< path with query
     http_fields fields;
     std::string body;
 };
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -24,7 +24,8 @@
 }
 
 TEST(route_index, finds_the_longest_prefix_of_the_authority) {
-    const route_index index{table_with({{"a.example", "/"}, {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/z/"}})};
+    const route_index index{
+        table_with({{"a.example", "/"}, {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/z/"}})};
     EXPECT_EQ(index.find("a.example", "/x/y/1")->prefix, "/x/y/");
     EXPECT_EQ(index.find("a.example", "/x/1")->prefix, "/x/");
     EXPECT_EQ(index.find("a.example", "/other")->prefix, "/");
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -27,16 +27,22 @@
     }
 }
 
-void forwarding_world::add_service(const std::string& service, std::size_t replicas, const world_target& like) {
-    m_table.services.push_back({service_id{service}, "/health", static_cast<std::uint32_t>(like.connections)});
+void forwarding_world::add_service(const std::string& service, std::size_t replicas,
+                                   const world_target& like) {
+    m_table.services.push_back(
+        {service_id{service}, "/health", static_cast<std::uint32_t>(like.connections)});
     for (std::size_t replica = 0; replica < replicas; ++replica) {
         simulated_target target;
         target.behaviour = like;
         target.behaviour.pause_phase = m_random.between(duration{0}, like.pause_every);
         const std::string name = service + "-" + std::to_string(replica);
-        target.behaviour.known = {target_id{name}, incarnation{1}, service_id{service}, endpoint{name},
+        target.behaviour.known = {target_id{name},
+                                  incarnation{1},
+                                  service_id{service},
+                                  endpoint{name},
                                   data_center_id{replica == 0 ? "near" : "far"},
-                                  static_cast<std::uint32_t>(like.slots), time_point{}};
+                                  static_cast<std::uint32_t>(like.slots),
+                                  time_point{}};
         m_targets[target_id{name}] = std::move(target);
     }
 }
@@ -206,8 +212,10 @@
         m_violations.push_back("request " + work.id.value() + " ran after it was said not to run");
     }
     ++m_runs[{work.id.value(), target.behaviour.known.service.value()}];
-    const double normal = std::sqrt(-2.0 * std::log(1.0 - m_random.unit())) * std::cos(two_pi * m_random.unit());
-    const duration needed = scaled(target.behaviour.work, target.behaviour.slow * std::exp(target.behaviour.spread * normal));
+    const double normal =
+        std::sqrt(-2.0 * std::log(1.0 - m_random.unit())) * std::cos(two_pi * m_random.unit());
+    const duration needed =
+        scaled(target.behaviour.work, target.behaviour.slow * std::exp(target.behaviour.spread * normal));
     const target_id id = target.behaviour.known.id;
     schedule(m_now + pause_left(target) + needed, [this, id, work] { end_work(id, work); });
 }
@@ -234,7 +242,8 @@
         });
         return;
     }
-    reply(work, id, m_random.chance(target.behaviour.fail) ? target_verdict::failed : target_verdict::completed);
+    reply(work, id,
+          m_random.chance(target.behaviour.fail) ? target_verdict::failed : target_verdict::completed);
 }
 
 void forwarding_world::reply(const running_work& work, const target_id& id, target_verdict verdict) {
@@ -248,7 +257,8 @@
         answer.status = verdict == target_verdict::completed ? 200 : 500;
         answer.token = id.value() + "/" + work.id.value();
         answer.body = std::string(16, 'a');
-        answer.load = target_load{static_cast<std::uint32_t>(target.running), static_cast<std::uint32_t>(target.waiting.size()),
+        answer.load = target_load{static_cast<std::uint32_t>(target.running),
+                                  static_cast<std::uint32_t>(target.waiting.size()),
                                   static_cast<std::uint32_t>(target.behaviour.slots), 1.0};
         carry_out(work.host, m_hosts[work.host].engine->on_reply(m_now, work.connection, std::move(answer)));
     });
@@ -276,8 +286,9 @@
     result.taken = m_now - request.arrived;
     result.covered = answer.tokens.size();
     result.shards = answer.trace.shards;
-    const bool replied = answer.outcome == forward_outcome::merged ||
-                         (answer.outcome == forward_outcome::replied && answer.reason == forward_reason::none);
+    const bool replied =
+        answer.outcome == forward_outcome::merged ||
+        (answer.outcome == forward_outcome::replied && answer.reason == forward_reason::none);
     result.in_objective = replied && result.taken <= request.taken->objective;
     result.retry_after = answer.retry_after;
     result.priority = request.taken->priority;
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -16,18 +16,18 @@
 /** How one target behaves. */
 struct world_target {
     forwarding_target known;
-    duration work = 8ms;         ///< usual time of an exchange
-    double spread = 0.35;        ///< of the logarithm of the time
+    duration work = 8ms;  ///< usual time of an exchange
+    double spread = 0.35; ///< of the logarithm of the time
     std::size_t slots = 2;
-    std::size_t queue = 12;      ///< exchanges that may wait; further ones are refused as not run
+    std::size_t queue = 12; ///< exchanges that may wait; further ones are refused as not run
     std::size_t connections = 26;
-    duration pause{0};           ///< how long it stops
-    duration pause_every{0};     ///< how often
+    duration pause{0};       ///< how long it stops
+    duration pause_every{0}; ///< how often
     duration pause_phase{0};
-    double slow = 1.0;           ///< work takes this many times as long
-    double fail = 0.0;           ///< share of exchanges that fail
-    double lose_reply = 0.0;     ///< share whose reply is lost: the connection breaks after the work
-    bool dark = false;           ///< answers nothing at all
+    double slow = 1.0;       ///< work takes this many times as long
+    double fail = 0.0;       ///< share of exchanges that fail
+    double lose_reply = 0.0; ///< share whose reply is lost: the connection breaks after the work
+    bool dark = false;       ///< answers nothing at all
 };
 
 /** What became of one request. */
@@ -46,7 +46,8 @@
 /**
  * Several hosts with a forwarding engine each, and targets, in virtual time.
  *
- * Checks on its way: each request has one answer; "not run" is true; no target has more connections than it takes.
+ * Checks on its way: each request has one answer; "not run" is true; no target has more connections than it
+ * takes.
  */
 class forwarding_world {
 public:
@@ -74,7 +75,9 @@
     double good_share(duration from, duration until, std::int64_t priority = -1) const;
     std::size_t arrivals(const std::string& service) const;
     std::size_t requests_for(const std::string& service) const;
-    std::size_t most_connections(const std::string& id) const { return m_targets.at(target_id{id}).most_connections; }
+    std::size_t most_connections(const std::string& id) const {
+        return m_targets.at(target_id{id}).most_connections;
+    }
     std::size_t runs_of(const std::string& request, const std::string& service) const;
     const std::vector<std::string>& violations() const { return m_violations; }
     std::size_t unanswered() const;
--- a/tests/forwarding/load_patterns_test.cpp
+++ b/tests/forwarding/load_patterns_test.cpp
@@ -90,9 +90,8 @@
     add_match(world, add_shards(world, pausing_target()));
     world.publish();
     world.at(5s, [&] {
-        world.for_each_target([](const std::string& id, world_target& target) {
-            target.dark = id.starts_with("s3-");
-        });
+        world.for_each_target(
+            [](const std::string& id, world_target& target) { target.dark = id.starts_with("s3-"); });
     });
     world.load("match", 130.0, 1s, 21s);
     world.run_until(25s);
@@ -129,7 +128,8 @@
     expect_extra_within_bound(world, "s2", 20.0);
 }
 
-/** A burst for three seconds beyond what the targets can do: refused at once, and over when the burst is over. */
+/** A burst for three seconds beyond what the targets can do: refused at once, and over when the burst is
+ * over. */
 TEST(load_pattern, a_burst_beyond_capacity_is_refused_at_once_and_leaves_no_trace) {
     forwarding_world world{7};
     world_target like;
@@ -250,7 +250,8 @@
         world.load("match", 300.0, 1s, 8s);
         world.run_until(12s);
         std::size_t most = 0;
-        world.for_each_target([&](const std::string& id, world_target&) { most = std::max(most, world.most_connections(id)); });
+        world.for_each_target(
+            [&](const std::string& id, world_target&) { most = std::max(most, world.most_connections(id)); });
         EXPECT_EQ(most <= 12U, limited) << most;
     }
 }
--- /dev/null
+++ b/tests/membership/start_time_lives_test.cpp
@@ -0,0 +1,108 @@
+#include <tamarack_membership/tamarack_membership.h>
+
+#include <gtest/gtest.h>
+
+namespace tamarack {
+namespace {
+
+constexpr time_point start{1h};
+
+/** A registry as a foreign edge uses it: lives are start times, services need not be known. */
+struct start_time_lives : ::testing::Test {
+    registry_options options() const {
+        registry_options chosen;
+        chosen.only_known_services = false;
+        chosen.lives_are_start_times = true;
+        return chosen;
+    }
+
+    announcement beat(const std::string& id, std::uint64_t life, std::uint64_t sequence,
+                      const std::string& address = "10.0.0.1:80") const {
+        announcement value;
+        value.target = target_id{id};
+        value.life = incarnation{life};
+        value.sequence = sequence;
+        value.address = endpoint{address};
+        value.data_center = data_center_id{"dc"};
+        value.service = service_id{"s"};
+        value.state = target_state::ready;
+        return value;
+    }
+
+    bool announce(target_registry& registry, const announcement& value) {
+        return succeeded(registry.on_announcement(start + 1s, value, {}));
+    }
+
+    std::size_t usable(const target_registry& registry) { return registry.usable(service_id{"s"}).size(); }
+
+    target_registry m_registry{host_id{"a"}, options(), start};
+    target_registry m_other{host_id{"b"}, options(), start};
+};
+
+TEST_F(start_time_lives, takes_a_target_before_any_configuration_names_its_service) {
+    EXPECT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    EXPECT_EQ(usable(m_registry), 1U);
+}
+
+TEST_F(start_time_lives, the_latest_start_holds_an_address) {
+    EXPECT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    EXPECT_TRUE(announce(m_registry, beat("i-2", 200, 1)));
+    ASSERT_EQ(usable(m_registry), 1U);
+    EXPECT_EQ(m_registry.usable(service_id{"s"}).front().latest.target.value(), "i-2");
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 6))) << "a late beat of the former holder";
+    EXPECT_EQ(usable(m_registry), 1U);
+}
+
+TEST_F(start_time_lives, refuses_a_beat_of_a_former_life_of_the_same_target) {
+    EXPECT_TRUE(announce(m_registry, beat("i-1", 100, 50)));
+    EXPECT_TRUE(announce(m_registry, beat("i-1", 200, 1)));
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 51)));
+    EXPECT_EQ(m_registry.find(target_id{"i-1"})->latest.life.value, 200U);
+}
+
+TEST_F(start_time_lives, a_later_life_wins_on_a_host_that_counted_fewer_lives) {
+    announce(m_registry, beat("i-1", 100, 1));
+    announce(m_registry, beat("i-1", 200, 1));
+    announce(m_other, beat("i-1", 300, 1));
+    m_registry.on_changes(start + 2s, m_other.take_changes());
+    EXPECT_EQ(m_registry.find(target_id{"i-1"})->latest.life.value, 300U);
+}
+
+TEST_F(start_time_lives, a_target_that_ends_gets_no_new_work_anywhere) {
+    announce(m_registry, beat("i-1", 100, 3));
+    m_other.on_changes(start + 1s, m_registry.take_changes());
+    ASSERT_EQ(usable(m_other), 1U);
+    EXPECT_TRUE(succeeded(m_registry.on_departure(start + 2s, target_id{"i-1"}, incarnation{100})));
+    m_other.on_changes(start + 2s, m_registry.take_changes());
+    EXPECT_EQ(usable(m_registry), 0U);
+    EXPECT_EQ(usable(m_other), 0U);
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 4))) << "a late beat here";
+    EXPECT_FALSE(announce(m_other, beat("i-1", 100, 4))) << "a late beat elsewhere";
+    EXPECT_TRUE(announce(m_other, beat("i-1", 300, 1))) << "a new life";
+}
+
+TEST_F(start_time_lives, the_end_of_a_former_life_does_not_end_this_one) {
+    announce(m_registry, beat("i-1", 200, 1));
+    EXPECT_FALSE(succeeded(m_registry.on_departure(start + 2s, target_id{"i-1"}, incarnation{100})));
+    EXPECT_EQ(usable(m_registry), 1U);
+}
+
+TEST_F(start_time_lives, a_draining_target_does_not_become_ready_again_in_one_life) {
+    announce(m_registry, beat("i-1", 100, 1));
+    announcement draining = beat("i-1", 100, 2);
+    draining.state = target_state::draining;
+    EXPECT_TRUE(announce(m_registry, draining));
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 3)));
+    EXPECT_EQ(usable(m_registry), 0U);
+}
+
+TEST_F(start_time_lives, the_warm_up_travels_with_the_record) {
+    announcement cold = beat("i-1", 100, 1);
+    cold.warmup_left = 2500ms;
+    const auto decoded = decode_announcement(encode_announcement(cold));
+    ASSERT_TRUE(succeeded(decoded));
+    EXPECT_EQ(value_of(decoded).warmup_left, duration{2500ms});
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/platform/control_codec_test.cpp
+++ b/tests/platform/control_codec_test.cpp
@@ -61,10 +61,13 @@
 
 TEST(configuration_document, is_refused_for_each_fault_that_the_platform_names) {
     EXPECT_FALSE(faults_of(document.substr(0, document.size() / 2)).empty()) << "cut short";
-    EXPECT_FALSE(faults_of(with(R"("service":"kafi81c","max)", R"("service":"nobody","max)")).empty()) << "unknown service";
+    EXPECT_FALSE(faults_of(with(R"("service":"kafi81c","max)", R"("service":"nobody","max)")).empty())
+        << "unknown service";
     EXPECT_FALSE(faults_of(with(R"("/goka902/")", R"("/")")).empty()) << "same place";
     EXPECT_FALSE(faults_of(with(R"("weight":0.5},{"service":"huvo11a","weight":1.5})",
-                                R"("weight":0},{"service":"huvo11a","weight":0})")).empty()) << "no weight";
+                                R"("weight":0},{"service":"huvo11a","weight":0})"))
+                     .empty())
+        << "no weight";
     EXPECT_FALSE(faults_of(with(R"("timeout-ms":400)", R"("timeout-ms":0)")).empty()) << "no timeout";
     EXPECT_FALSE(faults_of(with(R"("timeout-ms":400,)", "")).empty()) << "timeout missing";
     EXPECT_FALSE(faults_of(with(R"("version":7)", R"("version":"7")")).empty()) << "version is a text";
@@ -103,7 +106,8 @@
     R"("state":"ready","warmup-left-ms":1500,"sequence":4,"born":1780000000123})";
 
 TEST(control_call, decodes_a_heartbeat) {
-    const control_call call = wire::read_control_call(post("/tamarackstand/Replicas.Heartbeat/i-7f3a91c2", heartbeat));
+    const control_call call =
+        wire::read_control_call(post("/tamarackstand/Replicas.Heartbeat/i-7f3a91c2", heartbeat));
     ASSERT_TRUE(std::holds_alternative<announce_target>(call));
     const announcement& value = std::get<announce_target>(call).value;
     EXPECT_EQ(value.target.value(), "i-7f3a91c2");
@@ -115,10 +119,12 @@
 }
 
 TEST(control_call, takes_a_heartbeat_with_a_missing_or_foreign_field_for_unreadable) {
-    for (const char* member : {"service", "address", "zone", "max-concurrency", "state", "sequence", "born"}) {
+    for (const char* member :
+         {"service", "address", "zone", "max-concurrency", "state", "sequence", "born"}) {
         std::string changed = heartbeat;
         changed.replace(changed.find(member), 2, "x-");
-        const control_call call = wire::read_control_call(post("/tamarackstand/Replicas.Heartbeat/i-1", changed));
+        const control_call call =
+            wire::read_control_call(post("/tamarackstand/Replicas.Heartbeat/i-1", changed));
         EXPECT_TRUE(std::holds_alternative<unreadable_call>(call)) << member;
     }
     std::string foreign = heartbeat;
@@ -142,7 +148,8 @@
 TEST(control_call, knows_no_other_path) {
     for (const char* path : {"/", "/tamarackstand/Config.Describe", "/tamarackstand/Replicas.Heartbeat/",
                              "/tamarackstand/Replicas.Heartbeat/a/b"}) {
-        EXPECT_TRUE(std::holds_alternative<unreadable_call>(wire::read_control_call(post(path, heartbeat)))) << path;
+        EXPECT_TRUE(std::holds_alternative<unreadable_call>(wire::read_control_call(post(path, heartbeat))))
+            << path;
     }
 }
 
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -43,7 +43,9 @@
     EXPECT_EQ(field(fields, "Connection"), "");
     EXPECT_EQ(field(fields, "X-Tamarackstand-Deadline-Ms"), "");
     EXPECT_EQ(field(fields, "X-Tamarackstand-Request-Id"), "9c41d07be2a35f68");
-    EXPECT_EQ(std::count_if(fields.begin(), fields.end(), [](const auto& item) { return item.first == "Accept"; }), 2);
+    EXPECT_EQ(
+        std::count_if(fields.begin(), fields.end(), [](const auto& item) { return item.first == "Accept"; }),
+        2);
 }
 
 TEST(read_request, drops_a_port_of_the_host_and_a_target_that_the_caller_names) {
--- /dev/null
+++ b/tests/tickets/route_table_test.cpp
@@ -0,0 +1,97 @@
+#include <tamarack_tickets/tamarack_tickets.h>
+
+#include <gtest/gtest.h>
+
+namespace tamarack {
+namespace {
+
+ticket with_routes() {
+    ticket value;
+    value.number = ticket_number{3};
+    route_table table;
+    table.services = {{service_id{"a"}, "/health", 26}, {service_id{"b"}, "/health", 26}};
+    route shards;
+    shards.name = "shards";
+    shards.authority = "x.example";
+    shards.prefix = "/s/";
+    shards.destination = route_destination::shards;
+    shards.services = {{service_id{"a"}, 1}, {service_id{"b"}, 1}};
+    shards.attempts = 2;
+    shards.timeout = 400ms;
+    shards.objective = 40ms;
+    shards.priority = 2;
+    shards.result_limit = 5;
+    shards.least_coverage = 0.75;
+    route split = shards;
+    split.name = "split";
+    split.prefix = "/t/";
+    split.destination = route_destination::split;
+    split.services = {{service_id{"a"}, 7}, {service_id{"b"}, 3}};
+    split.repeats = repeatability::once;
+    split.result_limit = 0;
+    split.least_coverage = 1.0;
+    table.routes = {shards, split};
+    table.limits = {16'384, 262'144, 3s, 15s};
+    table.source = "{\"as\": \"sent\"}\n";
+    value.routes = table;
+    return value;
+}
+
+TEST(route_table_ticket, survives_its_encoding) {
+    const ticket value = with_routes();
+    const auto decoded = decode_ticket(encode_ticket(value));
+    ASSERT_TRUE(succeeded(decoded)) << error_of(decoded).message;
+    EXPECT_EQ(value_of(decoded), value);
+}
+
+TEST(route_table_ticket, survives_in_a_configuration) {
+    const configuration applied = apply_ticket(with_routes(), {});
+    const auto decoded = decode_configuration(encode_configuration(applied));
+    ASSERT_TRUE(succeeded(decoded)) << error_of(decoded).message;
+    EXPECT_EQ(value_of(decoded), applied);
+}
+
+TEST(route_table_ticket, a_ticket_without_routes_leaves_them_and_reads_as_before) {
+    const configuration before = apply_ticket(with_routes(), {});
+    ticket other;
+    other.number = ticket_number{4};
+    EXPECT_EQ(apply_ticket(other, before).routes, before.routes);
+    EXPECT_FALSE(encode_ticket(other).isMember("routes"));
+}
+
+TEST(route_table_ticket, names_every_fault_at_once) {
+    ticket value = with_routes();
+    value.routes->routes[0].prefix = "no-slash";
+    value.routes->routes[0].timeout = duration{0};
+    value.routes->routes[0].services.push_back({service_id{"unknown"}, 1});
+    value.routes->routes[1].services[0].weight = 0;
+    value.routes->routes[1].services[1].weight = 0;
+    value.routes->services.push_back(value.routes->services[0]);
+    EXPECT_EQ(check_ticket(value, {}).size(), 5U);
+    EXPECT_TRUE(check_ticket(with_routes(), {}).empty());
+}
+
+TEST(route_table_ticket, two_routes_of_one_place_are_a_fault) {
+    ticket value = with_routes();
+    value.routes->routes[1].prefix = value.routes->routes[0].prefix;
+    EXPECT_EQ(check_ticket(value, {}).size(), 1U);
+}
+
+TEST(route_table_ticket, the_source_counts_as_content) {
+    ticket other = with_routes();
+    other.routes->source += " ";
+    EXPECT_NE(digest_of_ticket(with_routes()), digest_of_ticket(other));
+}
+
+TEST(route_table_ticket, differences_name_the_routes) {
+    const configuration before = apply_ticket(with_routes(), {});
+    ticket next = with_routes();
+    next.number = ticket_number{4};
+    next.routes->routes[0].attempts = 3;
+    const auto lines = describe_difference(before, apply_ticket(next, before));
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines.front(), "route x.example/s/: changed");
+}
+
+} // namespace
+} // namespace tamarack
