--- a/apps/tamarackd/control/control_duty.cpp
+++ b/apps/tamarackd/control/control_duty.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t ring_capacity = 8'192;
 /** Each ticket of a foreign edge holds a whole configuration, up to some hundred KiB; disks are small. */
 constexpr std::size_t texts_of_whole_configurations = 5;
+/** A restarted host replays no more than this; each entry may hold a whole configuration. */
+constexpr std::uint64_t entries_between_snapshots = 32;
 
 control_options options_of(const settings& chosen) {
     control_options options;
@@ -21,6 +23,7 @@
     options.leases.renewal = chosen.times.lease_renewal;
     if (chosen.edge.kind == edge_kind::platform) {
         options.history.texts = texts_of_whole_configurations;
+        options.entries_before_snapshot = entries_between_snapshots;
     }
     return options;
 }
@@ -212,6 +215,7 @@
 void control_duty::carry_out(const control_changed& action) {
     m_metrics.set(gauge_id::is_leader, action.role == raft_role::leader ? 1.0 : 0.0);
     if (action.latest != m_last.latest) {
+        m_hooks.committed(m_node.state().tickets().current());
         log_state_change(log_level::info, "ticket_accepted", action.latest, {});
     }
     if (action.role != m_last.role || action.leader != m_last.leader) {
--- a/apps/tamarackd/control/control_duty.h
+++ b/apps/tamarackd/control/control_duty.h
@@ -16,6 +16,7 @@
 struct control_hooks {
     std::function<bool(raft_envelope)> send_raft;
     std::function<bool(send_control_message)> send_control;
+    std::function<bool(configuration)> committed; ///< the latest accepted ticket that this host knows
 };
 
 /** What the operators' edge learns from the control duty. */
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -273,6 +273,7 @@
     hooks.send_control = [this](send_control_message message) {
         return m_hosts->post_control(std::move(message));
     };
+    hooks.committed = [this](configuration latest) { return m_hosts->post_committed(std::move(latest)); };
     return hooks;
 }
 
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -142,6 +142,13 @@
     });
 }
 
+bool hosts_duty::post_committed(configuration latest) {
+    return m_thread.try_post([this, latest = std::move(latest)] {
+        carry_out(m_control->adopt(steady_now(), latest));
+        settle();
+    });
+}
+
 bool hosts_duty::post_announcement(announcement value,
                                    std::function<void(outcome<announcement_receipt>)> answer) {
     return m_thread.try_post([this, value = std::move(value), answer = std::move(answer)] {
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -80,6 +80,8 @@
     /** From any thread: messages of the control duty to other hosts. */
     bool post_raft(raft_envelope envelope);
     bool post_control(send_control_message message);
+    /** From any thread: this host's own part of the log holds this configuration as accepted. */
+    bool post_committed(configuration latest);
 
     /** From any thread: wishes of the serving duty. */
     bool post_announcement(announcement value, std::function<void(outcome<announcement_receipt>)> answer);
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/** Callers wait a second for a host that does not answer, so that it has to leave the directory soon. */
+constexpr duration probe_timeout_of_near_hosts = 120ms;
+constexpr duration probe_limit_of_near_hosts = 350ms;
 constexpr int heartbeats_in_lease = 4;
 /** Foreign targets look for another keeper only with their next heartbeat, and try each host for a second. */
 constexpr duration orphan_time_of_foreign_targets = 8s;
@@ -55,6 +58,10 @@
 detector_options detector_options_of(const settings& chosen) {
     detector_options options;
     options.probe_interval = chosen.times.probe_interval;
+    if (chosen.edge.kind == edge_kind::platform) {
+        options.probe_timeout = probe_timeout_of_near_hosts;
+        options.probe_limit = probe_limit_of_near_hosts;
+    }
     return options;
 }
 
--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -94,6 +94,11 @@
     return m_implementation->finish(now);
 }
 
+control_client_actions control_client::adopt(time_point now, const configuration& accepted) {
+    m_implementation->m_lease.adopt(now, accepted, m_implementation->m_actions);
+    return m_implementation->finish(now);
+}
+
 void control_client::set_control_hosts(std::vector<host_id> hosts) {
     m_implementation->m_route.set_hosts(std::move(hosts));
 }
--- a/modules/tamarack_control/client/control_client.h
+++ b/modules/tamarack_control/client/control_client.h
@@ -55,6 +55,13 @@
     /** This host drains and is taken out of assignments, or is to be assigned services again. */
     control_client_actions set_draining(time_point now, bool draining);
 
+    /**
+     * This host learnt by another way that a ticket was accepted, as a control host does from its own log.
+     *
+     * It extends no lease. An older one than the host holds changes nothing.
+     */
+    control_client_actions adopt(time_point now, const configuration& accepted);
+
     /** The control hosts that are known changed. */
     void set_control_hosts(std::vector<host_id> hosts);
 
--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -127,6 +127,17 @@
     }
 }
 
+void lease_client::adopt(time_point now, const configuration& accepted, control_client_actions& actions) {
+    if (accepted.number <= m_current.number) {
+        return;
+    }
+    m_current = accepted;
+    actions.emplace_back(configuration_changed{});
+    if (!m_released) {
+        m_lease.renew_soon(now);
+    }
+}
+
 void lease_client::set_draining(time_point now, bool draining) {
     m_draining = draining;
     m_lease.renew_soon(now);
--- a/modules/tamarack_control/client/lease_client.h
+++ b/modules/tamarack_control/client/lease_client.h
@@ -19,6 +19,7 @@
     void on_redirect(time_point now, const ask_elsewhere& message);
     void on_news(time_point now, const announce_news& message);
     void on_timer(time_point now, control_route& route, control_client_actions& actions);
+    void adopt(time_point now, const configuration& accepted, control_client_actions& actions);
     void set_draining(time_point now, bool draining);
     void release(time_point now, const control_route& route, control_client_actions& actions);
     time_point next_timer() const;
--- a/modules/tamarack_forwarding/placement/placement.cpp
+++ b/modules/tamarack_forwarding/placement/placement.cpp
@@ -11,7 +11,7 @@
  */
 constexpr duration report_fade = 100ms;
 /** Time that a message takes to another data centre and back, and the price of the bytes. */
-constexpr double far_cost = 1'500.0;
+constexpr double far_cost = 4'000.0;
 /** Work of a cold target takes longer by this factor. */
 constexpr double cold_factor = 1.6;
 /** An exchange that runs for this many times the high percentile is taken for one at a paused target. */
--- a/tests/integration/operating_page_test.cpp
+++ b/tests/integration/operations_page_test.cpp
@@ -17,23 +17,23 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
-std::string operating_page() {
-    return read_file(std::filesystem::path{TAMARACK_DOCS} / "OPERATING.md");
+std::string operations_page() {
+    return read_file(std::filesystem::path{TAMARACK_DOCS} / "OPERATIONS.md");
 }
 
 bool has_row(const std::string& page, std::string_view name) {
     return page.find("\n| `" + std::string{name} + "` |") != std::string::npos;
 }
 
-TEST(operating_page, lists_every_reason) {
-    const std::string page = operating_page();
+TEST(operations_page, lists_every_reason) {
+    const std::string page = operations_page();
     for (const auto& [reason, name] : name_table<refusal_reason>::entries) {
         EXPECT_TRUE(has_row(page, name)) << name;
     }
 }
 
-TEST(operating_page, lists_every_log_event) {
-    const std::string page = operating_page();
+TEST(operations_page, lists_every_log_event) {
+    const std::string page = operations_page();
     const std::regex call{R"re(log_state_change\([^"]*"([a-z_]+)")re"};
     const auto sources = std::filesystem::path{TAMARACK_DOCS}.parent_path() / "apps" / "tamarackd";
     std::set<std::string> events;
--- /dev/null
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -0,0 +1,274 @@
+#include "platform_deployment.h"
+
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <utility>
+
+namespace tamarack::platform_integration {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{20};
+constexpr std::chrono::milliseconds call_limit{5'000};
+constexpr std::size_t ports_of_a_host = 6;
+constexpr std::size_t most_seeds = 3;
+constexpr unsigned redirect = 307;
+
+/** Replaces each occurrence of a placeholder of the template. */
+void put(std::string& text, const std::string& name, const std::string& value) {
+    const std::string placeholder = "{{" + name + "}}";
+    for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
+        text.replace(at, placeholder.size(), value);
+    }
+}
+
+/** Keeps or drops the sections that depend on whether a name has a value. */
+void put_section(std::string& text, const std::string& name, bool present) {
+    for (const bool when : {true, false}) {
+        const std::string open = (when ? "{{#" : "{{^") + name + "}}";
+        const std::string close = "{{/" + name + "}}";
+        const auto begin = text.find(open);
+        const auto end = text.find(close, begin);
+        if (begin == std::string::npos || end == std::string::npos) {
+            continue;
+        }
+        const std::string inner = text.substr(begin + open.size(), end - begin - open.size());
+        text.replace(begin, end + close.size() - begin, when == present ? inner : "");
+    }
+}
+
+/** Replaces the fixed port behind a key's address: several hosts share this machine. */
+void put_port(std::string& text, const std::string& key, const std::string& value) {
+    const auto begin = text.find(key) + key.size();
+    text.replace(begin, text.find('\n', begin) - begin, value);
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file{path};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+Json::Value to_json(const std::string& text) {
+    Json::Value value;
+    const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
+    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr) ? value : Json::Value{};
+}
+
+} // namespace
+
+bool eventually(const std::function<bool()>& holds) {
+    const auto ends = std::chrono::steady_clock::now() + testing_support::patience;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > ends) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+platform_deployment::platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts)
+    : m_disk_hosts(disk_hosts), m_entry_hosts(entry_hosts), m_ports(ports_of_a_host),
+      m_loop_thread([this] { m_loop.run(); }) {}
+
+platform_deployment::~platform_deployment() {
+    m_loop.stop();
+    m_loop_thread.join();
+}
+
+std::string platform_deployment::settings_of(std::size_t host) const {
+    std::string text = read_file(TAMARACK_TEMPLATE);
+    const bool has_disk = host < m_disk_hosts;
+    const std::string ip = ip_of(host);
+    std::string seeds;
+    for (std::size_t seed = 0; seed < std::min(most_seeds, m_disk_hosts); ++seed) {
+        seeds += (seeds.empty() ? "" : ",") + ip_of(seed) + ":" + port(2);
+    }
+    const auto folder = m_processes.folder().path() / ("data-" + std::to_string(host));
+    if (has_disk) {
+        std::filesystem::create_directories(folder);
+    }
+    put_section(text, "data-dir", has_disk);
+    put(text, "ip", ip);
+    put(text, "zone", "zone-" + std::to_string(host % 3));
+    put(text, "data-dir", has_disk ? folder.string() : "");
+    put(text, "listen-addresses.front", ip + ":" + port(0));
+    put(text, "listen-addresses.ready", ip + ":" + port(1));
+    put(text, "listen-addresses.control", ip + ":" + port(2));
+    put(text, "listen-addresses.directory", ip + ":" + port(3));
+    put(text, "internal-port-range.0", port(4));
+    put_port(text, "operators = " + ip + ":", port(5));
+    put(text, "seeds", seeds);
+    put(text, "bootstrap", m_first_start ? "true" : "false");
+    put(text, "fault-tolerance.machines", "1");
+    put(text, "bounds.retry-budget-ratio", "0.2");
+    put(text, "bounds.budget-min-retries", "58");
+    put(text, "bounds.budget-window-s", "10");
+    return text;
+}
+
+void platform_deployment::start_host(std::size_t host) {
+    const std::string path = m_processes.folder().write(name_of(host) + ".ini", settings_of(host));
+    m_processes.start(name_of(host), TAMARACK_DAEMON, {"--settings", path});
+}
+
+void platform_deployment::start_all() {
+    for (std::size_t host = 0; host < hosts(); ++host) {
+        start_host(host);
+    }
+    m_first_start = false;
+}
+
+stand_in_replica& platform_deployment::add_replica(const std::string& service) {
+    auto replica = std::make_unique<stand_in_replica>();
+    stand_in_replica& added = *replica;
+    added.id = "i-" + std::to_string(m_replicas.size() + 1);
+    added.service = service;
+    added.born = 1'780'000'000'000 + m_replicas.size();
+    std::promise<void> listening;
+    m_loop.post([this, &added, &listening] {
+        added.listener = std::make_unique<testing_support::http_listener>(
+            m_loop, testing_support::listener_options{},
+            [this, &added](const plain_request& request, const testing_support::plain_responder& respond) {
+                answer(added, request, respond);
+            });
+        added.address = added.listener->listen("127.0.0.1", 0);
+        listening.set_value();
+    });
+    listening.get_future().wait();
+    m_replicas[added.id] = std::move(replica);
+    return added;
+}
+
+void platform_deployment::answer(stand_in_replica& replica, const plain_request& request,
+                                 const testing_support::plain_responder& respond) {
+    plain_response response;
+    response.fields["x-tamarackstand-request-id"] = request.field("x-tamarackstand-request-id");
+    response.fields["x-tamarackstand-replica-load"] = "1,0,2";
+    if (request.field("x-tamarackstand-target-replica") != replica.id) {
+        ++replica.misdirected;
+        response.status = 421;
+        response.fields["x-tamarackstand-not-executed"] = "1";
+        respond(response);
+        return;
+    }
+    ++replica.runs;
+    response.status = replica.fails ? 500 : 200;
+    response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
+    response.body = std::string(16, static_cast<char>('a' + replica.service.size() % 26)) + std::string(16, 'b');
+    m_loop.run_after(std::chrono::milliseconds{replica.work_ms.load()}, [respond, response] { respond(response); });
+}
+
+unsigned platform_deployment::beat(stand_in_replica& replica, std::size_t host, const std::string& state) {
+    Json::Value body;
+    body["service"] = replica.service;
+    body["address"] = replica.address;
+    body["zone"] = "zone-0";
+    body["version"] = "v1";
+    body["max-concurrency"] = 2;
+    body["state"] = state;
+    body["warmup-left-ms"] = 0;
+    body["sequence"] = Json::UInt64{++replica.sequence};
+    body["born"] = Json::UInt64{replica.born};
+    plain_request request;
+    request.method = "POST";
+    request.path = "/tamarackstand/Replicas.Heartbeat/" + replica.id;
+    request.body = body.toStyledString();
+    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(2), request, call_limit);
+    return response ? response->status : 0;
+}
+
+unsigned platform_deployment::deregister(const stand_in_replica& replica, std::size_t host) {
+    plain_request request;
+    request.method = "POST";
+    request.path = "/tamarackstand/Replicas.Deregister/" + replica.id;
+    request.body = "{\"born\":" + std::to_string(replica.born) + "}";
+    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(2), request, call_limit);
+    return response ? response->status : 0;
+}
+
+void platform_deployment::beat_all() {
+    std::size_t host = 0;
+    for (auto& [id, replica] : m_replicas) {
+        beat(*replica, host++ % hosts());
+    }
+}
+
+std::optional<plain_response> platform_deployment::control_call(std::size_t first, plain_request request) {
+    std::string address = ip_of(first % hosts()) + ":" + port(2);
+    for (int hop = 0; hop < 3; ++hop) {
+        const auto response = testing_support::call_and_wait(address, request, call_limit);
+        if (!response || response->status != redirect) {
+            return response;
+        }
+        const std::string location = response->fields.at("location");
+        const std::string rest = location.substr(std::string{"http://"}.size());
+        address = rest.substr(0, rest.find('/'));
+    }
+    return std::nullopt;
+}
+
+unsigned platform_deployment::submit(const std::string& document) {
+    plain_request request;
+    request.method = "POST";
+    request.path = "/tamarackstand/Config.Replace";
+    request.body = document;
+    unsigned status = 0;
+    std::size_t host = 0;
+    eventually([&] {
+        const auto response = control_call(host++, request);
+        status = response ? response->status : 0;
+        return status >= 200 && status < 500;
+    });
+    return status;
+}
+
+std::optional<plain_response> platform_deployment::describe() {
+    plain_request request;
+    request.path = "/tamarackstand/Config.Describe";
+    std::optional<plain_response> response;
+    std::size_t host = 0;
+    eventually([&] {
+        response = control_call(host++, request);
+        return response && response->status == 200;
+    });
+    return response;
+}
+
+std::optional<plain_response> platform_deployment::request(std::size_t host, const std::string& authority,
+                                                           const std::string& path, int deadline_ms) {
+    plain_request request;
+    request.path = path;
+    request.fields["host"] = authority;
+    request.fields["x-tamarackstand-request-id"] = "r" + std::to_string(m_next_request++);
+    request.fields["x-tamarackstand-deadline-ms"] = std::to_string(deadline_ms);
+    return testing_support::call_and_wait(callers_address(host), request, call_limit);
+}
+
+bool platform_deployment::ready(std::size_t host) {
+    plain_request request;
+    request.path = "/tamarackstand/readiness";
+    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(1), request, call_limit);
+    return response && response->status == 200;
+}
+
+std::set<std::string> platform_deployment::directory(std::size_t host) {
+    plain_request request;
+    request.path = "/tamarackstand/resolve?name=x.example&region=r&zone=zone-0";
+    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(3), request, call_limit);
+    std::set<std::string> addresses;
+    if (response && response->status == 200) {
+        const Json::Value body = to_json(response->body);
+        for (const Json::Value& address : body["addrs"]) {
+            addresses.insert(address.asString());
+        }
+    }
+    return addresses;
+}
+
+} // namespace tamarack::platform_integration
--- /dev/null
+++ b/tests/platform_integration/platform_deployment.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "support/net/http_call.h"
+#include "support/net/http_listener.h"
+#include "support/net/port_reservation.h"
+#include "support/process/process_group.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace tamarack::platform_integration {
+
+using testing_support::plain_request;
+using testing_support::plain_response;
+
+/** A replica that speaks the platform's protocol, on a thread of its deployment. */
+struct stand_in_replica {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
+    std::unique_ptr<testing_support::http_listener> listener;
+    std::atomic<unsigned> runs{0};
+    std::atomic<unsigned> misdirected{0};
+    std::atomic<int> work_ms{2};
+    std::atomic<bool> fails{false};
+};
+
+/**
+ * Real daemons started as the platform starts them: rendered settings on addresses of their own, no operator who forms
+ * the control hosts; replicas that register; callers.
+ */
+class platform_deployment {
+public:
+    /**
+     * @param disk_hosts   hosts with a data folder; the first three are the seeds
+     * @param entry_hosts  hosts without
+     */
+    platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts);
+    ~platform_deployment();
+    platform_deployment(const platform_deployment&) = delete;
+    platform_deployment& operator=(const platform_deployment&) = delete;
+    platform_deployment(platform_deployment&&) = delete;
+    platform_deployment& operator=(platform_deployment&&) = delete;
+
+    void start_host(std::size_t host);
+    void start_all();
+    void kill_host(std::size_t host) { m_processes.kill(name_of(host)); }
+    testing_support::process_end stop_host(std::size_t host) { return m_processes.stop(name_of(host)); }
+    testing_support::child_process& process(std::size_t host) { return m_processes.at(name_of(host)); }
+    std::string output(std::size_t host) { return m_processes.at(name_of(host)).output(); }
+
+    stand_in_replica& add_replica(const std::string& service);
+    /** Sends a heartbeat to a host. @return the status of its answer; 0 without one */
+    unsigned beat(stand_in_replica& replica, std::size_t host, const std::string& state = "ready");
+    unsigned deregister(const stand_in_replica& replica, std::size_t host);
+    /** Sends a heartbeat of each replica to one host after the other. */
+    void beat_all();
+
+    /** Sends a configuration to any host, following redirects, until it has a clear answer. */
+    unsigned submit(const std::string& document);
+    std::optional<plain_response> describe();
+
+    /** A caller's request to one host. */
+    std::optional<plain_response> request(std::size_t host, const std::string& authority, const std::string& path,
+                                          int deadline_ms = 2'000);
+    bool ready(std::size_t host);
+    std::set<std::string> directory(std::size_t host);
+
+    std::string callers_address(std::size_t host) const { return ip_of(host) + ":" + port(0); }
+    std::string ip_of(std::size_t host) const { return "127.0.77." + std::to_string(host + 1); }
+    std::size_t hosts() const { return m_disk_hosts + m_entry_hosts; }
+    std::string logs() const { return m_processes.logs(); }
+
+private:
+    std::string name_of(std::size_t host) const { return "host-" + std::to_string(host); }
+    std::string port(std::size_t which) const { return std::to_string(m_ports[which].port()); }
+    std::string settings_of(std::size_t host) const;
+    std::optional<plain_response> control_call(std::size_t first, plain_request request);
+    void answer(stand_in_replica& replica, const plain_request& request, const testing_support::plain_responder& respond);
+
+    std::size_t m_disk_hosts;
+    std::size_t m_entry_hosts;
+    std::vector<testing_support::port_reservation> m_ports; ///< front, ready, control, directory, hosts, operators
+    testing_support::process_group m_processes;
+    testing_support::event_loop m_loop;
+    std::thread m_loop_thread;
+    std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
+    bool m_first_start = true;
+    unsigned m_next_request = 1;
+};
+
+/** Waits until something holds. @return false when it never did */
+bool eventually(const std::function<bool()>& holds);
+
+} // namespace tamarack::platform_integration
--- /dev/null
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -0,0 +1,172 @@
+#include "platform_deployment.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <numeric>
+
+namespace tamarack::platform_integration {
+namespace {
+
+std::string document(unsigned version, const std::string& single = "orders") {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+ {"name":"match","host":"x.example","path-prefix":"/match/","type":"safe","timeout-ms":800,"target-latency-ms":200,
+  "priority":1,"fanout-services":["s1","s2","s3"],"max-attempts":2,"result-limit":4,"min-shard-fraction":0.6},
+ {"name":"fetch","host":"y.example","path-prefix":"/fetch/","type":"safe","timeout-ms":2500,"target-latency-ms":250,
+  "priority":2,"service":")" + single + R"(","max-attempts":2}],
+ "services":[{"name":"s1","health-check-path":"/health","max-connections":26},
+  {"name":"s2","health-check-path":"/health","max-connections":26},
+  {"name":"s3","health-check-path":"/health","max-connections":26},
+  {"name":"orders","health-check-path":"/health","max-connections":45},
+  {"name":"stocks","health-check-path":"/health","max-connections":45}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+}
+
+/** Five hosts, two replicas a service, the first configuration in force. */
+struct platform_deployment_test : ::testing::Test {
+    platform_deployment m_deployment{3, 2};
+    std::map<std::string, std::vector<stand_in_replica*>> m_replicas;
+
+    void SetUp() override {
+        m_deployment.start_all();
+        ASSERT_EQ(m_deployment.submit(document(3)), 200U) << m_deployment.logs();
+        for (const char* service : {"s1", "s2", "s3", "orders", "stocks"}) {
+            for (int count = 0; count < 2; ++count) {
+                m_replicas[service].push_back(&m_deployment.add_replica(service));
+            }
+        }
+        m_deployment.beat_all();
+        for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+            ASSERT_TRUE(eventually([&] { return m_deployment.ready(host); })) << m_deployment.logs();
+            ASSERT_TRUE(eventually([&] { return status(host, "x.example", "/match/1") == 200; })) << m_deployment.logs();
+            ASSERT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; })) << m_deployment.logs();
+        }
+    }
+
+    unsigned status(std::size_t host, const std::string& authority, const std::string& path) {
+        m_deployment.beat_all();
+        const auto response = m_deployment.request(host, authority, path);
+        return response ? response->status : 0;
+    }
+
+    unsigned runs(const std::string& service) const {
+        const auto& replicas = m_replicas.at(service);
+        return std::accumulate(replicas.begin(), replicas.end(), 0U,
+                               [](unsigned sum, const stand_in_replica* replica) { return sum + replica->runs; });
+    }
+};
+
+TEST_F(platform_deployment_test, forms_without_an_operator_and_merges_the_greatest_records) {
+    const auto response = m_deployment.request(4, "x.example", "/match/1");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200U);
+    EXPECT_EQ(response->body.size(), 64U);
+    EXPECT_EQ(response->body.substr(0, 16), std::string(16, 'c')) << "the greatest record of the parts comes first";
+    const std::string stamps = response->fields.at("x-tamarackstand-shard-stamps");
+    EXPECT_EQ(std::count(stamps.begin(), stamps.end(), ','), 2);
+    EXPECT_EQ(response->fields.at("x-tamarackstand-shards-missing"), "0");
+    EXPECT_TRUE(eventually([&] { return m_deployment.directory(1).size() == m_deployment.hosts(); }));
+}
+
+TEST_F(platform_deployment_test, returns_one_replicas_answer_unchanged_and_says_404_without_a_route) {
+    const auto response = m_deployment.request(0, "y.example", "/fetch/1");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200U);
+    EXPECT_EQ(response->fields.count("x-tamarackstand-response-stamp"), 1U);
+    EXPECT_EQ(m_deployment.request(0, "y.example", "/other/1")->status, 404U);
+    EXPECT_EQ(m_deployment.request(0, "z.example", "/fetch/1")->status, 404U);
+}
+
+TEST_F(platform_deployment_test, reads_back_what_was_sent_and_never_obeys_an_older_or_damaged_one) {
+    EXPECT_EQ(m_deployment.submit(document(5, "stocks")), 200U);
+    EXPECT_EQ(m_deployment.submit(document(4)), 200U) << "an older version is acknowledged and changes nothing";
+    EXPECT_EQ(m_deployment.submit(document(5)), 200U) << "other content under a known version changes nothing";
+    EXPECT_EQ(m_deployment.submit(document(6, "nobody")), 400U);
+    EXPECT_EQ(m_deployment.submit(document(7).substr(0, 300)), 400U);
+    EXPECT_EQ(m_deployment.describe()->body, document(5, "stocks"));
+    for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+        EXPECT_TRUE(eventually([&] {
+            const unsigned before = runs("stocks");
+            status(host, "y.example", "/fetch/1");
+            return runs("stocks") > before;
+        })) << host;
+    }
+}
+
+TEST_F(platform_deployment_test, a_draining_and_an_ended_replica_get_nothing_new_from_any_host) {
+    stand_in_replica& drained = *m_replicas["orders"][0];
+    EXPECT_EQ(m_deployment.beat(drained, 2, "draining"), 200U);
+    stand_in_replica& ended = *m_replicas["stocks"][0];
+    EXPECT_EQ(m_deployment.deregister(ended, 1), 200U);
+    for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+        EXPECT_TRUE(eventually([&] {
+            const unsigned before = drained.runs;
+            for (int request = 0; request < 6; ++request) {
+                m_deployment.request(host, "y.example", "/fetch/1");
+            }
+            return drained.runs == before;
+        })) << host;
+    }
+    EXPECT_EQ(ended.runs, 0U);
+}
+
+TEST_F(platform_deployment_test, a_failing_replica_is_replaced_by_another_and_a_wrong_one_runs_nothing) {
+    stand_in_replica& failing = *m_replicas["orders"][0];
+    failing.fails = true;
+    unsigned good = 0;
+    for (int request = 0; request < 10; ++request) {
+        good += m_deployment.request(1, "y.example", "/fetch/1")->status == 200U ? 1 : 0;
+    }
+    EXPECT_EQ(good, 10U);
+}
+
+TEST_F(platform_deployment_test, unreadable_heartbeats_name_no_replica) {
+    stand_in_replica& forged = m_deployment.add_replica("orders");
+    forged.service = "";
+    EXPECT_EQ(m_deployment.beat(forged, 0), 400U);
+    forged.service = "orders";
+    EXPECT_EQ(m_deployment.beat(forged, 0, "happy"), 400U);
+    for (int request = 0; request < 10; ++request) {
+        m_deployment.request(0, "y.example", "/fetch/1");
+    }
+    EXPECT_EQ(forged.runs, 0U);
+}
+
+TEST_F(platform_deployment_test, each_host_ends_within_its_grace_and_fails_nothing_when_it_is_told_to) {
+    for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+        m_deployment.process(host).send_signal(SIGTERM);
+        unsigned refused = 0;
+        for (int request = 0; request < 5; ++request) {
+            const auto response = m_deployment.request(host, "y.example", "/fetch/1");
+            refused += response && response->status != 200U ? 1 : 0;
+        }
+        EXPECT_EQ(refused, 0U) << host;
+        EXPECT_FALSE(m_deployment.ready(host));
+        const auto end = m_deployment.stop_host(host);
+        EXPECT_EQ(end.exit_code, 0) << m_deployment.output(host);
+        m_deployment.start_host(host);
+        EXPECT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; }));
+    }
+}
+
+TEST_F(platform_deployment_test, knows_its_configuration_after_all_hosts_were_killed) {
+    EXPECT_EQ(m_deployment.submit(document(9, "stocks")), 200U);
+    for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+        m_deployment.kill_host(host);
+    }
+    for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
+        m_deployment.start_host(host);
+    }
+    EXPECT_EQ(m_deployment.describe()->body, document(9, "stocks"));
+    EXPECT_TRUE(eventually([&] { return status(4, "x.example", "/match/1") == 200; }));
+}
+
+TEST_F(platform_deployment_test, reads_changed_settings_on_a_hangup_and_goes_on) {
+    m_deployment.process(2).send_signal(SIGHUP);
+    EXPECT_TRUE(eventually([&] { return m_deployment.output(2).find("settings_unchanged") != std::string::npos; }));
+    EXPECT_EQ(status(2, "y.example", "/fetch/1"), 200U);
+}
+
+} // namespace
+} // namespace tamarack::platform_integration
