--- a/modules/tamarack_forwarding/timing/request_times.cpp
+++ b/modules/tamarack_forwarding/timing/request_times.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Kept free before the objective for the way to the caller and back, and for sending. */
-constexpr duration least_objective_margin = 4ms;
+constexpr duration least_objective_margin = 6ms;
 constexpr int objective_margin_divisor = 10;
 /** Kept free before the caller's deadline and the route's timeout. */
 constexpr duration least_cut_off_margin = 10ms;
