--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -39,6 +39,9 @@
         m_claims.on_recorded(now, message, m_route);
     }
     void receive(time_point now, const ask_elsewhere& message) {
+        if (message.known) {
+            m_lease.adopt(now, *message.known, m_actions);
+        }
         m_route.on_redirect(now, message.from, message.leader);
         m_lease.on_redirect(now, message);
         m_claims.on_redirect(now, message);
--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr duration pause_after_redirect = 20ms;
-constexpr duration pause_without_leader = 100ms;
+constexpr duration pause_without_leader = 60ms;
 
 } // namespace
 
--- a/modules/tamarack_control/messages/control_message.h
+++ b/modules/tamarack_control/messages/control_message.h
@@ -34,6 +34,8 @@
     host_id from;
     std::uint64_t operation = 0; ///< of the claim or result; the renewal's number for a lease
     host_id leader;              ///< empty when unknown
+    /** Accepted, as far as the sender knows, if the host holds an older one. */
+    std::optional<configuration> known = std::nullopt;
 };
 
 /** The leader tells lease holders that renewing at once would bring news. */
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -62,6 +62,9 @@
 void encode_members(const ask_elsewhere& message, Json::Value& json) {
     json["operation"] = encode_number(message.operation);
     json["leader"] = message.leader.value();
+    if (message.known) {
+        json["known"] = encode_configuration(*message.known);
+    }
 }
 
 void encode_members(const announce_news& message, Json::Value& json) {
@@ -134,6 +137,9 @@
 void read_members(object_reader& reader, ask_elsewhere& message) {
     message.operation = reader.number("operation");
     message.leader = host_id{reader.text("leader")};
+    if (const Json::Value& known = reader.any("known", presence::optional); !known.isNull()) {
+        message.known = take_nested(reader, "known", decode_configuration(known));
+    }
 }
 
 void read_members(object_reader& reader, announce_news& message) {
--- a/modules/tamarack_control/node/control_node_implementation.h
+++ b/modules/tamarack_control/node/control_node_implementation.h
@@ -44,6 +44,7 @@
     void refuse(const proposal_waiter& waiter, const error& reason);
     void refuse_renewals(const std::vector<renew_lease>& renewals);
     void grant(time_point now, const renew_lease& renewal);
+    void redirect(const renew_lease& renewal);
     void redirect(const host_id& to, const endpoint& address, std::uint64_t operation);
     void send(const host_id& to, const endpoint& address, control_message message);
 
--- a/modules/tamarack_control/node/control_node_log.cpp
+++ b/modules/tamarack_control/node/control_node_log.cpp
@@ -5,6 +5,13 @@
 
 namespace tamarack {
 
+namespace {
+
+/** A remembered ticket is mostly a number and a digest: so many cost as much to save as one claim. */
+constexpr std::uint64_t digests_in_part = 8;
+
+} // namespace
+
 void control_node::implementation::carry_out(time_point now, raft_actions actions) {
     for (auto& action : actions) {
         m_queue.push_back(std::move(action));
@@ -50,7 +57,8 @@
             settle(*displaced, done{});
         }
     }
-    const std::uint64_t parts = m_state.claims().size() + m_state.tickets().history().size();
+    const std::uint64_t parts =
+        m_state.claims().size() + m_state.tickets().history().size() / digests_in_part;
     if (m_applied_since_snapshot >= std::max(m_options.entries_before_snapshot, parts)) {
         offer_snapshot(now);
     }
--- a/modules/tamarack_control/node/control_node_requests.cpp
+++ b/modules/tamarack_control/node/control_node_requests.cpp
@@ -7,7 +7,7 @@
 void control_node::implementation::on_request(time_point now, wall_time /*wall*/,
                                               const renew_lease& message) {
     if (!is_leader()) {
-        redirect(message.from, message.reply_to, message.renewal.number);
+        redirect(message);
         return;
     }
     m_desk->on_renewal(now, message);
@@ -87,7 +87,7 @@
 
 void control_node::implementation::refuse_renewals(const std::vector<renew_lease>& renewals) {
     for (const auto& renewal : renewals) {
-        redirect(renewal.from, renewal.reply_to, renewal.renewal.number);
+        redirect(renewal);
     }
 }
 
@@ -107,9 +107,19 @@
     send(renewal.from, renewal.reply_to, std::move(message));
 }
 
+/** A host that has just started can serve under what is accepted before a leader is found. */
+void control_node::implementation::redirect(const renew_lease& renewal) {
+    ask_elsewhere message{m_raft.self().host, renewal.renewal.number, leader_host(), std::nullopt};
+    const configuration& accepted = m_state.tickets().current();
+    if (renewal.holds < accepted.number) {
+        message.known = accepted;
+    }
+    send(renewal.from, renewal.reply_to, std::move(message));
+}
+
 void control_node::implementation::redirect(const host_id& to, const endpoint& address,
                                             std::uint64_t operation) {
-    send(to, address, ask_elsewhere{m_raft.self().host, operation, leader_host()});
+    send(to, address, ask_elsewhere{m_raft.self().host, operation, leader_host(), std::nullopt});
 }
 
 void control_node::implementation::send(const host_id& to, const endpoint& address, control_message message) {
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -86,9 +86,12 @@
     }
     m_core.trace(run, trace_step::routed, run.parts.front().service->id, nullptr, taken->name,
                  run.parts.size());
+    leave_out_overloaded(run);
     for (std::size_t index = 0; index < run.parts.size(); ++index) {
         run.parts[index].service->budget.on_request(m_core.now);
-        m_dispatcher.send_or_wait(run, index, trace_step::sent);
+        if (run.parts[index].progress != part_progress::missing) {
+            m_dispatcher.send_or_wait(run, index, trace_step::sent);
+        }
     }
     m_core.wake(run, run.times.cut_off);
     if (run.times.objective_at > m_core.now) {
@@ -119,9 +122,39 @@
     return covers_enough(run, static_cast<std::size_t>(reachable));
 }
 
+placement_demand request_flow::demand_of(const forwarding_run& run) const {
+    return {run.timing->median(), run.timing->high(), run.taken->objective};
+}
+
+/**
+ * Load pattern: a shard that lost replicas has too little room for all requests. Exchanges that would wait beyond the
+ * objective only lengthen its queue for those that could be served.
+ */
+void request_flow::leave_out_overloaded(forwarding_run& run) {
+    const duration left = run.times.objective_at - m_core.now;
+    if (!run.merges() || left <= duration{0}) {
+        return;
+    }
+    std::vector<std::pair<duration, run_part*>> late;
+    for (run_part& part : run.parts) {
+        const auto wait = m_dispatcher.expected_wait(*part.service, demand_of(run));
+        if (wait && *wait > duration{0} && *wait + run.timing->median() > left) {
+            late.emplace_back(*wait, &part);
+        }
+    }
+    std::sort(late.begin(), late.end(), [](const auto& one, const auto& other) { return one.first > other.first; });
+    for (const auto& [wait, part] : late) {
+        const std::size_t missing = run.count(part_progress::missing);
+        if (!covers_enough(run, run.parts.size() - missing - 1)) {
+            return;
+        }
+        give_up(run, *part, "overloaded");
+    }
+}
+
 /** Shards that an answer can do without don't count; a request to one target is tried in any case. */
 duration request_flow::expected_queue(const forwarding_run& run) const {
-    const placement_demand demand{run.timing->median(), run.timing->high(), run.taken->objective};
+    const placement_demand demand = demand_of(run);
     std::vector<duration> waits;
     for (const run_part& part : run.parts) {
         if (const auto wait = m_dispatcher.expected_wait(*part.service, demand)) {
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -28,6 +28,8 @@
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
     duration expected_queue(const forwarding_run& run) const;
+    /** Leaves out shards that can't reply before the objective, as many as the least coverage allows. */
+    void leave_out_overloaded(forwarding_run& run);
     bool is_admitted(forwarding_run& run);
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** An exchange ended without a usable reply: another one, or the part stays out. */
@@ -42,6 +44,7 @@
     void answer_failed(forwarding_run& run, forward_reason reason);
     void finish(forwarding_run& run, forward_answer answer);
     static double coverage(const forwarding_run& run);
+    placement_demand demand_of(const forwarding_run& run) const;
     static bool covers_enough(const forwarding_run& run, std::size_t covered);
 };
 
--- a/tests/forwarding/load_patterns_test.cpp
+++ b/tests/forwarding/load_patterns_test.cpp
@@ -99,6 +99,24 @@
     EXPECT_GE(world.good_share(8s, 21s), 0.90);
 }
 
+/** One shard has a third of its replicas left, and less room than it gets requests. */
+TEST(load_pattern, a_shard_without_room_for_all_requests_delays_none) {
+    forwarding_world world{13};
+    world_target like = pausing_target();
+    like.work = 12ms;
+    add_match(world, add_shards(world, like));
+    world.publish();
+    world.at(3s, [&] {
+        world.hide("s3-0");
+        world.hide("s3-1");
+        world.publish();
+    });
+    world.load("match", 240.0, 1s, 21s);
+    world.run_until(25s);
+    expect_promises(world);
+    EXPECT_GE(world.good_share(5s, 21s), 0.9);
+}
+
 TEST(load_pattern, targets_that_fail_part_of_their_requests_are_avoided) {
     forwarding_world world{5};
     add_match(world, add_shards(world, pausing_target()));
