--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -501,34 +501,47 @@
         m_routes_number = current.number;
         m_routed_since = std::min(m_routed_since, now);
     }
+    auto entries = std::make_shared<std::vector<host_record>>();
+    std::vector<host_id> running;
+    for (const host_record& host : m_detector->hosts()) {
+        if (host.state == host_state::alive || host.state == host_state::suspect) {
+            running.push_back(host.host);
+        }
+        if (host.state == host_state::alive && !host.draining && !host.callers_address.empty()) {
+            entries->push_back(host);
+        }
+    }
     auto view = std::make_shared<forwarding_view>();
     view->ticket = current.number;
     view->routes = m_routes;
-    for (const routed_service& service : m_routes ? m_routes->services : std::vector<routed_service>{}) {
+    view->hosts = running.size();
+    view->targets = list_forwarding_targets(now, running);
+    return {std::move(view), std::move(entries), m_entered && !m_leaving};
+}
+
+std::vector<forwarding_target> hosts_duty::list_forwarding_targets(time_point now,
+                                                                   const std::vector<host_id>& running) {
+    std::vector<forwarding_target> targets;
+    if (!m_routes) {
+        return targets;
+    }
+    for (const routed_service& service : m_routes->services) {
         for (const target_record& record : m_registry->usable(service.id)) {
-            auto& warm = m_warm_at[record.latest.target];
-            if (warm.first != record.latest.life) {
-                warm = {record.latest.life, now + record.latest.warmup_left};
+            const announcement& latest = record.latest;
+            auto& warm = m_warm_at[latest.target];
+            if (warm.first != latest.life) {
+                warm = {latest.life, now + latest.warmup_left};
+            }
+            forwarding_target target{latest.target,      latest.life,  latest.service, latest.address,
+                                     latest.data_center, latest.slots, warm.second,    0};
+            target.connections =
+                connection_share(service.connections, running, m_settings.host, latest.target);
+            if (target.connections > 0) {
+                targets.push_back(std::move(target));
             }
-            view->targets.push_back({record.latest.target, record.latest.life, record.latest.service,
-                                     record.latest.address, record.latest.data_center, record.latest.slots,
-                                     warm.second});
-        }
-    }
-    forwarding_picture picture;
-    auto entries = std::make_shared<std::vector<host_record>>();
-    view->hosts = 0;
-    for (const host_record& host : m_detector->hosts()) {
-        const bool running = host.state == host_state::alive || host.state == host_state::suspect;
-        view->hosts += running ? 1 : 0;
-        if (host.state == host_state::alive && !host.draining && !host.callers_address.empty()) {
-            entries->push_back(host);
         }
     }
-    picture.view = std::move(view);
-    picture.entries = std::move(entries);
-    picture.entered = m_entered && !m_leaving;
-    return picture;
+    return targets;
 }
 
 bool hosts_duty::may_enter_forwarding(time_point now) {
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -155,6 +155,8 @@
     void found_when_due();
     void propose_voters(time_point now);
     forwarding_picture build_forwarding_picture(time_point now);
+    std::vector<forwarding_target> list_forwarding_targets(time_point now,
+                                                           const std::vector<host_id>& running);
     bool may_enter_forwarding(time_point now);
 
     void update_control_hosts();
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -30,8 +30,8 @@
 constexpr std::string_view kind_of<result_recorded> = "result_recorded";
 
 /**
- * A configuration travels as text: a leader sends the same one to every host, and a large one takes long to encode.
- * The text of the last one is kept for each thread; it is a function of number and content alone.
+ * A configuration travels as text: a leader sends the same one to every host, and a large one takes long to
+ * encode. The text of the last one is kept for each thread; it is a function of number and content alone.
  */
 const std::string& configuration_text(const configuration& value) {
     struct kept_text {
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -9,6 +9,8 @@
 
 /** Steps kept of one request; further ones are left out of its trace. */
 constexpr std::size_t most_trace_entries = 200;
+/** Without the protection, for tests. */
+constexpr std::size_t unlimited_connections = 1'000;
 
 } // namespace
 
@@ -40,11 +42,8 @@
     return std::max(view ? view->hosts : 1, options.fewest_hosts);
 }
 
-std::size_t forwarding_core::connection_share(const known_service& service) const {
-    if (!options.protections.limit_connections) {
-        return service.connection_limit;
-    }
-    return std::max<std::size_t>(service.connection_limit / hosts(), 1);
+std::size_t forwarding_core::connections_allowed(const known_target& target) const {
+    return options.protections.limit_connections ? target.known.connections : unlimited_connections;
 }
 
 exchange_timing& forwarding_core::timing_of(const route& taken) {
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -81,8 +81,8 @@
     void wake(forwarding_run& run, time_point at);
     void schedule(time_point at, due_kind kind, std::uint64_t number);
     std::size_t hosts() const;
-    /** @return connections that this host may have to one target of a service */
-    std::size_t connection_share(const known_service& service) const;
+    /** @return connections that this host may have to a target */
+    std::size_t connections_allowed(const known_target& target) const;
     exchange_timing& timing_of(const route& taken);
     void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
                std::string result = {}, std::size_t candidates = 0) const;
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -79,7 +79,6 @@
         if (!service) {
             service = std::make_shared<known_service>(listed.id);
         }
-        service->connection_limit = listed.connections;
         service->budget.set_limits(core.options.extra);
     }
     for (auto item = core.services.begin(); item != core.services.end();) {
@@ -116,6 +115,7 @@
         } else {
             known->known.slots = item.slots;
             known->known.warm_at = item.warm_at;
+            known->known.connections = item.connections;
         }
     }
     std::vector<known_target_pointer> gone;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -54,20 +54,20 @@
 std::optional<duration> part_dispatcher::expected_wait(const known_service& service,
                                                        const placement_demand& demand) const {
     std::optional<duration> shortest;
-    std::size_t fit = 0;
+    std::size_t parallel = 0;
     for (const known_target_pointer& target : service.targets) {
         const placement_candidate candidate = describe(*target);
         if (!target->usable || candidate.ejected || is_stalled(candidate, demand)) {
             continue;
         }
-        ++fit;
+        parallel += m_core.connections_allowed(*target);
         const duration wait = queue_wait(candidate, demand);
         shortest = shortest ? std::min(*shortest, wait) : wait;
     }
     if (!shortest) {
         return std::nullopt;
     }
-    const std::size_t parallel = fit * m_core.connection_share(service);
+    parallel = std::max<std::size_t>(parallel, 1);
     const double rounds = static_cast<double>(service.waiting.size()) / static_cast<double>(parallel);
     return *shortest +
            duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.usual.count()))};
@@ -208,8 +208,7 @@
     held.phase = connection_phase::idle;
     held.since = m_core.now;
     target.idle.push_back(connection);
-    const bool within =
-        target.connections() <= (target.service == nullptr ? 0 : m_core.connection_share(*target.service));
+    const bool within = target.connections() <= m_core.connections_allowed(target);
     if (!keep || !target.usable || !within) {
         close(connection);
     }
@@ -251,7 +250,7 @@
 bool part_dispatcher::may_open(const known_target& target) const {
     return target.usable && target.service != nullptr && target.opening == 0 &&
            m_core.now >= target.open_after && m_core.opening < m_core.options.opening_at_once &&
-           target.connections() < m_core.connection_share(*target.service);
+           target.connections() < m_core.connections_allowed(target);
 }
 
 void part_dispatcher::open(const known_target_pointer& target) {
@@ -283,9 +282,9 @@
     time_point next = time_point::max();
     bool postponed = false;
     for (auto& [id, service] : m_core.services) {
-        const std::size_t wanted =
-            std::min(m_core.options.warm_connections, m_core.connection_share(*service));
         for (const known_target_pointer& target : service->targets) {
+            const std::size_t wanted =
+                std::min(m_core.options.warm_connections, m_core.connections_allowed(*target));
             if (!target->usable || target->connections() >= wanted) {
                 continue;
             }
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -127,8 +127,8 @@
 }
 
 /**
- * Load pattern: a shard that lost replicas has too little room for all requests. Exchanges that would wait beyond the
- * objective only lengthen its queue for those that could be served.
+ * Load pattern: a shard that lost replicas has too little room for all requests. Exchanges that would wait
+ * beyond the objective only lengthen its queue for those that could be served.
  */
 void request_flow::leave_out_overloaded(forwarding_run& run) {
     const duration left = run.times.objective_at - m_core.now;
@@ -142,7 +142,8 @@
             late.emplace_back(*wait, &part);
         }
     }
-    std::sort(late.begin(), late.end(), [](const auto& one, const auto& other) { return one.first > other.first; });
+    std::sort(late.begin(), late.end(),
+              [](const auto& one, const auto& other) { return one.first > other.first; });
     for (const auto& [wait, part] : late) {
         const std::size_t missing = run.count(part_progress::missing);
         if (!covers_enough(run, run.parts.size() - missing - 1)) {
--- /dev/null
+++ b/modules/tamarack_forwarding/placement/connection_share.cpp
@@ -0,0 +1,30 @@
+#include "connection_share.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** Share of the limit that is given out. */
+constexpr double share_used = 0.9;
+
+} // namespace
+
+std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
+                             const target_id& target) {
+    const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
+    const auto used = std::max<std::size_t>(static_cast<std::size_t>(share_used * limit), 1);
+    if (count <= used) {
+        return std::max<std::size_t>(limit / count, 1);
+    }
+    const std::uint64_t seed = stable_hash(target.value());
+    const std::uint64_t own = stable_hash(self.value(), seed);
+    const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const host_id& other) {
+        return std::make_pair(stable_hash(other.value(), seed), other) < std::make_pair(own, self);
+    });
+    return static_cast<std::size_t>(before) < used ? 1 : 0;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/placement/connection_share.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace tamarack {
+
+/**
+ * Divides the connections that one target accepts over the hosts, without asking anybody.
+ *
+ * Load pattern: more hosts than a target accepts connections, or a start of all hosts at once; a target
+ * resets what exceeds its limit, and reopened connections cost it slots. While there are fewer hosts than
+ * connections each host has the same share. Otherwise only some hosts use the target, one connection each:
+ * those that rank first for it by rendezvous hashing, so that each host keeps most of its targets when hosts
+ * come and go, and each shard stays within reach of nearly every host.
+ *
+ * Watch out: hosts that know different hosts may grant themselves one connection more than the sum allows; a
+ * part of the limit is kept free for that.
+ *
+ * @param limit   connections that the target accepts from all hosts together
+ * @param hosts   all hosts that run, this one among them
+ * @return connections that `self` may have; 0 when it does not use the target
+ */
+std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
+                             const target_id& target);
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -24,6 +24,7 @@
 
 #include "admission/admission.h"
 #include "budget/extra_budget.h"
+#include "placement/connection_share.h"
 #include "placement/placement.h"
 #include "timing/exchange_timing.h"
 #include "timing/request_times.h"
--- a/modules/tamarack_forwarding/targets/known_target.h
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -55,7 +55,6 @@
 /** One service: its targets, and what waits for them. */
 struct known_service {
     service_id id;
-    std::uint32_t connection_limit = 1; ///< of one target, for all hosts together
     std::vector<known_target_pointer> targets;
     std::list<waiting_part> waiting; ///< the most urgent first, then the one due first
     extra_budget budget;
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -16,7 +16,8 @@
     endpoint address;
     data_center_id data_center;
     std::uint32_t slots = 1;
-    time_point warm_at{}; ///< it is slow until then
+    time_point warm_at{};        ///< it is slow until then
+    std::size_t connections = 1; ///< that this host may have to it; see connection_share
 };
 
 /** Everything from outside that the engine's decisions rest on; immutable, replaced as a whole. */
--- a/modules/tamarack_tickets/history/ticket_register.cpp
+++ b/modules/tamarack_tickets/history/ticket_register.cpp
@@ -50,7 +50,8 @@
 
 void ticket_register::remember(const ticket& accepted, const digest& content, std::string content_text,
                                wall_time accepted_at) {
-    std::string text = accepted.author.empty() ? std::move(content_text) : write_json(encode_ticket(accepted));
+    std::string text =
+        accepted.author.empty() ? std::move(content_text) : write_json(encode_ticket(accepted));
     m_history.push_back({accepted.number, content, accepted.author, accepted_at, std::move(text)});
     if (m_history.size() > m_limits.texts) {
         std::string& old_text = m_history[m_history.size() - m_limits.texts - 1].text;
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -168,6 +168,57 @@
     EXPECT_EQ(place({ejected}, usual_demand(), random), 0U);
 }
 
+std::vector<host_id> many_hosts(std::size_t count) {
+    std::vector<host_id> hosts;
+    for (std::size_t host = 0; host < count; ++host) {
+        hosts.emplace_back("10.1.0." + std::to_string(host));
+    }
+    return hosts;
+}
+
+TEST(connection_share, never_gives_out_more_than_a_target_accepts) {
+    for (const std::uint32_t limit : {1U, 26U, 43U, 67U, 130U}) {
+        for (const std::size_t count : {1U, 3U, 9U, 26U, 27U, 71U, 560U}) {
+            const auto hosts = many_hosts(count);
+            std::size_t sum = 0;
+            for (const host_id& host : hosts) {
+                sum += connection_share(limit, hosts, host, target_id{"i-1"});
+            }
+            EXPECT_LE(sum, limit) << limit << " over " << count;
+            EXPECT_GE(sum, 1U);
+        }
+    }
+}
+
+TEST(connection_share, leaves_nearly_every_host_a_replica_of_each_shard) {
+    const auto hosts = many_hosts(71);
+    std::size_t without = 0;
+    for (int shard = 0; shard < 36; ++shard) {
+        for (const host_id& host : hosts) {
+            std::size_t reachable = 0;
+            for (int replica = 0; replica < 3; ++replica) {
+                const target_id target{"i-" + std::to_string(shard) + "-" + std::to_string(replica)};
+                reachable += connection_share(67, hosts, host, target);
+            }
+            without += reachable == 0 ? 1 : 0;
+        }
+    }
+    EXPECT_LE(without, 36U * 71U / 50U);
+}
+
+TEST(connection_share, changes_for_few_hosts_when_one_leaves) {
+    const auto before = many_hosts(71);
+    const auto after = many_hosts(70);
+    int changed = 0;
+    for (const host_id& host : after) {
+        changed += connection_share(67, before, host, target_id{"i-1"}) !=
+                           connection_share(67, after, host, target_id{"i-1"})
+                       ? 1
+                       : 0;
+    }
+    EXPECT_LE(changed, 1);
+}
+
 TEST(exchange_timing, follows_median_and_high_percentile_and_takes_a_pause_for_one_observation) {
     exchange_timing timing{80ms};
     random_source random{3};
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -72,13 +72,21 @@
     view->ticket = ticket_number{1};
     view->routes = m_published;
     view->hosts = m_hosts.size();
-    for (const auto& [id, target] : m_targets) {
-        if (!m_hidden.contains(id)) {
-            view->targets.push_back(target.behaviour.known);
-        }
+    std::vector<host_id> names;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        names.emplace_back("host-" + std::to_string(host));
     }
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
-        carry_out(host, m_hosts[host].engine->on_view(m_now, view));
+        auto own = std::make_shared<forwarding_view>(*view);
+        for (const auto& [id, target] : m_targets) {
+            forwarding_target listed = target.behaviour.known;
+            listed.connections = connection_share(static_cast<std::uint32_t>(target.behaviour.connections),
+                                                  names, names[host], id);
+            if (!m_hidden.contains(id) && listed.connections > 0) {
+                own->targets.push_back(listed);
+            }
+        }
+        carry_out(host, m_hosts[host].engine->on_view(m_now, std::move(own)));
     }
 }
 
--- a/tests/forwarding/load_patterns_test.cpp
+++ b/tests/forwarding/load_patterns_test.cpp
@@ -261,7 +261,7 @@
         options.protections.limit_connections = limited;
         forwarding_world world{11, 6, options};
         world_target like;
-        like.connections = 12;
+        like.connections = 4;
         like.work = 40ms;
         add_match(world, add_shards(world, like));
         world.publish();
@@ -270,7 +270,7 @@
         std::size_t most = 0;
         world.for_each_target(
             [&](const std::string& id, world_target&) { most = std::max(most, world.most_connections(id)); });
-        EXPECT_EQ(most <= 12U, limited) << most;
+        EXPECT_EQ(most <= 4U, limited) << most;
     }
 }
 
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -160,8 +160,10 @@
     ++replica.runs;
     response.status = replica.fails ? 500 : 200;
     response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
-    response.body = std::string(16, static_cast<char>('a' + replica.service.size() % 26)) + std::string(16, 'b');
-    m_loop.run_after(std::chrono::milliseconds{replica.work_ms.load()}, [respond, response] { respond(response); });
+    response.body =
+        std::string(16, static_cast<char>('a' + replica.service.size() % 26)) + std::string(16, 'b');
+    m_loop.run_after(std::chrono::milliseconds{replica.work_ms.load()},
+                     [respond, response] { respond(response); });
 }
 
 unsigned platform_deployment::beat(stand_in_replica& replica, std::size_t host, const std::string& state) {
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -36,8 +36,8 @@
 };
 
 /**
- * Real daemons started as the platform starts them: rendered settings on addresses of their own, no operator who forms
- * the control hosts; replicas that register; callers.
+ * Real daemons started as the platform starts them: rendered settings on addresses of their own, no operator
+ * who forms the control hosts; replicas that register; callers.
  */
 class platform_deployment {
 public:
@@ -71,8 +71,8 @@
     std::optional<plain_response> describe();
 
     /** A caller's request to one host. */
-    std::optional<plain_response> request(std::size_t host, const std::string& authority, const std::string& path,
-                                          int deadline_ms = 2'000);
+    std::optional<plain_response> request(std::size_t host, const std::string& authority,
+                                          const std::string& path, int deadline_ms = 2'000);
     bool ready(std::size_t host);
     std::set<std::string> directory(std::size_t host);
 
@@ -86,11 +86,13 @@
     std::string port(std::size_t which) const { return std::to_string(m_ports[which].port()); }
     std::string settings_of(std::size_t host) const;
     std::optional<plain_response> control_call(std::size_t first, plain_request request);
-    void answer(stand_in_replica& replica, const plain_request& request, const testing_support::plain_responder& respond);
+    void answer(stand_in_replica& replica, const plain_request& request,
+                const testing_support::plain_responder& respond);
 
     std::size_t m_disk_hosts;
     std::size_t m_entry_hosts;
-    std::vector<testing_support::port_reservation> m_ports; ///< front, ready, control, directory, hosts, operators
+    std::vector<testing_support::port_reservation>
+        m_ports; ///< front, ready, control, directory, hosts, operators
     testing_support::process_group m_processes;
     testing_support::event_loop m_loop;
     std::thread m_loop_thread;
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -14,7 +14,8 @@
  {"name":"match","host":"x.example","path-prefix":"/match/","type":"safe","timeout-ms":800,"target-latency-ms":200,
   "priority":1,"fanout-services":["s1","s2","s3"],"max-attempts":2,"result-limit":4,"min-shard-fraction":0.6},
  {"name":"fetch","host":"y.example","path-prefix":"/fetch/","type":"safe","timeout-ms":2500,"target-latency-ms":250,
-  "priority":2,"service":")" + single + R"(","max-attempts":2}],
+  "priority":2,"service":")" +
+           single + R"(","max-attempts":2}],
  "services":[{"name":"s1","health-check-path":"/health","max-connections":26},
   {"name":"s2","health-check-path":"/health","max-connections":26},
   {"name":"s3","health-check-path":"/health","max-connections":26},
@@ -39,8 +40,10 @@
         m_deployment.beat_all();
         for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
             ASSERT_TRUE(eventually([&] { return m_deployment.ready(host); })) << m_deployment.logs();
-            ASSERT_TRUE(eventually([&] { return status(host, "x.example", "/match/1") == 200; })) << m_deployment.logs();
-            ASSERT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; })) << m_deployment.logs();
+            ASSERT_TRUE(eventually([&] { return status(host, "x.example", "/match/1") == 200; }))
+                << m_deployment.logs();
+            ASSERT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; }))
+                << m_deployment.logs();
         }
     }
 
@@ -52,8 +55,9 @@
 
     unsigned runs(const std::string& service) const {
         const auto& replicas = m_replicas.at(service);
-        return std::accumulate(replicas.begin(), replicas.end(), 0U,
-                               [](unsigned sum, const stand_in_replica* replica) { return sum + replica->runs; });
+        return std::accumulate(
+            replicas.begin(), replicas.end(), 0U,
+            [](unsigned sum, const stand_in_replica* replica) { return sum + replica->runs; });
     }
 };
 
@@ -62,7 +66,8 @@
     ASSERT_TRUE(response);
     EXPECT_EQ(response->status, 200U);
     EXPECT_EQ(response->body.size(), 64U);
-    EXPECT_EQ(response->body.substr(0, 16), std::string(16, 'c')) << "the greatest record of the parts comes first";
+    EXPECT_EQ(response->body.substr(0, 16), std::string(16, 'c'))
+        << "the greatest record of the parts comes first";
     const std::string stamps = response->fields.at("x-tamarackstand-shard-stamps");
     EXPECT_EQ(std::count(stamps.begin(), stamps.end(), ','), 2);
     EXPECT_EQ(response->fields.at("x-tamarackstand-shards-missing"), "0");
@@ -80,8 +85,10 @@
 
 TEST_F(platform_deployment_test, reads_back_what_was_sent_and_never_obeys_an_older_or_damaged_one) {
     EXPECT_EQ(m_deployment.submit(document(5, "stocks")), 200U);
-    EXPECT_EQ(m_deployment.submit(document(4)), 200U) << "an older version is acknowledged and changes nothing";
-    EXPECT_EQ(m_deployment.submit(document(5)), 200U) << "other content under a known version changes nothing";
+    EXPECT_EQ(m_deployment.submit(document(4)), 200U)
+        << "an older version is acknowledged and changes nothing";
+    EXPECT_EQ(m_deployment.submit(document(5)), 200U)
+        << "other content under a known version changes nothing";
     EXPECT_EQ(m_deployment.submit(document(6, "nobody")), 400U);
     EXPECT_EQ(m_deployment.submit(document(7).substr(0, 300)), 400U);
     EXPECT_EQ(m_deployment.describe()->body, document(5, "stocks"));
@@ -164,7 +171,8 @@
 
 TEST_F(platform_deployment_test, reads_changed_settings_on_a_hangup_and_goes_on) {
     m_deployment.process(2).send_signal(SIGHUP);
-    EXPECT_TRUE(eventually([&] { return m_deployment.output(2).find("settings_unchanged") != std::string::npos; }));
+    EXPECT_TRUE(
+        eventually([&] { return m_deployment.output(2).find("settings_unchanged") != std::string::npos; }));
     EXPECT_EQ(status(2, "y.example", "/fetch/1"), 200U);
 }
 
