--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -21,7 +21,7 @@
 
 failure_detector::failure_detector(host_record self, std::vector<host_record> seeds, detector_options options,
                                    random_source random, time_point now)
-    : m_state(std::move(self), options.news_copies, options.news_age, now), m_seeds(std::move(seeds)),
+    : m_state(std::move(self), options.news_copies, options.news_age, options.direct_push_hosts, now), m_seeds(std::move(seeds)),
       m_options(options), m_random(random), m_isolation(options.isolation), m_next_probe(now),
       m_next_exchange(now + sync_retry), m_exchange_wait(first_exchange_wait) {}
 
@@ -347,6 +347,9 @@
 }
 
 std::size_t failure_detector::pushes() const {
+    if (m_state.pushes_directly()) {
+        return m_state.hosts().running().size();
+    }
     const double hosts = static_cast<double>(m_state.hosts().running().size() + 1);
     return m_options.push_fanout + static_cast<std::size_t>(std::ceil(std::log(hosts)));
 }
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -6,8 +6,9 @@
 
 namespace tamarack {
 
-membership_state::membership_state(host_record self, double news_copies, duration news_age, time_point now)
-    : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age) {
+membership_state::membership_state(host_record self, double news_copies, duration news_age,
+                                   std::size_t direct_hosts, time_point now)
+    : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age), m_direct_hosts(direct_hosts) {
     tell_self(now);
 }
 
@@ -26,7 +27,7 @@
     }
     for (const target_record& record : registry.on_changes(now, records.targets)) {
         if (tell_others) {
-            tell(now, record);
+            tell(now, record, news_origin::heard);
         }
     }
     exchange_with(now, registry);
@@ -49,7 +50,7 @@
         return false;
     }
     if (tell_others) {
-        tell(now, taken);
+        tell(now, taken, news_origin::heard);
     }
     return true;
 }
@@ -77,7 +78,7 @@
     if (!changed) {
         return {};
     }
-    tell(now, *changed);
+    tell(now, *changed, news_origin::own);
     return {*changed};
 }
 
@@ -90,7 +91,7 @@
 
 void membership_state::exchange_with(time_point now, target_registry& registry) {
     for (const target_record& change : registry.take_changes()) {
-        tell(now, change);
+        tell(now, change, news_origin::own);
     }
     const bool told = m_told_generation == m_hosts.generation() && m_told_draining == m_self.draining;
     if (told) {
@@ -102,15 +103,15 @@
 }
 
 void membership_state::tell_self(time_point now) {
-    tell(now, m_self);
+    tell(now, m_self, news_origin::own);
 }
 
-void membership_state::tell(time_point now, const host_record& record) {
-    m_news.add({record.host, target_id{}}, copies(), now + m_news_age);
+void membership_state::tell(time_point now, const host_record& record, news_origin origin) {
+    m_news.add({record.host, target_id{}}, copies(), now + m_news_age, is_pushed(origin));
 }
 
-void membership_state::tell(time_point now, const target_record& record) {
-    m_news.add({host_id{}, record.latest.target}, copies(), now + m_news_age);
+void membership_state::tell(time_point now, const target_record& record, news_origin origin) {
+    m_news.add({host_id{}, record.latest.target}, copies(), now + m_news_age, is_pushed(origin));
 }
 
 std::size_t membership_state::copies() const {
--- a/modules/tamarack_membership/hosts/membership_state.h
+++ b/modules/tamarack_membership/hosts/membership_state.h
@@ -22,9 +22,14 @@
      * @param self         this host's own record
      * @param news_copies  copies of a piece of news on probes, times log2 of the number of hosts
      * @param news_age     how long a piece of news rides on probes at most
+     * @param direct_hosts up to so many hosts, whoever has news pushes it to all, and nobody pushes it on
      * @param now          time of the start
      */
-    membership_state(host_record self, double news_copies, duration news_age, time_point now);
+    membership_state(host_record self, double news_copies, duration news_age, std::size_t direct_hosts,
+                     time_point now);
+
+    /** @return whether news is pushed to all hosts by the one that has it first */
+    bool pushes_directly() const { return m_hosts.running().size() + 1 <= m_direct_hosts; }
 
     /** Applies news. @return the hosts whose record changed */
     std::vector<host_record> absorb(time_point now, const membership_news& news, target_registry& registry);
@@ -71,8 +76,14 @@
 private:
     bool absorb_host(time_point now, const host_record& record, bool tell_others);
     void refute(time_point now, const host_record& claim);
-    void tell(time_point now, const host_record& record);
-    void tell(time_point now, const target_record& record);
+    /** Whether news was seen here first, or came from another host. */
+    enum class news_origin {
+        own,
+        heard,
+    };
+    void tell(time_point now, const host_record& record, news_origin origin);
+    void tell(time_point now, const target_record& record, news_origin origin);
+    bool is_pushed(news_origin origin) const { return origin == news_origin::own || !pushes_directly(); }
     std::size_t copies() const;
     membership_news records_of(const std::vector<news_queue::topic>& topics,
                                const target_registry& registry) const;
@@ -80,6 +91,7 @@
     host_record m_self;
     double m_news_copies;
     duration m_news_age;
+    std::size_t m_direct_hosts;
     host_table m_hosts;
     news_queue m_news;
     std::uint64_t m_told_generation = 0;
--- a/modules/tamarack_membership/hosts/news_queue.cpp
+++ b/modules/tamarack_membership/hosts/news_queue.cpp
@@ -4,9 +4,9 @@
 
 namespace tamarack {
 
-void news_queue::add(const topic& about, std::size_t copies, time_point ends_at) {
+void news_queue::add(const topic& about, std::size_t copies, time_point ends_at, bool push) {
     m_pending[about] = {copies, ends_at};
-    if (m_unpushed_set.insert(about).second) {
+    if (push && m_unpushed_set.insert(about).second) {
         m_unpushed.push_back(about);
     }
 }
--- a/modules/tamarack_membership/hosts/news_queue.h
+++ b/modules/tamarack_membership/hosts/news_queue.h
@@ -33,8 +33,9 @@
      *
      * @param copies   on probes, besides the pushes
      * @param ends_at  from then on it is left to the comparison of states
+     * @param push     whether it is pushed at once too
      */
-    void add(const topic& about, std::size_t copies, time_point ends_at);
+    void add(const topic& about, std::size_t copies, time_point ends_at, bool push = true);
 
     /** @return up to `most` topics that have been told least, each counted as told once more */
     std::vector<topic> take_for_probe(time_point now, std::size_t most);
