Ask another host for the configuration while the control hosts are out of reach

Ruled out: targets (other hosts used them), admission. Change: a host whose lease is overdue asks another host. Test: daemon.peer_inquiry.

--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -23,6 +23,7 @@
 const std::string membership_method = "membership.message";
 const std::string quarantine_method = "quarantine.request";
 const std::string identity_method = "control.identity";
+const std::string inquiry_method = "control.inquiry";
 
 } // namespace
 
@@ -42,7 +43,8 @@
       m_suspicions(m_settings.host,
                    [this](const endpoint& address, const std::string& method, Json::Value parameters) {
                        m_links.send(address, method, std::move(parameters));
-                   }) {
+                   }),
+      m_inquiry(system_random()) {
     m_seeds = m_settings.seeds;
     register_methods();
 }
@@ -115,6 +117,7 @@
             m_hooks.quarantine(digest{parameters["digest"].asString()});
         }
     });
+    m_dispatcher.on(inquiry_method, [this](const Json::Value& parameters) { answer_peer(parameters); });
     m_dispatcher.on(identity_method, [this](const Json::Value& parameters) {
         if (parameters["host"].isString() && parameters["life"].isUInt64()) {
             const host_id host{parameters["host"].asString()};
@@ -271,6 +274,9 @@
             now + (m_control->leader().empty() ? introduction_without_leader : introduction_interval);
         introduce(now);
     }
+    if (m_settings.edge.kind == edge_kind::platform) {
+        ask_a_peer(now);
+    }
     settle();
     if (now >= m_next_picture) {
         send_picture(now);
@@ -292,6 +298,38 @@
     propose_voters(now);
 }
 
+/** Asks another host for its configuration while the control hosts are out of reach. */
+void hosts_duty::ask_a_peer(time_point now) {
+    inquiry_inputs inputs{m_control->lease_ends_at(), m_settings.times.lease_length, {}};
+    for (const host_record& host : m_detector->hosts()) {
+        if (host.state == host_state::alive && host.host != m_settings.host) {
+            inputs.peers.push_back(host.host);
+        }
+    }
+    if (const auto peer = m_inquiry.next(now, inputs)) {
+        Json::Value parameters;
+        parameters["host"] = m_settings.host.value();
+        parameters["reply_to"] = m_address.value();
+        parameters["holds"] = Json::UInt64{m_control->current().number.value};
+        m_links.send(address_of(*peer), inquiry_method, parameters);
+    }
+}
+
+void hosts_duty::answer_peer(const Json::Value& parameters) {
+    const bool readable =
+        parameters["host"].isString() && parameters["reply_to"].isString() && parameters["holds"].isUInt64();
+    if (!readable) {
+        report_unreadable(inquiry_method, error{error_code::malformed, "an inquiry lacks a member"});
+        return;
+    }
+    const configuration& current = m_control->current();
+    if (current.number.value <= parameters["holds"].asUInt64()) {
+        return;
+    }
+    const ask_elsewhere answer{m_settings.host, 0, m_control->leader(), current};
+    send_control(host_id{parameters["host"].asString()}, endpoint{parameters["reply_to"].asString()}, answer);
+}
+
 void hosts_duty::send_identity(time_point /*now*/) {
     Json::Value parameters;
     parameters["host"] = m_identity.host.value();
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -3,6 +3,7 @@
 #include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
 #include "host_links.h"
+#include "peer_inquiry.h"
 #include "readiness_gate.h"
 #include "suspicion_exchange.h"
 
@@ -160,6 +161,8 @@
     bool may_enter_forwarding(time_point now);
 
     void update_control_hosts();
+    void ask_a_peer(time_point now);
+    void answer_peer(const Json::Value& parameters);
 
     std::vector<seed_host> m_seeds; ///< as last set
     std::map<host_id, introduced_host> m_identities;
@@ -174,6 +177,7 @@
     bool m_isolated = false;
     serving_view_pointer m_view;
     readiness_gate m_readiness;
+    peer_inquiry m_inquiry;
     bool m_entered = false;
     bool m_leaving = false;
     bool m_ordered_to_drain = false;
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -21,9 +21,9 @@
 
 failure_detector::failure_detector(host_record self, std::vector<host_record> seeds, detector_options options,
                                    random_source random, time_point now)
-    : m_state(std::move(self), options.news_copies, options.news_age, options.direct_push_hosts, now), m_seeds(std::move(seeds)),
-      m_options(options), m_random(random), m_isolation(options.isolation), m_next_probe(now),
-      m_next_exchange(now + sync_retry), m_exchange_wait(first_exchange_wait) {}
+    : m_state(std::move(self), options.news_copies, options.news_age, options.direct_push_hosts, now),
+      m_seeds(std::move(seeds)), m_options(options), m_random(random), m_isolation(options.isolation),
+      m_next_probe(now), m_next_exchange(now + sync_retry), m_exchange_wait(first_exchange_wait) {}
 
 membership_actions failure_detector::on_message(time_point now, const membership_message& message,
                                                 target_registry& registry) {
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -50,11 +50,11 @@
     std::size_t news_in_message = 40;
     double news_copies = 1.0; ///< times log2 of the number of hosts: how often probes carry a piece of news
     duration news_age = 4s;   ///< how long news rides on probes at most
-    std::size_t push_fanout = 3;    ///< and ln of the number of hosts: to how many hosts news is pushed
+    std::size_t push_fanout = 3;       ///< and ln of the number of hosts: to how many hosts news is pushed
     std::size_t direct_push_hosts = 0; ///< up to so many hosts, news is pushed to all by whoever has it first
-    duration push_delay = 20ms;     ///< news that comes within this is pushed together
-    duration full_exchange = 10s;   ///< states are compared with a random host this often
-    std::size_t sync_records = 100; ///< records in one message of a comparison, about
+    duration push_delay = 20ms;        ///< news that comes within this is pushed together
+    duration full_exchange = 10s;      ///< states are compared with a random host this often
+    std::size_t sync_records = 100;    ///< records in one message of a comparison, about
     isolation_options isolation;
     duration forget_after = 10min;
     detector_protections protections;
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -8,7 +8,8 @@
 
 membership_state::membership_state(host_record self, double news_copies, duration news_age,
                                    std::size_t direct_hosts, time_point now)
-    : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age), m_direct_hosts(direct_hosts) {
+    : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age),
+      m_direct_hosts(direct_hosts) {
     tell_self(now);
 }
 
