--- a/apps/tamarackctl/commands/commands.h
+++ b/apps/tamarackctl/commands/commands.h
@@ -15,6 +15,9 @@
 /** @return `entries` and `query` */
 std::vector<command> caller_commands();
 
+/** @return `explain` */
+std::vector<command> log_commands();
+
 /** @return all commands, in the order of the general help */
 std::vector<command> all_commands();
 
--- /dev/null
+++ b/apps/tamarackctl/commands/log_commands.cpp
@@ -0,0 +1,107 @@
+#include "commands.h"
+
+#include "../report.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+namespace tamarack::ctl {
+
+namespace {
+
+/** Lines about targets of a service that did not reply, printed at most. */
+constexpr std::size_t most_target_lines = 20;
+
+/** @return the value of a key of a structured log line, or an empty text */
+std::string value_of_key(const std::string& line, const std::string& key) {
+    const std::string start = " " + key + "=";
+    const auto begin = line.find(start);
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const auto value = begin + start.size();
+    return line.substr(value, line.find(' ', value) - value);
+}
+
+/** What the log tells of one request. */
+struct request_story {
+    std::vector<std::string> lines;
+    std::set<std::string> asked;     ///< services
+    std::set<std::string> completed; ///< those of which a target replied
+};
+
+void read_story(std::istream& input, const std::string& id, request_story& story,
+                std::vector<std::string>& changes) {
+    std::string line;
+    while (std::getline(input, line)) {
+        if (line.find(" target_changed ") != std::string::npos) {
+            changes.push_back(line);
+        }
+        if (value_of_key(line, "request") != id) {
+            continue;
+        }
+        story.lines.push_back(line);
+        const std::string service = value_of_key(line, "service");
+        if (!service.empty()) {
+            story.asked.insert(service);
+        }
+        if (value_of_key(line, "step") == "reply" && value_of_key(line, "result") == "completed") {
+            story.completed.insert(service);
+        }
+    }
+}
+
+exit_code explain(const invocation& values) {
+    const std::string& id = values.arguments.front();
+    request_story story;
+    std::vector<std::string> changes;
+    if (values.arguments.size() == 1) {
+        read_story(std::cin, id, story, changes);
+    }
+    for (std::size_t index = 1; index < values.arguments.size(); ++index) {
+        std::ifstream file{values.arguments[index]};
+        if (!file) {
+            report_error(values, "usage", "can't read " + values.arguments[index]);
+            return exit_code::usage;
+        }
+        read_story(file, id, story, changes);
+    }
+    if (story.lines.empty()) {
+        report_error(values, "not_found",
+                     "no line names the request " + id +
+                         ": it was answered well and not sampled, or no host has read it");
+        return exit_code::refused;
+    }
+    for (const std::string& line : story.lines) {
+        std::cout << line << "\n";
+    }
+    std::size_t printed = 0;
+    for (const std::string& line : changes) {
+        const std::string service = value_of_key(line, "service");
+        const bool silent = story.asked.contains(service) && !story.completed.contains(service);
+        if (silent && printed++ < most_target_lines) {
+            std::cout << line << "\n";
+        }
+    }
+    return exit_code::done;
+}
+
+} // namespace
+
+std::vector<command> log_commands() {
+    command explained;
+    explained.words = "explain";
+    explained.arguments = "REQUEST-ID [FILE ...]";
+    explained.fewest_arguments = 1;
+    explained.most_arguments = 1'000;
+    explained.help = "Prints what the hosts' logs, from files or standard input, tell of one request, and "
+                     "what happened to the\n"
+                     "targets of the services that did not reply.";
+    explained.run = explain;
+    return {explained};
+}
+
+} // namespace tamarack::ctl
--- a/tests/integration/operations_page_test.cpp
+++ b/tests/integration/operations_page_test.cpp
@@ -1,3 +1,4 @@
+#include <tamarack_forwarding/tamarack_forwarding.h>
 #include <tamarack_query/tamarack_query.h>
 
 #include <gtest/gtest.h>
@@ -32,6 +33,13 @@
     }
 }
 
+TEST(operations_page, lists_every_reason_of_a_request_that_is_passed_on) {
+    const std::string page = operating_page();
+    for (const auto& [reason, name] : name_table<forward_reason>::entries) {
+        EXPECT_TRUE(has_row(page, name)) << name;
+    }
+}
+
 TEST(operations_page, lists_every_log_event) {
     const std::string page = operations_page();
     const std::regex call{R"re(log_state_change\([^"]*"([a-z_]+)")re"};
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <future>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 namespace tamarack::platform_integration {
@@ -18,6 +19,7 @@
 constexpr std::size_t ports_of_a_host = 6;
 constexpr std::size_t most_seeds = 3;
 constexpr unsigned redirect = 307;
+constexpr unsigned not_run = 503;
 
 /** Replaces each occurrence of a placeholder of the template. */
 void put(std::string& text, const std::string& name, const std::string& value) {
@@ -158,6 +160,10 @@
         return;
     }
     ++replica.runs;
+    {
+        const std::lock_guard lock{m_records};
+        ++m_runs[{replica.service, request.field("x-tamarackstand-request-id")}];
+    }
     response.status = replica.fails ? 500 : 200;
     response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
     response.body =
@@ -249,7 +255,54 @@
     request.fields["host"] = authority;
     request.fields["x-tamarackstand-request-id"] = "r" + std::to_string(m_next_request++);
     request.fields["x-tamarackstand-deadline-ms"] = std::to_string(deadline_ms);
-    return testing_support::call_and_wait(callers_address(host), request, call_limit);
+    auto response = testing_support::call_and_wait(callers_address(host), request, call_limit);
+    if (response && response->status == not_run) {
+        const std::lock_guard lock{m_records};
+        m_refused.insert(request.fields["x-tamarackstand-request-id"]);
+    }
+    return response;
+}
+
+std::vector<std::string> platform_deployment::requests_run_after_refusal() {
+    const std::lock_guard lock{m_records};
+    std::vector<std::string> found;
+    for (const auto& [key, count] : m_runs) {
+        if (m_refused.contains(key.second)) {
+            found.push_back(key.second);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> platform_deployment::requests_run_twice(const std::string& service) {
+    const std::lock_guard lock{m_records};
+    std::vector<std::string> found;
+    for (const auto& [key, count] : m_runs) {
+        if (key.first == service && count > 1) {
+            found.push_back(key.second);
+        }
+    }
+    return found;
+}
+
+std::string platform_deployment::explain(std::size_t host, const std::string& request) {
+    const std::string ended = "request_ended ";
+    const std::string id = "request=" + request + " ";
+    eventually([&] {
+        std::istringstream lines{output(host)};
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(ended) != std::string::npos && line.find(id) != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    });
+    const std::string log = m_processes.folder().write("log-" + request, output(host));
+    testing_support::child_process tool{TAMARACK_TOOL,
+                                        {"explain", request, log},
+                                        (m_processes.folder().path() / ("explain-" + request)).string()};
+    tool.wait(testing_support::patience);
+    return tool.output();
 }
 
 bool platform_deployment::ready(std::size_t host) {
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -27,7 +27,7 @@
     std::string service;
     std::string address;
     std::uint64_t born = 0;
-    std::uint64_t sequence = 0;
+    std::atomic<std::uint64_t> sequence{0};
     std::unique_ptr<testing_support::http_listener> listener;
     std::atomic<unsigned> runs{0};
     std::atomic<unsigned> misdirected{0};
@@ -73,6 +73,14 @@
     /** A caller's request to one host. */
     std::optional<plain_response> request(std::size_t host, const std::string& authority,
                                           const std::string& path, int deadline_ms = 2'000);
+    /** @return requests that some replica ran although their caller was told that they did not run */
+    std::vector<std::string> requests_run_after_refusal();
+    /** @return requests that replicas of a service ran more than once */
+    std::vector<std::string> requests_run_twice(const std::string& service);
+    /** @return the id of the last request that was sent */
+    std::string last_request() const { return "r" + std::to_string(m_next_request - 1); }
+    /** Waits until a host's log names a request. @return what the tool tells of it */
+    std::string explain(std::size_t host, const std::string& request);
     bool ready(std::size_t host);
     std::set<std::string> directory(std::size_t host);
 
@@ -98,7 +106,10 @@
     std::thread m_loop_thread;
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
-    unsigned m_next_request = 1;
+    std::atomic<unsigned> m_next_request{1};
+    std::mutex m_records; ///< of what ran and what was refused: replicas and callers run on several threads
+    std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
+    std::set<std::string> m_refused;
 };
 
 /** Waits until something holds. @return false when it never did */
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -169,6 +169,36 @@
     EXPECT_TRUE(eventually([&] { return status(4, "x.example", "/match/1") == 200; }));
 }
 
+/** The three kinds of failed request of docs/OPERATIONS.md, each found by the documented command. */
+TEST_F(platform_deployment_test, the_log_leads_from_a_failed_request_to_its_cause) {
+    for (stand_in_replica* replica : m_replicas["s2"]) {
+        replica->work_ms = 600;
+    }
+    const auto partial = m_deployment.request(1, "x.example", "/match/1");
+    ASSERT_TRUE(partial);
+    EXPECT_EQ(partial->fields.at("x-tamarackstand-shards-missing"), "1");
+    const std::string late = m_deployment.explain(1, m_deployment.last_request());
+    EXPECT_NE(late.find("covered=2"), std::string::npos) << late;
+    EXPECT_NE(late.find("step=sent service=s2"), std::string::npos) << late;
+    EXPECT_EQ(late.find("step=reply service=s2"), std::string::npos) << late;
+
+    for (stand_in_replica* replica : m_replicas["orders"]) {
+        EXPECT_EQ(m_deployment.deregister(*replica, 1), 200U);
+    }
+    EXPECT_TRUE(eventually([&] { return m_deployment.request(1, "y.example", "/fetch/1")->status == 503U; }));
+    const std::string refused = m_deployment.explain(1, m_deployment.last_request());
+    EXPECT_NE(refused.find("outcome=not_run reason=no_target"), std::string::npos) << refused;
+
+    for (stand_in_replica* replica : m_replicas["stocks"]) {
+        replica->fails = true;
+    }
+    EXPECT_EQ(m_deployment.submit(document(8, "stocks")), 200U);
+    EXPECT_TRUE(eventually([&] { return m_deployment.request(1, "y.example", "/fetch/1")->status == 500U; }));
+    const std::string failed = m_deployment.explain(1, m_deployment.last_request());
+    EXPECT_NE(failed.find("reason=targets_failed"), std::string::npos) << failed;
+    EXPECT_NE(failed.find("step=reply service=stocks"), std::string::npos) << failed;
+}
+
 TEST_F(platform_deployment_test, reads_changed_settings_on_a_hangup_and_goes_on) {
     m_deployment.process(2).send_signal(SIGHUP);
     EXPECT_TRUE(
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,32 @@
+// Runs the soak by hand: soak FIRST_SEED COUNT SECONDS. Prints a line a seed, and the events of a failed one.
+#include "soak.h"
+
+#include <cstdlib>
+#include <iostream>
+
+int main(int count, char** values) {
+    if (count != 4) {
+        std::cerr << "usage: soak FIRST_SEED COUNT SECONDS\n";
+        return 2;
+    }
+    const std::uint64_t first = std::strtoull(values[1], nullptr, 10);
+    const std::uint64_t seeds = std::strtoull(values[2], nullptr, 10);
+    unsigned failed = 0;
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+        tamarack::soak::soak_options options;
+        options.seed = seed;
+        options.length = std::chrono::seconds{std::strtol(values[3], nullptr, 10)};
+        const auto result = tamarack::soak::soak_run{options}.run();
+        std::cout << "seed " << seed << ": " << result.faults << " faults, " << result.answered
+                  << " answered, " << result.refused << " refused, " << result.failed << " failed, "
+                  << result.violations.size() << " violations" << std::endl;
+        if (!result.violations.empty()) {
+            ++failed;
+            for (const std::string& event : result.events) {
+                std::cout << "  " << event << "\n";
+            }
+        }
+    }
+    std::cout << seeds - failed << " seeds held, " << failed << " failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,303 @@
+#include "soak.h"
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+namespace tamarack::soak {
+
+using platform_integration::eventually;
+using platform_integration::plain_response;
+using platform_integration::stand_in_replica;
+
+namespace {
+
+const std::vector<std::string> first_shards{"s1", "s2", "s3"};
+const std::vector<std::string> second_shards{"t1", "t2", "t3", "t4"};
+constexpr std::chrono::milliseconds between_faults{250};
+constexpr std::chrono::milliseconds between_beats{300};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_run = 503;
+constexpr std::size_t tolerated_losses = 1;
+
+/** @return the shards that a configuration of this version names */
+const std::vector<std::string>& shards_of(unsigned version) {
+    return version % 2 == 0 ? second_shards : first_shards;
+}
+
+} // namespace
+
+soak_run::soak_run(soak_options options)
+    : m_options(options), m_random(options.seed), m_deployment(options.disk_hosts, options.entry_hosts),
+      m_hosts(options.disk_hosts + options.entry_hosts), m_started(std::chrono::steady_clock::now()) {}
+
+std::size_t soak_run::pick(std::size_t count) {
+    return static_cast<std::size_t>(m_random() % count);
+}
+
+void soak_run::note(const std::string& event) {
+    const auto after =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
+    const std::lock_guard lock{m_mutex};
+    m_result.events.push_back(std::to_string(after.count()) + " ms: " + event);
+}
+
+void soak_run::violate(const std::string& what) {
+    note("VIOLATION " + what);
+    const std::lock_guard lock{m_mutex};
+    m_result.violations.push_back(what);
+}
+
+std::string soak_run::document(unsigned version) const {
+    std::string shards;
+    for (const std::string& shard : shards_of(version)) {
+        shards += (shards.empty() ? "\"" : ",\"") + shard + "\"";
+    }
+    std::string services;
+    for (const auto& [service, replicas] : m_replicas) {
+        services += (services.empty() ? "" : ",") + std::string{R"({"name":")"} + service +
+                    R"(","health-check-path":"/health","max-connections":40})";
+    }
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"match","host":"x.example","path-prefix":"/match/","type":"safe","timeout-ms":800,
+ "target-latency-ms":200,"priority":1,"fanout-services":[)" +
+           shards +
+           R"(],"max-attempts":2,"result-limit":4,"min-shard-fraction":0.6},
+ {"name":"fetch","host":"x.example","path-prefix":"/fetch/","type":"unsafe","timeout-ms":800,"target-latency-ms":250,
+  "priority":2,"service":"orders","max-attempts":2}],"services":[)" +
+           services + "]}";
+}
+
+void soak_run::prepare() {
+    for (const auto* shards : {&first_shards, &second_shards}) {
+        for (const std::string& shard : *shards) {
+            m_replicas[shard] = {&m_deployment.add_replica(shard), &m_deployment.add_replica(shard)};
+        }
+    }
+    for (int replica = 0; replica < 3; ++replica) {
+        m_replicas["orders"].push_back(&m_deployment.add_replica("orders"));
+    }
+    m_deployment.start_all();
+    if (m_deployment.submit(document(m_version)) == status_ok) {
+        m_acknowledged = m_version;
+    }
+    m_deployment.beat_all();
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        eventually([&] { return m_deployment.ready(host); });
+    }
+}
+
+std::size_t soak_run::stopped_disk_hosts() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.begin() + static_cast<std::ptrdiff_t>(m_options.disk_hosts),
+                      [](const host_state& host) { return !host.running || host.paused; }));
+}
+
+void soak_run::kill_one() {
+    const std::size_t host = pick(m_hosts.size());
+    if (!m_hosts[host].running || (host < m_options.disk_hosts && stopped_disk_hosts() >= tolerated_losses)) {
+        return;
+    }
+    note("kill host " + std::to_string(host));
+    m_deployment.kill_host(host);
+    m_hosts[host] = {false, false};
+}
+
+void soak_run::pause_one() {
+    const std::size_t host = pick(m_hosts.size());
+    if (!m_hosts[host].running || (host < m_options.disk_hosts && stopped_disk_hosts() >= tolerated_losses)) {
+        return;
+    }
+    note("pause host " + std::to_string(host));
+    m_deployment.process(host).send_signal(SIGSTOP);
+    m_hosts[host].paused = true;
+}
+
+void soak_run::terminate_one() {
+    const std::size_t host = pick(m_hosts.size());
+    if (!m_hosts[host].running || m_hosts[host].paused ||
+        (host < m_options.disk_hosts && stopped_disk_hosts() >= tolerated_losses)) {
+        return;
+    }
+    note("terminate host " + std::to_string(host));
+    const auto end = m_deployment.stop_host(host);
+    if (end.exit_code != 0) {
+        violate("host " + std::to_string(host) + " ended with " + std::to_string(end.exit_code) +
+                ", signal " + std::to_string(end.signal));
+    }
+    m_hosts[host] = {false, false};
+}
+
+/** Ends a pause or starts a stopped host again. */
+void soak_run::mend() {
+    const std::size_t host = pick(m_hosts.size());
+    if (m_hosts[host].paused) {
+        note("continue host " + std::to_string(host));
+        m_deployment.process(host).send_signal(SIGCONT);
+        m_hosts[host].paused = false;
+    } else if (!m_hosts[host].running) {
+        note("start host " + std::to_string(host));
+        m_deployment.start_host(host);
+        m_hosts[host].running = true;
+    }
+}
+
+void soak_run::change_configuration() {
+    const unsigned version = ++m_version;
+    note("configuration " + std::to_string(version));
+    if (m_deployment.submit(document(version)) == status_ok) {
+        m_acknowledged = version;
+        note("acknowledged " + std::to_string(version));
+    }
+}
+
+void soak_run::disturb_replica() {
+    auto service = m_replicas.begin();
+    std::advance(service, static_cast<std::ptrdiff_t>(pick(m_replicas.size())));
+    stand_in_replica& replica = *service->second[pick(service->second.size())];
+    const bool fails = m_random() % 3 == 0;
+    replica.fails = fails;
+    replica.work_ms = m_random() % 4 == 0 ? 300 : 2;
+    note("replica " + replica.id + (fails ? " fails" : " works") + " in " +
+         std::to_string(replica.work_ms.load()) + " ms");
+}
+
+void soak_run::inject() {
+    ++m_result.faults;
+    switch (pick(8)) {
+    case 0:
+        return kill_one();
+    case 1:
+        return pause_one();
+    case 2:
+        return terminate_one();
+    case 3:
+        return change_configuration();
+    case 4:
+        return disturb_replica();
+    default:
+        return mend();
+    }
+}
+
+void soak_run::check_answer(const plain_response& response, const std::string& path) {
+    if (response.status != status_ok || path.rfind("/match/", 0) != 0) {
+        return;
+    }
+    const auto stamps = response.fields.find("x-tamarackstand-shard-stamps");
+    const auto missing = response.fields.find("x-tamarackstand-shards-missing");
+    if (stamps == response.fields.end() || missing == response.fields.end()) {
+        violate("a merged answer names no parts");
+        return;
+    }
+    std::set<std::string> ids;
+    std::string list = stamps->second + ",";
+    for (auto comma = list.find(','); comma != std::string::npos; comma = list.find(',')) {
+        const std::string stamp = list.substr(0, comma);
+        ids.insert(
+            stamp.substr(stamp.find_first_not_of(' '), stamp.rfind('.') - stamp.find_first_not_of(' ')));
+        list.erase(0, comma + 1);
+    }
+    const std::size_t total = ids.size() + std::stoul(missing->second);
+    std::set<char> kinds;
+    for (const auto& [service, replicas] : m_replicas) {
+        const auto held =
+            std::count_if(replicas.begin(), replicas.end(),
+                          [&](const stand_in_replica* replica) { return ids.contains(replica->id); });
+        if (held > 1) {
+            violate("an answer holds two parts of " + service);
+        }
+        if (held > 0) {
+            kinds.insert(service.front());
+        }
+    }
+    const std::size_t expected = kinds.contains('s') ? first_shards.size() : second_shards.size();
+    if (kinds.size() != 1 || total != expected) {
+        violate("an answer mixes configurations: " + stamps->second + ", missing " + missing->second);
+    }
+}
+
+void soak_run::call(std::size_t caller) {
+    std::mt19937_64 random{m_options.seed * 1'000 + caller};
+    while (!m_stopping) {
+        const std::size_t host = static_cast<std::size_t>(random() % m_hosts.size());
+        const std::string path = random() % 3 == 0 ? "/fetch/1" : "/match/1";
+        const auto response = m_deployment.request(host, "x.example", path, 700);
+        if (response) {
+            check_answer(*response, path);
+        }
+        const std::lock_guard lock{m_mutex};
+        m_result.answered += response && response->status == status_ok ? 1 : 0;
+        m_result.refused += response && response->status == status_not_run ? 1 : 0;
+        m_result.failed +=
+            !response || (response->status != status_ok && response->status != status_not_run) ? 1 : 0;
+    }
+}
+
+void soak_run::check_end() {
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (m_hosts[host].paused) {
+            m_deployment.process(host).send_signal(SIGCONT);
+        } else if (!m_hosts[host].running) {
+            m_deployment.start_host(host);
+        }
+        m_hosts[host] = {};
+    }
+    for (auto& [service, replicas] : m_replicas) {
+        for (stand_in_replica* replica : replicas) {
+            replica->fails = false;
+            replica->work_ms = 2;
+        }
+    }
+    const auto read = m_deployment.describe();
+    const unsigned held =
+        read ? static_cast<unsigned>(std::stoul(read->body.substr(read->body.find(':') + 1))) : 0;
+    if (held < m_acknowledged || held > m_version) {
+        violate("version " + std::to_string(held) + " is read back after " + std::to_string(m_acknowledged) +
+                " was acknowledged");
+    }
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const bool serves = eventually([&] {
+            m_deployment.beat_all();
+            const auto response = m_deployment.request(host, "x.example", "/match/1", 700);
+            return response && response->status == status_ok;
+        });
+        if (!serves) {
+            violate("host " + std::to_string(host) + " does not serve again");
+        }
+    }
+    for (const std::string& request : m_deployment.requests_run_after_refusal()) {
+        violate("request " + request + " was said not to have run");
+    }
+    for (const std::string& request : m_deployment.requests_run_twice("orders")) {
+        violate("request " + request + " ran twice");
+    }
+}
+
+soak_result soak_run::run() {
+    prepare();
+    std::vector<std::thread> callers;
+    for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
+        callers.emplace_back([this, caller] { call(caller); });
+    }
+    std::thread beats{[this] {
+        while (!m_stopping) {
+            m_deployment.beat_all();
+            std::this_thread::sleep_for(between_beats);
+        }
+    }};
+    const auto end = std::chrono::steady_clock::now() + m_options.length;
+    while (std::chrono::steady_clock::now() < end) {
+        inject();
+        std::this_thread::sleep_for(between_faults);
+    }
+    m_stopping = true;
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    beats.join();
+    check_end();
+    return m_result;
+}
+
+} // namespace tamarack::soak
