--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -1,6 +1,7 @@
 #include "forwarding_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace tamarack {
@@ -9,6 +10,10 @@
 
 /** Steps kept of one request; further ones are left out of its trace. */
 constexpr std::size_t most_trace_entries = 200;
+/** A longer lag is a pause of the whole process, not load. */
+constexpr duration longest_lag = 200ms;
+/** A lag falls to 1/e after this: load that lasts shows itself again with the next timer. */
+constexpr duration lag_fade = 150ms;
 /** Without the protection, for tests. */
 constexpr std::size_t unlimited_connections = 1'000;
 
@@ -27,6 +32,18 @@
     return found == runs.end() ? nullptr : found->second.get();
 }
 
+void forwarding_core::observe_lag(duration behind) {
+    lag = std::max(std::min(behind, longest_lag), current_lag());
+    lag_at = now;
+}
+
+duration forwarding_core::current_lag() const {
+    const double age = static_cast<double>((now - lag_at).count());
+    const double faded =
+        static_cast<double>(lag.count()) * std::exp(-age / static_cast<double>(lag_fade.count()));
+    return duration{static_cast<std::int64_t>(faded)};
+}
+
 void forwarding_core::wake(forwarding_run& run, time_point at) {
     if (at < run.wake_at) {
         run.wake_at = at;
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -70,13 +70,19 @@
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     std::size_t opening = 0;
     target_connection last_connection = 0;
-    duration lag{}; ///< of the event loop, as seen by timers
+    duration lag{}; ///< of the event loop, when a timer last fired late
+    time_point lag_at{};
     forwarding_statistics counted;
 
     forwarding_core(forwarding_options wanted, random_source source);
 
     /** @return the request, or nullptr when it has ended */
     forwarding_run* find_run(forward_number number);
+    /** A timer fired late by this much. */
+    void observe_lag(duration behind);
+    /** @return how far the event loop is behind; fades when no timer fires, so that a refusing host recovers
+     */
+    duration current_lag() const;
     /** Looks at a request again at this time, or earlier. */
     void wake(forwarding_run& run, time_point at);
     void schedule(time_point at, due_kind kind, std::uint64_t number);
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/** The lag of the event loop is forgotten by this share with each timer that fires. */
-constexpr double lag_kept = 0.8;
 /** An unwanted reply that stays out this much longer than usual speaks against its target. */
 constexpr int unanswered_factor = 4;
 constexpr duration unanswered_least = 200ms;
@@ -329,9 +327,7 @@
     return m_implementation->handle(now, [&] {
         forwarding_core& core = m_implementation->core;
         if (!core.due.empty() && core.due.top().at <= core.now) {
-            const duration behind = core.now - core.due.top().at;
-            const duration kept{static_cast<std::int64_t>(lag_kept * static_cast<double>(core.lag.count()))};
-            core.lag = std::max(behind, kept);
+            core.observe_lag(core.now - core.due.top().at);
         }
         while (!core.due.empty() && core.due.top().at <= core.now) {
             const due_item item = core.due.top();
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -178,7 +178,7 @@
     inputs.until_cut_off = run.times.cut_off - m_core.now;
     inputs.usual = run.timing->median();
     inputs.priority = run.taken->priority;
-    inputs.lag = m_core.lag;
+    inputs.lag = m_core.current_lag();
     inputs.queue = expected_queue(run);
     const admission_decision decision = admit(inputs);
     if (decision.admitted) {
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -68,8 +68,8 @@
 }
 
 outcome<done> target_registry::check_against_known(const announcement& value) const {
-    if (const auto free = check_address(value); !succeeded(free)) {
-        return free;
+    if (auto address_free = check_address(value); !succeeded(address_free)) {
+        return address_free;
     }
     const auto found = m_entries.find(value.target);
     if (found == m_entries.end()) {
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -106,10 +106,19 @@
     m_events.push({std::max(when, m_now), m_order++, std::move(action)});
 }
 
+void forwarding_world::pause_hosts(duration from, duration until) {
+    at(from, [this, until] { m_paused_until = m_start + until; });
+}
+
 void forwarding_world::run_until(duration end) {
     while (!m_events.empty() && m_events.top().at <= m_start + end) {
-        const event next = m_events.top();
+        event next = m_events.top();
         m_events.pop();
+        if (next.at < m_paused_until) {
+            next.at = m_paused_until;
+            m_events.push(std::move(next));
+            continue;
+        }
         m_now = next.at;
         next.action();
     }
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -64,6 +64,8 @@
     void load(const std::string& route_name, double per_second, duration from, duration until);
     /** Calls a function at a time. */
     void at(duration when, std::function<void()> action);
+    /** All hosts stand still for a while: what happens meanwhile reaches them at its end. */
+    void pause_hosts(duration from, duration until);
     void run_until(duration end);
 
     world_target& target(const std::string& id) { return m_targets.at(target_id{id}).behaviour; }
@@ -136,6 +138,7 @@
     std::shared_ptr<const route_table> m_published;
     std::priority_queue<event> m_events;
     std::uint64_t m_order = 0;
+    time_point m_paused_until{};
     time_point m_start{1h};
     time_point m_now{1h};
     forward_number m_next_request = 1;
--- a/tests/forwarding/load_patterns_test.cpp
+++ b/tests/forwarding/load_patterns_test.cpp
@@ -197,6 +197,19 @@
     EXPECT_GT(world.good_share(2s, 10s, 0), world.good_share(2s, 10s, 3));
 }
 
+/** Found by the soak (seed 2): a host that was paused refused every request from then on. */
+TEST(load_pattern, a_host_that_was_paused_serves_again_by_itself) {
+    forwarding_world world{14, 1};
+    add_match(world, add_shards(world, world_target{}));
+    world.publish();
+    world.load("match", 300.0, 1s, 3s);
+    world.load("match", 40.0, 6s, 10s);
+    world.pause_hosts(3s, 5s);
+    world.run_until(15s);
+    expect_promises(world);
+    EXPECT_GE(world.good_share(6s, 10s), 0.97);
+}
+
 TEST(load_pattern, an_unknown_service_is_refused_at_once_as_not_run) {
     forwarding_world world{9};
     world_target like;
--- a/tests/integration/operations_page_test.cpp
+++ b/tests/integration/operations_page_test.cpp
@@ -34,7 +34,7 @@
 }
 
 TEST(operations_page, lists_every_reason_of_a_request_that_is_passed_on) {
-    const std::string page = operating_page();
+    const std::string page = operations_page();
     for (const auto& [reason, name] : name_table<forward_reason>::entries) {
         EXPECT_TRUE(has_row(page, name)) << name;
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -25,6 +25,12 @@
     return version % 2 == 0 ? second_shards : first_shards;
 }
 
+/** @return the end of a log */
+std::string last_lines(const std::string& log) {
+    constexpr std::size_t most_bytes = 6'000;
+    return log.substr(log.size() > most_bytes ? log.size() - most_bytes : 0);
+}
+
 } // namespace
 
 soak_run::soak_run(soak_options options)
@@ -263,7 +269,8 @@
             return response && response->status == status_ok;
         });
         if (!serves) {
-            violate("host " + std::to_string(host) + " does not serve again");
+            violate("host " + std::to_string(host) + " does not serve again; its last lines:\n" +
+                    last_lines(m_deployment.output(host)));
         }
     }
     for (const std::string& request : m_deployment.requests_run_after_refusal()) {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -19,6 +19,7 @@
 }
 
 TEST(soak, keeps_its_promises_under_a_short_series_of_faults) {
+    // Seed 2 once found a host that refused every request after a pause: its lag was never forgotten.
     for (const std::uint64_t seed : {1U, 2U}) {
         expect_promises(seed, std::chrono::seconds{6});
     }
