--- a/tests/control/voter_plan_test.cpp
+++ b/tests/control/voter_plan_test.cpp
@@ -15,7 +15,7 @@
     return {member(host), data_center_id{data_center}, silent};
 }
 
-log_members voters(std::vector<std::string> names) {
+log_members voters(const std::vector<std::string>& names) {
     log_members members;
     for (const std::string& name : names) {
         members.voters.push_back(member(name));
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -11,7 +11,8 @@
 
 constexpr time_point start{1h};
 
-std::shared_ptr<const route_table> table_with(std::vector<std::pair<std::string, std::string>> places) {
+std::shared_ptr<const route_table>
+table_with(const std::vector<std::pair<std::string, std::string>>& places) {
     auto table = std::make_shared<route_table>();
     for (const auto& [authority, prefix] : places) {
         route item;
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -207,10 +207,11 @@
     }
 }
 
-std::optional<plain_response> platform_deployment::control_call(std::size_t first, plain_request request) {
+std::optional<plain_response> platform_deployment::control_call(std::size_t first,
+                                                                const plain_request& request) {
     std::string address = ip_of(first % hosts()) + ":" + port(2);
     for (int hop = 0; hop < 3; ++hop) {
-        const auto response = testing_support::call_and_wait(address, request, call_limit);
+        auto response = testing_support::call_and_wait(address, request, call_limit);
         if (!response || response->status != redirect) {
             return response;
         }
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -93,7 +93,7 @@
     std::string name_of(std::size_t host) const { return "host-" + std::to_string(host); }
     std::string port(std::size_t which) const { return std::to_string(m_ports[which].port()); }
     std::string settings_of(std::size_t host) const;
-    std::optional<plain_response> control_call(std::size_t first, plain_request request);
+    std::optional<plain_response> control_call(std::size_t first, const plain_request& request);
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
 
