Tell a host that was just met all targets that are kept here

Cause: up to 128 hosts, news is pushed once to all hosts by whoever has it first. A host that the pusher does not know yet misses it, and so does one that joins by comparing states with a third host; it learnt those targets from the next full comparison, up to 7.5 s later (log of a start of five daemons: two targets announced at 47.143 reached one host at 54.754). After a loss of power all hosts start together, so each of them met it. Ruled out: lost heartbeats (all were acknowledged) and leases (all other hosts held the targets). Change: whoever learns of a running host, or of a new life of one, pushes its own record and the targets that it keeps to it.

--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -336,6 +336,7 @@
         return;
     }
     m_next_push = time_point::max();
+    greet_newcomers(registry);
     if (!m_state.news().has_unpushed()) {
         return;
     }
@@ -346,6 +347,36 @@
     }
 }
 
+void failure_detector::greet_newcomers(const target_registry& registry) {
+    for (const host_id& newcomer : std::exchange(m_newcomers, {})) {
+        membership_news kept;
+        kept.hosts.push_back(m_state.self());
+        registry.for_each([&](const target_record& record, time_point /*changed_at*/) {
+            if (record.keeper == m_state.self().host) {
+                kept.targets.push_back(record);
+                kept.targets.back().latest.load = {};
+            }
+            if (kept.targets.size() == m_options.news_in_message) {
+                send(newcomer, news_push{m_state.self().host, std::exchange(kept, {})});
+            }
+        });
+        send(newcomer, news_push{m_state.self().host, std::move(kept)});
+    }
+}
+
+void failure_detector::note_newcomer(const host_record& record) {
+    if (!is_running(record.state)) {
+        m_greeted.erase(record.host);
+        return;
+    }
+    const auto [greeted, is_new] = m_greeted.try_emplace(record.host, record.life);
+    const bool known = !is_new && greeted->second == record.life;
+    greeted->second = record.life;
+    if (!known && m_state.pushes_directly()) {
+        m_newcomers.push_back(record.host);
+    }
+}
+
 std::size_t failure_detector::pushes() const {
     if (m_state.pushes_directly()) {
         return m_state.hosts().running().size();
@@ -416,6 +447,7 @@
 
 void failure_detector::report(const std::vector<host_record>& changed) {
     for (const host_record& record : changed) {
+        note_newcomer(record);
         m_actions.emplace_back(host_changed{record});
     }
 }
@@ -427,7 +459,8 @@
         m_exchange_wait = first_exchange_wait;
         m_next_exchange = std::min(m_next_exchange, now + m_random.between(0us, first_exchange_wait));
     }
-    if (m_state.news().has_unpushed() && m_next_push == time_point::max()) {
+    const bool has_news = m_state.news().has_unpushed() || !m_newcomers.empty();
+    if (has_news && m_next_push == time_point::max()) {
         m_next_push = now + m_options.push_delay;
     }
     return std::exchange(m_actions, {});
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -67,7 +67,9 @@
  * isolation itself. Feed it messages and the time; call on_timer also whenever the registry's changes_due.
  *
  * News is pushed at once to a few hosts at random by each host that hears it first, rides on probes for a
- * while, and is compared by hashes of groups of records, which mends what both have missed.
+ * while, and is compared by hashes of groups of records, which mends what both have missed. Where news is
+ * pushed to all hosts by one, a host that it did not know then would miss it: whoever learns of a running
+ * host tells it its own record and the targets that it keeps.
  */
 class failure_detector {
 public:
@@ -151,6 +153,8 @@
     void end_suspicions(time_point now);
     void ask_suspects(time_point now, target_registry& registry);
     void push_news(time_point now, target_registry& registry);
+    void greet_newcomers(const target_registry& registry);
+    void note_newcomer(const host_record& record);
     void start_sync(time_point now, const host_id& peer, std::size_t first_group, target_registry& registry);
     void compare_states(time_point now, target_registry& registry);
     void answer_syncs(time_point now, target_registry& registry);
@@ -179,6 +183,8 @@
     time_point m_next_exchange{};
     duration m_exchange_wait; ///< until the next comparison; short after a start or a heal
     std::uint64_t m_seen_returns = 0;
+    std::map<host_id, incarnation> m_greeted; ///< running hosts that were told all that is kept here
+    std::vector<host_id> m_newcomers;         ///< running hosts that are still to be told
     bool m_joined = false; ///< whether a comparison of states has been completed since the start or a heal
     membership_actions m_actions;
 };
--- a/tests/membership/network_test.cpp
+++ b/tests/membership/network_test.cpp
@@ -39,6 +39,30 @@
     for_each_seed({50, 7, 60}, [](virtual_network& network) { EXPECT_EQ(network.up_hosts(), 50U); });
 }
 
+/** Load pattern: after a loss of power all hosts start at once, and targets announce themselves meanwhile. */
+TEST(network, hosts_that_start_together_soon_know_what_was_announced_before_they_met) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        virtual_network network{seed, {}};
+        network.detector.direct_push_hosts = 128;
+        network.detector.probe_interval = 300ms;
+        network.registry.only_known_services = false;
+        for (std::size_t host = 0; host < 9; ++host) {
+            network.add_host(data_center_name(host % 3));
+        }
+        for (std::size_t host = 0; host < 9; ++host) {
+            network.start_host(host);
+        }
+        for (std::size_t target = 0; target < 30; ++target) {
+            network.add_target(data_center_name(target % 3), "finder", "s" + std::to_string(target), 0);
+        }
+        network.run_for(1500ms);
+        for (std::size_t target = 0; target < 30; ++target) {
+            EXPECT_EQ(network.count_using(target), 9U) << target;
+        }
+    }
+}
+
 TEST(network, a_draining_target_is_known_everywhere_within_three_seconds) {
     for_each_seed({50, 7, 20}, [](virtual_network& network) {
         network.set_target_state(3, target_state::draining);
