Trace the two tests that failed once: let replicas of the tests send heartbeats by themselves

Cause of both: the stand-in replicas sent a heartbeat only when a test told them to, to one host each. A host that had not heard of the second replica of a service had one to choose (a_failing_replica_*: 0 of 10 answers; the_log_leads_*: 503 to a departure), and once the leases had run out it had none (a wait of 60 s for a reply of status 500). A third one showed once the first two were mended: whole ways of requests were bounded for all reasons together, so that a second of refusals hid the first request that failed for another reason. Ruled out: the budget of extra requests (no step no_budget in the logs).

--- a/apps/tamarackd/forwarding/request_log.cpp
+++ b/apps/tamarackd/forwarding/request_log.cpp
@@ -2,31 +2,16 @@
 
 #include <tamarack_telemetry/tamarack_telemetry.h>
 
-#include <algorithm>
-
 namespace tamarack {
 
 namespace {
 
-/** Requests whose way is told whole; a request over ten shards takes some thirty lines. */
-constexpr double whole_per_second = 4.0;
-constexpr double whole_burst = 20.0;
-/** One request that ended well in this many is told. */
-constexpr std::uint64_t good_sample = 200;
-constexpr std::uint64_t good_whole_sample = 2'000;
-
 std::string milliseconds(duration value) {
     const std::int64_t tenths = value.count() / 100;
     std::string text = std::to_string(tenths / 10);
     return text + "." + std::to_string(std::abs(tenths % 10));
 }
 
-bool ended_well(const forward_answer& answer) {
-    const bool replied =
-        answer.outcome == forward_outcome::replied || answer.outcome == forward_outcome::merged;
-    return replied && answer.reason == forward_reason::none && answer.missing == 0 && !answer.trace.late;
-}
-
 void write_step(const forward_answer& answer, const trace_entry& entry) {
     log_state_change(
         log_level::info, "request_step", answer.trace.ticket,
@@ -60,25 +45,12 @@
 
 } // namespace
 
-bool request_log::take_whole(time_point now) {
-    const double passed = std::chrono::duration<double>(now - m_filled_at).count();
-    m_tokens = std::min(whole_burst, m_tokens + passed * whole_per_second);
-    m_filled_at = now;
-    if (m_tokens < 1.0) {
-        return false;
-    }
-    m_tokens -= 1.0;
-    return true;
-}
-
 void request_log::write(time_point now, const forward_answer& answer) {
-    const bool good = ended_well(answer);
-    m_good += good ? 1 : 0;
-    if (good && m_good % good_sample != 0) {
+    const told_detail detail = m_sampling.on_end(now, answer);
+    if (detail == told_detail::nothing) {
         return;
     }
-    const bool whole = good ? m_good % good_whole_sample == 0 : take_whole(now);
-    if (whole) {
+    if (detail == told_detail::whole) {
         for (const trace_entry& entry : answer.trace.entries) {
             write_step(answer, entry);
         }
--- a/apps/tamarackd/forwarding/request_log.h
+++ b/apps/tamarackd/forwarding/request_log.h
@@ -5,9 +5,9 @@
 namespace tamarack {
 
 /**
- * Tells how requests ended, and for those that ended badly each decision on their way.
+ * Writes the lines that tell how a request ended, and each decision on its way.
  *
- * What ends well and in time is sampled. Whole ways are bounded by a rate; beyond it only the end is told.
+ * @see request_sampling, which decides how much of it
  */
 class request_log {
 public:
@@ -15,11 +15,7 @@
     void write(time_point now, const forward_answer& answer);
 
 private:
-    bool take_whole(time_point now);
-
-    double m_tokens = 0.0;
-    time_point m_filled_at{};
-    std::uint64_t m_good = 0;
+    request_sampling m_sampling;
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/explain/request_sampling.cpp
@@ -0,0 +1,47 @@
+#include "request_sampling.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/** Whole ways a second of one reason; a request over ten shards takes some thirty lines. */
+constexpr double whole_per_second = 2.0;
+constexpr double whole_burst = 10.0;
+/** One request that ended well in this many is told. */
+constexpr std::uint64_t good_sample = 200;
+constexpr std::uint64_t good_whole_sample = 2'000;
+
+bool ended_well(const forward_answer& answer) {
+    const bool replied =
+        answer.outcome == forward_outcome::replied || answer.outcome == forward_outcome::merged;
+    return replied && answer.reason == forward_reason::none && answer.missing == 0 && !answer.trace.late;
+}
+
+} // namespace
+
+told_detail request_sampling::on_end(time_point now, const forward_answer& answer) {
+    if (!ended_well(answer)) {
+        return take_whole(now, answer.reason) ? told_detail::whole : told_detail::end;
+    }
+    ++m_good;
+    if (m_good % good_whole_sample == 0) {
+        return told_detail::whole;
+    }
+    return m_good % good_sample == 0 ? told_detail::end : told_detail::nothing;
+}
+
+bool request_sampling::take_whole(time_point now, forward_reason reason) {
+    allowance& kept = m_whole[reason];
+    const double passed = std::chrono::duration<double>(now - kept.filled_at).count();
+    kept.left = std::min(whole_burst, kept.left + passed * whole_per_second);
+    kept.filled_at = now;
+    if (kept.left < 1.0) {
+        return false;
+    }
+    kept.left -= 1.0;
+    return true;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/modules/tamarack_forwarding/explain/request_sampling.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "../payload/forward_answer.h"
+
+#include <cstdint>
+#include <map>
+
+namespace tamarack {
+
+/** How much of a request is told in the log. */
+enum class told_detail {
+    nothing, ///< it is counted only
+    end,     ///< how it ended
+    whole,   ///< each decision on its way as well
+};
+
+/**
+ * Decides how much the log tells of each request.
+ *
+ * Load pattern: hundreds of requests a second that fail for one reason, and one among them that fails for
+ * another. Whole ways are bounded by a rate for each reason, so that a flood of one kind does not hide the
+ * first request of another; what ends well and in time is sampled.
+ */
+class request_sampling {
+public:
+    /** A request ended. @return what to tell of it */
+    told_detail on_end(time_point now, const forward_answer& answer);
+
+private:
+    struct allowance {
+        double left = 0.0;
+        time_point filled_at{};
+    };
+
+    bool take_whole(time_point now, forward_reason reason);
+
+    std::map<forward_reason, allowance> m_whole;
+    std::uint64_t m_good = 0;
+};
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -13,6 +13,7 @@
 #include "payload/forward_request.h"
 #include "payload/target_exchange.h"
 
+#include "explain/request_sampling.h"
 #include "explain/request_trace.h"
 
 #include "view/forwarding_view.h"
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -16,8 +16,13 @@
 
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr std::chrono::milliseconds call_limit{5'000};
+/** A replica's heartbeat that is not answered in this time goes to another host. */
+constexpr std::chrono::milliseconds heartbeat_limit{1'000};
+/** A third of the shortest interval that the platform states: tests needn't wait for it. */
+constexpr std::chrono::milliseconds heartbeat_interval{400};
 constexpr std::size_t ports_of_a_host = 6;
 constexpr std::size_t most_seeds = 3;
+constexpr unsigned ok = 200;
 constexpr unsigned redirect = 307;
 constexpr unsigned not_run = 503;
 
@@ -79,6 +84,10 @@
       m_loop_thread([this] { m_loop.run(); }) {}
 
 platform_deployment::~platform_deployment() {
+    m_ending = true;
+    for (std::thread& heartbeats : m_heartbeats) {
+        heartbeats.join();
+    }
     m_loop.stop();
     m_loop_thread.join();
 }
@@ -173,6 +182,7 @@
 }
 
 unsigned platform_deployment::beat(stand_in_replica& replica, std::size_t host, const std::string& state) {
+    replica.draining = replica.draining || state == "draining";
     Json::Value body;
     body["service"] = replica.service;
     body["address"] = replica.address;
@@ -187,11 +197,13 @@
     request.method = "POST";
     request.path = "/tamarackstand/Replicas.Heartbeat/" + replica.id;
     request.body = body.toStyledString();
-    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(2), request, call_limit);
+    const auto response =
+        testing_support::call_and_wait(ip_of(host) + ":" + port(2), request, heartbeat_limit);
     return response ? response->status : 0;
 }
 
-unsigned platform_deployment::deregister(const stand_in_replica& replica, std::size_t host) {
+unsigned platform_deployment::deregister(stand_in_replica& replica, std::size_t host) {
+    replica.ended = true;
     plain_request request;
     request.method = "POST";
     request.path = "/tamarackstand/Replicas.Deregister/" + replica.id;
@@ -200,13 +212,35 @@
     return response ? response->status : 0;
 }
 
-void platform_deployment::beat_all() {
+void platform_deployment::start_heartbeats() {
     std::size_t host = 0;
-    for (auto& [id, replica] : m_replicas) {
-        beat(*replica, host++ % hosts());
+    for (const auto& [id, replica] : m_replicas) {
+        m_heartbeats.emplace_back(
+            [this, beating = replica.get(), first = host++ % hosts()] { send_heartbeats(*beating, first); });
     }
 }
 
+void platform_deployment::send_heartbeats(stand_in_replica& replica, std::size_t first_host) {
+    std::size_t host = first_host;
+    while (!m_ending && !replica.ended) {
+        if (beat(replica, host, replica.draining ? "draining" : "ready") != ok) {
+            host = (host + 1) % hosts();
+        }
+        std::this_thread::sleep_for(heartbeat_interval);
+    }
+}
+
+unsigned platform_deployment::known_replicas(std::size_t host) {
+    plain_request request;
+    request.path = "/metrics";
+    const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(5), request, call_limit);
+    const std::string name = "\ntamarack_targets_known ";
+    const auto found = response ? response->body.find(name) : std::string::npos;
+    return found == std::string::npos
+               ? 0
+               : static_cast<unsigned>(std::stoul(response->body.substr(found + name.size())));
+}
+
 std::optional<plain_response> platform_deployment::control_call(std::size_t first,
                                                                 const plain_request& request) {
     std::string address = ip_of(first % hosts()) + ":" + port(2);
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -33,6 +33,8 @@
     std::atomic<unsigned> misdirected{0};
     std::atomic<int> work_ms{2};
     std::atomic<bool> fails{false};
+    std::atomic<bool> draining{false}; ///< it says so in its heartbeats
+    std::atomic<bool> ended{false};    ///< it has said that it ends, and sends no more heartbeats
 };
 
 /**
@@ -62,9 +64,11 @@
     stand_in_replica& add_replica(const std::string& service);
     /** Sends a heartbeat to a host. @return the status of its answer; 0 without one */
     unsigned beat(stand_in_replica& replica, std::size_t host, const std::string& state = "ready");
-    unsigned deregister(const stand_in_replica& replica, std::size_t host);
-    /** Sends a heartbeat of each replica to one host after the other. */
-    void beat_all();
+    unsigned deregister(stand_in_replica& replica, std::size_t host);
+    /** Lets each replica added so far send heartbeats by itself, to another host when one does not answer. */
+    void start_heartbeats();
+    /** @return how many replicas a host knows, by its metrics */
+    unsigned known_replicas(std::size_t host);
 
     /** Sends a configuration to any host, following redirects, until it has a clear answer. */
     unsigned submit(const std::string& document);
@@ -96,6 +100,7 @@
     std::optional<plain_response> control_call(std::size_t first, const plain_request& request);
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
+    void send_heartbeats(stand_in_replica& replica, std::size_t first_host);
 
     std::size_t m_disk_hosts;
     std::size_t m_entry_hosts;
@@ -110,6 +115,8 @@
     std::mutex m_records; ///< of what ran and what was refused: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
     std::set<std::string> m_refused;
+    std::atomic<bool> m_ending{false};
+    std::vector<std::thread> m_heartbeats; ///< a thread a replica
 };
 
 /** Waits until something holds. @return false when it never did */
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -26,6 +26,7 @@
 
 /** Five hosts, two replicas a service, the first configuration in force. */
 struct platform_deployment_test : ::testing::Test {
+    static constexpr unsigned all_replicas = 10;
     platform_deployment m_deployment{3, 2};
     std::map<std::string, std::vector<stand_in_replica*>> m_replicas;
 
@@ -37,9 +38,11 @@
                 m_replicas[service].push_back(&m_deployment.add_replica(service));
             }
         }
-        m_deployment.beat_all();
+        m_deployment.start_heartbeats();
         for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
             ASSERT_TRUE(eventually([&] { return m_deployment.ready(host); })) << m_deployment.logs();
+            ASSERT_TRUE(eventually([&] { return m_deployment.known_replicas(host) == all_replicas; }))
+                << m_deployment.logs();
             ASSERT_TRUE(eventually([&] { return status(host, "x.example", "/match/1") == 200; }))
                 << m_deployment.logs();
             ASSERT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; }))
@@ -48,7 +51,6 @@
     }
 
     unsigned status(std::size_t host, const std::string& authority, const std::string& path) {
-        m_deployment.beat_all();
         const auto response = m_deployment.request(host, authority, path);
         return response ? response->status : 0;
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -15,7 +15,6 @@
 const std::vector<std::string> first_shards{"s1", "s2", "s3"};
 const std::vector<std::string> second_shards{"t1", "t2", "t3", "t4"};
 constexpr std::chrono::milliseconds between_faults{250};
-constexpr std::chrono::milliseconds between_beats{300};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_run = 503;
 constexpr std::size_t tolerated_losses = 1;
@@ -87,7 +86,7 @@
     if (m_deployment.submit(document(m_version)) == status_ok) {
         m_acknowledged = m_version;
     }
-    m_deployment.beat_all();
+    m_deployment.start_heartbeats();
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         eventually([&] { return m_deployment.ready(host); });
     }
@@ -264,7 +263,6 @@
     }
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         const bool serves = eventually([&] {
-            m_deployment.beat_all();
             const auto response = m_deployment.request(host, "x.example", "/match/1", 700);
             return response && response->status == status_ok;
         });
@@ -287,12 +285,6 @@
     for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
         callers.emplace_back([this, caller] { call(caller); });
     }
-    std::thread beats{[this] {
-        while (!m_stopping) {
-            m_deployment.beat_all();
-            std::this_thread::sleep_for(between_beats);
-        }
-    }};
     const auto end = std::chrono::steady_clock::now() + m_options.length;
     while (std::chrono::steady_clock::now() < end) {
         inject();
@@ -302,7 +294,6 @@
     for (std::thread& caller : callers) {
         caller.join();
     }
-    beats.join();
     check_end();
     return m_result;
 }
