Recall targets after a start, and take one connection to each until other hosts are met

Cause 1: after a loss of power, or a kill of all hosts, nobody knows a target until it announces itself again, which takes up to 1.2 s. Change 1: a control host at a foreign edge keeps its usable targets in its data folder (replaced as a whole, at most each 3 s, on a thread of its own) and recalls them at its start; hosts that meet it learn them. A recalled target holds for the 3 s after the start, never replaces what is known, is no news, and is not taken by a host that runs for longer than that, which may have forgotten its end. Each exchange names its target, so that one whose address is in other use runs nothing. Change 2: one connection a target for the first 2 s. Ruled out: the election (0.65 s; hosts serve before a leader stands) and the starts themselves (0.1 to 0.4 s).

--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -99,6 +99,9 @@
     log_state_change(log_level::info, "data_folder_opened", {},
                      {{"condition", std::string{to_name(log.folder.condition)}},
                       {"life", std::to_string(log.folder.identity.life.value)}});
+    if (m_settings.edge.kind == edge_kind::platform) {
+        m_memory = std::make_unique<target_memory>(log.folder);
+    }
     m_control = std::make_unique<control_duty>(m_settings, log.folder, std::move(log.records),
                                                std::move(log.log), m_metrics, hooks_of_control());
     return done{};
@@ -145,6 +148,9 @@
     if (m_control) {
         m_control->start();
     }
+    if (m_memory) {
+        m_memory->start();
+    }
     m_hosts->start();
     if (m_control_edge) {
         if (const auto control = m_control_edge->start(); !succeeded(control)) {
@@ -209,6 +215,9 @@
         m_control->stop();
     }
     m_hosts->stop();
+    if (m_memory) {
+        m_memory->stop();
+    }
 }
 
 serving_hooks host_daemon::hooks_of_serving() {
@@ -227,6 +236,7 @@
 
 hosts_hooks host_daemon::hooks_of_hosts() {
     hosts_hooks hooks;
+    hooks.memory = m_memory.get();
     if (m_control) {
         hooks.to_log = [this](raft_envelope envelope) { return m_control->post_raft(std::move(envelope)); };
         hooks.to_control = [this](control_message message) {
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -67,6 +67,7 @@
     std::unique_ptr<serving_duty> m_serving;
     std::unique_ptr<forwarding_duty> m_forwarding;
     std::unique_ptr<control_edge> m_control_edge;
+    std::unique_ptr<target_memory> m_memory; ///< only on a control host with a foreign edge
     std::unique_ptr<hosts_duty> m_hosts;
     std::unique_ptr<control_duty> m_control;
     std::unique_ptr<operators_edge> m_operators;
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -56,12 +56,19 @@
     }
     m_address = value_of(listening);
     const time_point now = steady_now();
+    m_started = now;
     m_control = std::make_unique<control_client>(client_options_of(m_settings, m_life, m_address),
                                                  system_random(), now);
     m_registry = std::make_unique<target_registry>(m_settings.host, registry_options_of(m_settings), now);
     m_detector = std::make_unique<failure_detector>(own_record_of(m_settings, m_life, m_address, callers),
                                                     seed_records_of(m_settings),
                                                     detector_options_of(m_settings), system_random(), now);
+    if (m_hooks.memory != nullptr) {
+        const std::vector<target_record> recalled = m_hooks.memory->read();
+        m_registry->recall(now, recalled);
+        log_state_change(log_level::info, "targets_recalled", {},
+                         {{"count", std::to_string(recalled.size())}});
+    }
     m_timer = std::make_unique<timer_loop>(
         m_thread,
         [this] {
@@ -282,6 +289,11 @@
         send_picture(now);
     }
     enter_directory(now);
+    if (!m_met_others && now >= m_started + meeting_time) {
+        m_met_others = true;
+        m_picture_stale = true;
+        settle();
+    }
 }
 
 void hosts_duty::introduce(time_point now) {
@@ -296,6 +308,23 @@
     send_identity(now);
     found_when_due();
     propose_voters(now);
+    remember_targets(now);
+}
+
+void hosts_duty::remember_targets(time_point now) {
+    const bool due = m_hooks.memory != nullptr && m_registry->generation() != m_remembered_generation &&
+                     m_hooks.memory->is_due(now);
+    if (!due) {
+        return;
+    }
+    m_remembered_generation = m_registry->generation();
+    std::vector<target_record> usable;
+    m_registry->for_each([&usable](const target_record& record, time_point /*changed_at*/) {
+        if (record.alive && record.latest.state == target_state::ready && !record.keeper.empty()) {
+            usable.push_back(record);
+        }
+    });
+    m_hooks.memory->keep(now, std::move(usable));
 }
 
 /** Asks another host for its configuration while the control hosts are out of reach. */
@@ -572,8 +601,8 @@
             }
             forwarding_target target{latest.target,      latest.life,  latest.service, latest.address,
                                      latest.data_center, latest.slots, warm.second,    0};
-            target.connections =
-                connection_share(service.connections, running, m_settings.host, latest.target);
+            target.connections = connection_share(service.connections, running, m_settings.host,
+                                                  latest.target, now - m_started);
             if (target.connections > 0) {
                 targets.push_back(std::move(target));
             }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -6,6 +6,7 @@
 #include "peer_inquiry.h"
 #include "readiness_gate.h"
 #include "suspicion_exchange.h"
+#include "target_memory.h"
 
 #include <tamarack_control/tamarack_control.h>
 #include <tamarack_membership/tamarack_membership.h>
@@ -33,6 +34,7 @@
     std::function<bool(request_number)> claim_failed_for;
     std::function<bool(spread_suspicion)> suspicion;
     std::function<bool(digest)> quarantine;
+    target_memory* memory = nullptr; ///< where targets are kept over a start; none without a disk
 };
 
 /** Time for the news that a host leaves to reach every host. */
@@ -114,6 +116,7 @@
     std::map<host_id, endpoint> other_hosts_of(const service_id& service) const;
     void on_timer(time_point now);
     void introduce(time_point now);
+    void remember_targets(time_point now);
     void carry_out(control_client_actions actions);
     void carry_out(membership_actions actions);
     void on_host_changed(const host_record& record);
@@ -170,9 +173,12 @@
     ticket_number m_routes_number;
     time_point m_routed_since = time_point::max(); ///< when this host learnt its first route table
     std::map<target_id, std::pair<incarnation, time_point>> m_warm_at;
+    time_point m_started{};
+    bool m_met_others = false; ///< enough time has passed since the start
     time_point m_next_introduction{};
     time_point m_next_picture = time_point::max();
     std::uint64_t m_pictured_generation = 0;
+    std::uint64_t m_remembered_generation = 0;
     bool m_picture_stale = true;
     bool m_isolated = false;
     serving_view_pointer m_view;
--- /dev/null
+++ b/apps/tamarackd/hosts/target_memory.cpp
@@ -0,0 +1,106 @@
+#include "target_memory.h"
+
+#include <tamarack_telemetry/tamarack_telemetry.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 4;
+const std::string file_name = "targets.json";
+/** Between two writes: targets that came or went within it announce themselves after a start anyway. */
+constexpr duration write_interval = 3s;
+
+std::string to_text(const std::vector<target_record>& records) {
+    Json::Value json{Json::arrayValue};
+    for (const target_record& record : records) {
+        json.append(encode_target_record(record));
+    }
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, json);
+}
+
+outcome<std::vector<target_record>> from_text(const std::string& text) {
+    Json::Value json;
+    const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
+    const bool parsed = reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
+    if (!parsed || !json.isArray()) {
+        return error{error_code::malformed, "the kept targets are no JSON list"};
+    }
+    std::vector<target_record> records;
+    for (const Json::Value& item : json) {
+        auto record = decode_target_record(item);
+        if (!succeeded(record)) {
+            return error_of(record);
+        }
+        records.push_back(value_of(std::move(record)));
+    }
+    return records;
+}
+
+void report(const error& reason, const char* event) {
+    log_state_change(log_level::warning, event, {}, {{"reason", reason.message}});
+}
+
+} // namespace
+
+target_memory::target_memory(opened_folder folder)
+    : m_folder(std::move(folder)), m_thread("targets", ring_capacity) {}
+
+target_memory::~target_memory() {
+    stop();
+}
+
+void target_memory::start() {
+    m_thread.start();
+}
+
+void target_memory::stop() {
+    m_thread.stop();
+}
+
+std::vector<target_record> target_memory::read() const {
+    const auto content = read_kept_file(m_folder, file_name);
+    if (!succeeded(content)) {
+        report(error_of(content), "targets_not_recalled");
+        return {};
+    }
+    if (value_of(content).empty()) {
+        return {};
+    }
+    auto records = from_text(value_of(content));
+    if (!succeeded(records)) {
+        report(error_of(records), "targets_not_recalled");
+        return {};
+    }
+    return value_of(std::move(records));
+}
+
+bool target_memory::is_due(time_point now) const {
+    return now >= m_kept_at + write_interval && !m_writing;
+}
+
+void target_memory::keep(time_point now, std::vector<target_record> records) {
+    m_kept_at = now;
+    m_writing = true;
+    const bool posted = m_thread.try_post([this, records = std::move(records)] {
+        write(records);
+        m_writing = false;
+    });
+    m_writing = m_writing && posted;
+}
+
+void target_memory::write(const std::vector<target_record>& records) {
+    const auto written = replace_kept_file(m_folder, file_name, to_text(records), system_file_hooks());
+    if (!succeeded(written)) {
+        report(error_of(written), "targets_not_kept");
+    }
+}
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/placement/connection_share.cpp
+++ b/modules/tamarack_forwarding/placement/connection_share.cpp
@@ -13,11 +13,11 @@
 } // namespace
 
 std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
-                             const target_id& target) {
+                             const target_id& target, duration up_for) {
     const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
     const auto used = std::max<std::size_t>(static_cast<std::size_t>(share_used * limit), 1);
     if (count <= used) {
-        return std::max<std::size_t>(limit / count, 1);
+        return up_for < meeting_time ? 1 : std::max<std::size_t>(limit / count, 1);
     }
     const std::uint64_t seed = stable_hash(target.value());
     const std::uint64_t own = stable_hash(self.value(), seed);
--- a/modules/tamarack_forwarding/placement/connection_share.h
+++ b/modules/tamarack_forwarding/placement/connection_share.h
@@ -18,13 +18,20 @@
  * come and go, and each shard stays within reach of nearly every host.
  *
  * Watch out: hosts that know different hosts may grant themselves one connection more than the sum allows; a
- * part of the limit is kept free for that.
+ * part of the limit is kept free for that. A host that has just started believes itself nearly alone, while
+ * its targets may still count connections of its former life: it takes one connection until it has met the
+ * others.
  *
  * @param limit   connections that the target accepts from all hosts together
  * @param hosts   all hosts that run, this one among them
+ * @param target  the target
+ * @param up_for  how long this host has been running
  * @return connections that `self` may have; 0 when it does not use the target
  */
 std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
-                             const target_id& target);
+                             const target_id& target, duration up_for);
+
+/** After this time a host that has started knows the others: two comparisons of states. */
+inline constexpr duration meeting_time = 2s;
 
 } // namespace tamarack
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -352,7 +352,7 @@
         membership_news kept;
         kept.hosts.push_back(m_state.self());
         registry.for_each([&](const target_record& record, time_point /*changed_at*/) {
-            if (record.keeper == m_state.self().host) {
+            if (record.keeper == m_state.self().host || record.keeper.empty()) {
                 kept.targets.push_back(record);
                 kept.targets.back().latest.load = {};
             }
--- a/modules/tamarack_membership/hosts/membership_codec.cpp
+++ b/modules/tamarack_membership/hosts/membership_codec.cpp
@@ -242,7 +242,9 @@
     announcement without_load = record.latest;
     without_load.load = {};
     json["latest"] = encode_announcement(without_load);
-    json["keeper"] = record.keeper.value();
+    if (!record.keeper.empty()) {
+        json["keeper"] = record.keeper.value();
+    }
     json["alive"] = record.alive;
     json["version"] = Json::UInt64{record.version};
     json["lives"] = Json::UInt64{record.lives};
@@ -257,7 +259,7 @@
         return error_of(latest);
     }
     record.latest = value_of(std::move(latest));
-    record.keeper = host_id{reader.text("keeper")};
+    record.keeper = host_id{reader.optional_text("keeper")};
     record.alive = reader.optional_flag("alive");
     record.version = reader.number("version", 0, highest);
     record.lives = reader.number("lives", 1, highest);
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -241,7 +241,34 @@
     return news;
 }
 
+void target_registry::recall(time_point now, const std::vector<target_record>& kept) {
+    for (target_record record : kept) {
+        record.keeper = {};
+        record.latest.warmup_left = {};
+        merge_recalled(now, record);
+    }
+}
+
+/** Takes what is not known otherwise, and only shortly after the start: others may have forgotten its end. */
+void target_registry::merge_recalled(time_point now, const target_record& kept) {
+    const bool known = m_entries.contains(kept.latest.target) || m_index.address_taken(kept.latest);
+    if (known || !kept.alive || now >= m_grace_ends || m_entries.size() >= m_options.targets) {
+        return;
+    }
+    entry& recalled = m_entries[kept.latest.target];
+    recalled.record = kept;
+    recalled.heard_sequence = kept.latest.sequence;
+    recalled.changed_at = now;
+    m_index.add(recalled.record.latest, true);
+    set_deadline(recalled, m_grace_ends);
+    ++m_generation;
+}
+
 bool target_registry::merge(time_point now, const target_record& change) {
+    if (change.keeper.empty()) {
+        merge_recalled(now, change);
+        return false;
+    }
     const auto found = m_entries.find(change.latest.target);
     if (found == m_entries.end()) {
         const bool worth_keeping = change.alive && m_entries.size() < m_options.targets;
@@ -313,8 +340,9 @@
 }
 
 void target_registry::on_deadline(time_point now, entry& known) {
-    if (!known.record.alive) {
-        erase(known.record.latest.target);
+    const bool recalled = known.record.keeper.empty();
+    if (!known.record.alive || recalled) {
+        erase(target_id{known.record.latest.target});
         return;
     }
     if (silence_is_no_sign(now)) {
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -17,7 +17,7 @@
 /** What a host holds of one target; spread between hosts when it changes. */
 struct target_record {
     announcement latest; ///< its sequence is that of the last change; its load is known at the keeper only
-    host_id keeper;      ///< the host that hears the target's heartbeats
+    host_id keeper;      ///< the host that hears the target's heartbeats; empty for a recalled record
     bool alive = false;  ///< false once its lease ran out, until it is forgotten
     std::uint64_t version = 0; ///< grows with each spread change, within one life
     std::uint64_t lives = 1;   ///< grows with each life of the target; orders lives, which are random
@@ -111,6 +111,14 @@
      */
     outcome<done> on_departure(time_point now, const target_id& target, std::optional<incarnation> life);
 
+    /**
+     * Takes records that were kept over a start of this host. They hold until the target announces itself,
+     * and only for the grace after the start: by then a target that lives has been heard.
+     *
+     * Watch out: a recalled target may be gone and its address in other use.
+     */
+    void recall(time_point now, const std::vector<target_record>& kept);
+
     /** Changes arrived from another host. @return those that were news here, to be spread further */
     std::vector<target_record> on_changes(time_point now, const std::vector<target_record>& changes);
 
@@ -193,6 +201,7 @@
     std::vector<const keeper_candidate*> rank_keepers(const announcement& value) const;
     void accept(time_point now, entry& kept, const announcement& value);
     bool merge(time_point now, const target_record& change);
+    void merge_recalled(time_point now, const target_record& kept);
     void restate(time_point now, entry& kept);
     void replace(time_point now, entry& known, const target_record& change);
     void end_life(entry& known, incarnation life) const;
--- /dev/null
+++ b/modules/tamarack_storage/folder/kept_file.cpp
@@ -0,0 +1,25 @@
+#include "kept_file.h"
+
+#include "../files/file_operations.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+outcome<std::string> read_kept_file(const opened_folder& folder, const std::string& name) {
+    const auto names = names_in(folder.path);
+    if (!succeeded(names)) {
+        return error_of(names);
+    }
+    if (std::ranges::find(value_of(names), name) == value_of(names).end()) {
+        return std::string{};
+    }
+    return read_file(folder.path + "/" + name);
+}
+
+outcome<done> replace_kept_file(const opened_folder& folder, const std::string& name,
+                                std::string_view content, const file_hooks& hooks) {
+    return replace_file(folder.path, name, content, hooks);
+}
+
+} // namespace tamarack
--- a/modules/tamarack_storage/tamarack_storage.h
+++ b/modules/tamarack_storage/tamarack_storage.h
@@ -9,5 +9,6 @@
 #pragma once
 
 #include "folder/data_folder.h"
+#include "folder/kept_file.h"
 
 #include "journal/journal.h"
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -177,13 +177,25 @@
     return hosts;
 }
 
+constexpr duration long_up = 1h;
+
+/** Load pattern: all hosts start at once and each believes itself alone; a target counts former connections.
+ */
+TEST(connection_share, a_host_that_has_just_started_takes_one_connection) {
+    const auto alone = many_hosts(1);
+    EXPECT_EQ(connection_share(26, alone, alone[0], target_id{"i-1"}, 100ms), 1U);
+    EXPECT_EQ(connection_share(26, alone, alone[0], target_id{"i-1"}, meeting_time), 26U);
+    const auto many = many_hosts(9);
+    EXPECT_EQ(connection_share(26, many, many[3], target_id{"i-1"}, 100ms), 1U);
+}
+
 TEST(connection_share, never_gives_out_more_than_a_target_accepts) {
     for (const std::uint32_t limit : {1U, 26U, 43U, 67U, 130U}) {
         for (const std::size_t count : {1U, 3U, 9U, 26U, 27U, 71U, 560U}) {
             const auto hosts = many_hosts(count);
             std::size_t sum = 0;
             for (const host_id& host : hosts) {
-                sum += connection_share(limit, hosts, host, target_id{"i-1"});
+                sum += connection_share(limit, hosts, host, target_id{"i-1"}, long_up);
             }
             EXPECT_LE(sum, limit) << limit << " over " << count;
             EXPECT_GE(sum, 1U);
@@ -199,7 +211,7 @@
             std::size_t reachable = 0;
             for (int replica = 0; replica < 3; ++replica) {
                 const target_id target{"i-" + std::to_string(shard) + "-" + std::to_string(replica)};
-                reachable += connection_share(67, hosts, host, target);
+                reachable += connection_share(67, hosts, host, target, long_up);
             }
             without += reachable == 0 ? 1 : 0;
         }
@@ -212,8 +224,8 @@
     const auto after = many_hosts(70);
     int changed = 0;
     for (const host_id& host : after) {
-        changed += connection_share(67, before, host, target_id{"i-1"}) !=
-                           connection_share(67, after, host, target_id{"i-1"})
+        changed += connection_share(67, before, host, target_id{"i-1"}, long_up) !=
+                           connection_share(67, after, host, target_id{"i-1"}, long_up)
                        ? 1
                        : 0;
     }
--- a/tests/membership/start_time_lives_test.cpp
+++ b/tests/membership/start_time_lives_test.cpp
@@ -104,5 +104,49 @@
     EXPECT_EQ(value_of(decoded).warmup_left, duration{2500ms});
 }
 
+/** Load pattern: all hosts start at once after a loss of power, and targets announce themselves a second
+ * later. */
+TEST_F(start_time_lives, recalled_targets_serve_until_they_announce_themselves) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    target_registry restarted{host_id{"a"}, options(), start + 10s};
+    restarted.recall(start + 10s, m_registry.all());
+    EXPECT_EQ(usable(restarted), 1U);
+    EXPECT_FALSE(restarted.changes_due()) << "others must not take it for news";
+    ASSERT_TRUE(succeeded(restarted.on_announcement(start + 11s, beat("i-1", 100, 6), {})));
+    EXPECT_TRUE(restarted.changes_due());
+    restarted.on_timer(start + 12500ms);
+    EXPECT_EQ(usable(restarted), 1U);
+}
+
+TEST_F(start_time_lives, a_recalled_target_that_stays_silent_is_forgotten) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    target_registry restarted{host_id{"a"}, options(), start + 10s};
+    restarted.recall(start + 10s, m_registry.all());
+    restarted.on_timer(restarted.next_timer());
+    EXPECT_EQ(restarted.size(), 0U);
+    EXPECT_LE(restarted.next_timer(), time_point::max());
+}
+
+TEST_F(start_time_lives, a_recalled_target_never_replaces_what_is_known) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    target_registry restarted{host_id{"b"}, options(), start + 10s};
+    ASSERT_TRUE(succeeded(restarted.on_announcement(start + 10s, beat("i-2", 200, 1), {})));
+    ASSERT_TRUE(succeeded(restarted.on_announcement(start + 10s, beat("i-1", 300, 1, "10.0.0.2:80"), {})));
+    restarted.recall(start + 11s, m_registry.all());
+    EXPECT_EQ(restarted.find(target_id{"i-1"})->latest.life.value, 300U);
+    EXPECT_EQ(restarted.size(), 2U);
+}
+
+TEST_F(start_time_lives, a_host_that_runs_for_long_takes_no_recalled_target_from_another) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    target_registry restarted{host_id{"a"}, options(), start + 10s};
+    restarted.recall(start + 10s, m_registry.all());
+    m_other.on_changes(start + 10s, restarted.all());
+    EXPECT_EQ(usable(m_other), 0U) << "it may have forgotten that the target ended";
+    target_registry young{host_id{"c"}, options(), start + 10s};
+    young.on_changes(start + 10s, restarted.all());
+    EXPECT_EQ(usable(young), 1U);
+}
+
 } // namespace
 } // namespace tamarack
