Send callers to the fastest hosts, and more of them as load asks for it

Cause: on the grown sites a request over 36 shards costs 6 ms of a core. On 63 of 71 hosts, which have 0.12 of a core, its work alone takes 51 ms, beyond an objective of 40. Spread over 71 hosts, a connection to a target is used 0.8 times a second, so that targets close it in between: 26,000 and 36,000 of 120,000 exchanges waited for a new one. Change: hosts tell their capacity and, when it changes for some seconds, their load. choose_active_hosts names the hosts that are at least half as fast as the fastest, two others, and further ones while all hosts together use more than half of the capacity named; all hosts that know the same choose the same. Slower ones are named to callers as seldom as their capacity asks. Active hosts keep connections warm and divide 0.6 of a target's limit and most of the budget for extra load; those on standby open connections for the few requests that come to them.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -143,13 +143,7 @@
     reply.keep_for = m_settings.times.directory_keep;
     const auto call = m_edge.read_directory_call(message);
     if (call && m_picture.entries) {
-        for (const host_record& host : *m_picture.entries) {
-            reply.addresses.push_back(host.callers_address);
-        }
-        for (std::size_t index = reply.addresses.size(); index > 1; --index) {
-            std::swap(reply.addresses[index - 1], reply.addresses[m_random.below(index)]);
-        }
-        reply.addresses.resize(std::min(reply.addresses.size(), most_entries));
+        reply.addresses = name_to_caller(*m_picture.entries, m_random, most_entries);
     }
     respond(m_edge.write_directory_reply(reply));
 }
@@ -163,7 +157,10 @@
                     m_connections.open(open, forwarding_options{}.connect_limit);
                 },
                 [this](const close_target_connection& close) { m_connections.close(close.connection); },
-                [this](const send_target_exchange& send) { m_connections.send(send); },
+                [this](const send_target_exchange& send) {
+                    ++m_exchanges;
+                    m_connections.send(send);
+                },
                 [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
                 [this](const target_changed& changed) {
                     log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -9,6 +9,7 @@
 #include <tamarack_telemetry/tamarack_telemetry.h>
 #include <tamarack_transport/tamarack_transport.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,8 @@
     bool post_picture(forwarding_picture picture);
     /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
     bool post_leaving();
+    /** From any thread. @return exchanges with targets that have begun since the start */
+    std::uint64_t exchanges() const { return m_exchanges; }
     /** From any thread: take no further connection; `drained` is called once no request is left. */
     bool post_drain(std::function<void()> drained);
 
@@ -72,6 +75,7 @@
     random_source m_random;
     bool m_leaving = false;
     forward_number m_next_request = 1;
+    std::atomic<std::uint64_t> m_exchanges{0};
     std::map<forward_number, http_responder> m_waiting;
     std::function<void()> m_drained;
 };
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -271,6 +271,7 @@
     hooks.suspicion = [this](spread_suspicion suspicion) {
         return !m_serving || m_serving->post_suspicion(std::move(suspicion));
     };
+    hooks.exchanges = [this] { return m_forwarding ? m_forwarding->exchanges() : 0; };
     hooks.quarantine = [this](digest request) {
         return !m_serving || m_serving->post_quarantine(std::move(request));
     };
--- /dev/null
+++ b/apps/tamarackd/hosts/forwarding_pictures.cpp
@@ -0,0 +1,124 @@
+#include "forwarding_pictures.h"
+
+#include <tamarack_telemetry/tamarack_telemetry.h>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/** A started host waits this long at most for a target of each service before callers are sent to it. */
+constexpr duration longest_wait_for_targets = 2s;
+/** Parts of the budget for extra load that the active hosts get, for each part of those on standby. */
+constexpr std::size_t budget_of_active = 4;
+
+bool is_same_entry(const host_record& left, const host_record& right) {
+    return left.host == right.host && left.callers_address == right.callers_address;
+}
+
+} // namespace
+
+forwarding_pictures::forwarding_pictures(const settings& chosen, time_point started)
+    : m_settings(chosen), m_started(started) {}
+
+bool forwarding_pictures::on_hosts(const std::vector<host_record>& hosts) {
+    std::vector<host_record> running;
+    for (const host_record& host : hosts) {
+        if (host.state == host_state::alive || host.state == host_state::suspect) {
+            running.push_back(host);
+        }
+    }
+    active_hosts chosen = choose_active_hosts(std::move(running));
+    connection_sharers sharers;
+    std::vector<host_record> entries;
+    for (const host_record& host : chosen.active) {
+        sharers.active.push_back(host.host);
+        if (host.state == host_state::alive && !host.draining && !host.callers_address.empty()) {
+            entries.push_back(host);
+        }
+    }
+    sharers.standby = std::move(chosen.standby);
+    const bool same = sharers == m_sharers && std::ranges::equal(entries, m_entries, is_same_entry);
+    if (sharers.active.size() != m_sharers.active.size()) {
+        log_state_change(log_level::info, "active_hosts_changed", m_routes_number,
+                         {{"active", std::to_string(sharers.active.size())},
+                          {"standby", std::to_string(sharers.standby.size())},
+                          {"load", std::to_string(chosen.load)}});
+    }
+    m_sharers = std::move(sharers);
+    m_entries = std::move(entries);
+    return !same;
+}
+
+bool forwarding_pictures::on_time(time_point now) {
+    const bool met_others = now >= m_started + meeting_time;
+    return met_others && !std::exchange(m_met_others, true);
+}
+
+forwarding_picture forwarding_pictures::build(time_point now, const configuration& current,
+                                              const target_registry& registry, bool entered) {
+    if (current.routes && m_routes_number != current.number) {
+        m_routes = std::make_shared<const route_table>(*current.routes);
+        m_routes_number = current.number;
+        m_routed_since = std::min(m_routed_since, now);
+    }
+    auto view = std::make_shared<forwarding_view>();
+    view->ticket = current.number;
+    view->routes = m_routes;
+    view->hosts = budget_hosts();
+    view->takes_callers = std::ranges::find(m_sharers.standby, m_settings.host) == m_sharers.standby.end();
+    view->targets = list_targets(now, registry);
+    return {std::move(view), std::make_shared<const std::vector<host_record>>(m_entries), entered};
+}
+
+std::size_t forwarding_pictures::budget_hosts() const {
+    const std::size_t active = m_sharers.active.size();
+    const std::size_t standby = m_sharers.standby.size();
+    if (standby == 0) {
+        return active;
+    }
+    const bool stands_by = std::ranges::find(m_sharers.standby, m_settings.host) != m_sharers.standby.end();
+    return stands_by ? standby * (budget_of_active + 1)
+                     : (active * (budget_of_active + 1) + budget_of_active - 1) / budget_of_active;
+}
+
+std::vector<forwarding_target> forwarding_pictures::list_targets(time_point now,
+                                                                 const target_registry& registry) {
+    std::vector<forwarding_target> targets;
+    if (!m_routes) {
+        return targets;
+    }
+    std::map<target_id, std::pair<incarnation, time_point>> warm_at;
+    for (const routed_service& service : m_routes->services) {
+        for (const target_record& record : registry.usable(service.id)) {
+            const announcement& latest = record.latest;
+            const auto known = m_warm_at.find(latest.target);
+            const bool same_life = known != m_warm_at.end() && known->second.first == latest.life;
+            const time_point warm = same_life ? known->second.second : now + latest.warmup_left;
+            warm_at[latest.target] = {latest.life, warm};
+            forwarding_target target{latest.target,      latest.life,  latest.service, latest.address,
+                                     latest.data_center, latest.slots, warm,           0};
+            target.connections = connection_share(service.connections, m_sharers, m_settings.host,
+                                                  latest.target, now - m_started);
+            if (target.connections > 0) {
+                targets.push_back(std::move(target));
+            }
+        }
+    }
+    m_warm_at = std::move(warm_at);
+    return targets;
+}
+
+bool forwarding_pictures::may_enter(time_point now, const configuration& current,
+                                    const target_registry& registry) const {
+    if (!current.routes || m_routed_since == time_point::max()) {
+        return false;
+    }
+    const bool all_known = std::ranges::all_of(current.routes->services, [&](const routed_service& service) {
+        return !registry.usable(service.id).empty();
+    });
+    return all_known || now >= m_routed_since + longest_wait_for_targets;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/hosts/forwarding_pictures.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "../forwarding/forwarding_duty.h"
+
+#include <tamarack_membership/tamarack_membership.h>
+#include <tamarack_settings/tamarack_settings.h>
+
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/**
+ * Works out what the forwarding duty gets to see: routes, targets with this host's share of their
+ * connections, and the hosts that callers are sent to.
+ */
+class forwarding_pictures {
+public:
+    /**
+     * @param chosen   the host's settings; must outlive this
+     * @param started  when this process began
+     */
+    forwarding_pictures(const settings& chosen, time_point started);
+
+    /** Another host's record, or this one's, has changed. @return whether the picture changes with it */
+    bool on_hosts(const std::vector<host_record>& hosts);
+
+    /** @return whether enough time has passed since the last call for the picture to change by itself */
+    bool on_time(time_point now);
+
+    /** @param entered  whether this host takes callers */
+    forwarding_picture build(time_point now, const configuration& current, const target_registry& registry,
+                             bool entered);
+
+    /** @return whether this host knows enough to be sent callers */
+    bool may_enter(time_point now, const configuration& current, const target_registry& registry) const;
+
+private:
+    std::vector<forwarding_target> list_targets(time_point now, const target_registry& registry);
+    std::size_t budget_hosts() const;
+
+    const settings& m_settings;
+    time_point m_started;
+    bool m_met_others = false; ///< enough time has passed since the start
+    std::vector<host_record> m_entries;
+    connection_sharers m_sharers;
+    std::shared_ptr<const route_table> m_routes;
+    ticket_number m_routes_number;
+    time_point m_routed_since = time_point::max(); ///< when this host learnt its first route table
+    std::map<target_id, std::pair<incarnation, time_point>> m_warm_at;
+};
+
+} // namespace tamarack
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -14,9 +14,10 @@
 constexpr std::size_t ring_capacity = 8'192;
 constexpr duration introduction_interval = 1s;
 constexpr duration introduction_without_leader = 200ms;
-/** A started host waits this long at most for a target of each service before callers are sent to it. */
-constexpr duration longest_wait_for_targets = 2s;
 constexpr duration picture_interval = 20ms;
+/** Of one exchange with a target, with its part of the request: processor seconds over exchanges of a day on
+ * the bench (docs/CAPACITY.md). The process's own clock of processor time is not kept on every platform. */
+constexpr duration processor_time_of_exchange = 170us;
 
 const std::string raft_method = "raft.message";
 const std::string control_method = "control.message";
@@ -44,7 +45,7 @@
                    [this](const endpoint& address, const std::string& method, Json::Value parameters) {
                        m_links.send(address, method, std::move(parameters));
                    }),
-      m_inquiry(system_random()) {
+      m_load(own_record_of(m_settings, life, {}, {}).capacity), m_inquiry(system_random()) {
     m_seeds = m_settings.seeds;
     register_methods();
 }
@@ -56,7 +57,7 @@
     }
     m_address = value_of(listening);
     const time_point now = steady_now();
-    m_started = now;
+    m_pictures = std::make_unique<forwarding_pictures>(m_settings, now);
     m_control = std::make_unique<control_client>(client_options_of(m_settings, m_life, m_address),
                                                  system_random(), now);
     m_registry = std::make_unique<target_registry>(m_settings.host, registry_options_of(m_settings), now);
@@ -289,8 +290,7 @@
         send_picture(now);
     }
     enter_directory(now);
-    if (!m_met_others && now >= m_started + meeting_time) {
-        m_met_others = true;
+    if (m_pictures->on_time(now)) {
         m_picture_stale = true;
         settle();
     }
@@ -298,6 +298,7 @@
 
 void hosts_duty::introduce(time_point now) {
     m_links.drop_unused(now);
+    tell_load(now);
     m_metrics.set(gauge_id::hosts_known, static_cast<double>(m_detector->hosts().size()));
     m_metrics.set(gauge_id::targets_known, static_cast<double>(m_registry->size()));
     m_metrics.set(gauge_id::ticket_in_force_number, static_cast<double>(m_control->current().number.value));
@@ -447,7 +448,15 @@
 }
 
 void hosts_duty::on_host_changed(const host_record& record) {
-    m_picture_stale = true;
+    const bool pictured = m_settings.edge.kind != edge_kind::platform;
+    m_picture_stale = m_pictures->on_hosts(m_detector->hosts()) || pictured || m_picture_stale;
+    const auto [seen, is_new] = m_seen_hosts.try_emplace(record.host, record);
+    const bool only_load = !is_new && seen->second.life == record.life &&
+                           seen->second.state == record.state && seen->second.draining == record.draining;
+    seen->second = record;
+    if (only_load) {
+        return;
+    }
     if (m_settings.formation.automatic) {
         update_control_hosts();
     }
@@ -457,6 +466,20 @@
                       {"draining", record.draining ? "true" : "false"}});
     if (record.state == host_state::dead || record.state == host_state::left) {
         m_registry->on_host_lost(steady_now(), record.host);
+        m_seen_hosts.erase(record.host);
+    }
+}
+
+/** Tells the others how much of the processor is in use, where the choice of hosts for callers rests on it.
+ */
+void hosts_duty::tell_load(time_point now) {
+    if (m_settings.edge.kind != edge_kind::platform) {
+        return;
+    }
+    const auto exchanges = static_cast<duration::rep>(m_hooks.exchanges());
+    if (const auto load = m_load.observe(now, exchanges * processor_time_of_exchange)) {
+        carry_out(m_detector->set_load(now, *load));
+        m_picture_stale = m_pictures->on_hosts(m_detector->hosts()) || m_picture_stale;
     }
 }
 
@@ -484,7 +507,7 @@
         return;
     }
     if (m_settings.edge.kind == edge_kind::platform) {
-        if (may_enter_forwarding(now)) {
+        if (m_pictures->may_enter(now, m_control->current(), *m_registry)) {
             m_entered = true;
             log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
             carry_out(m_detector->set_draining(now, false));
@@ -545,7 +568,9 @@
     m_pictured_generation = m_registry->generation();
     m_picture_stale = false;
     if (m_settings.edge.kind == edge_kind::platform) {
-        m_picture_stale = !m_hooks.forwarding(build_forwarding_picture(now));
+        m_pictures->on_hosts(m_detector->hosts());
+        m_picture_stale = !m_hooks.forwarding(
+            m_pictures->build(now, m_control->current(), *m_registry, m_entered && !m_leaving));
         return;
     }
     auto directory = std::make_shared<directory_view>();
@@ -561,68 +586,6 @@
     }
 }
 
-forwarding_picture hosts_duty::build_forwarding_picture(time_point now) {
-    const configuration& current = m_control->current();
-    if (current.routes && m_routes_number != current.number) {
-        m_routes = std::make_shared<const route_table>(*current.routes);
-        m_routes_number = current.number;
-        m_routed_since = std::min(m_routed_since, now);
-    }
-    auto entries = std::make_shared<std::vector<host_record>>();
-    std::vector<host_id> running;
-    for (const host_record& host : m_detector->hosts()) {
-        if (host.state == host_state::alive || host.state == host_state::suspect) {
-            running.push_back(host.host);
-        }
-        if (host.state == host_state::alive && !host.draining && !host.callers_address.empty()) {
-            entries->push_back(host);
-        }
-    }
-    auto view = std::make_shared<forwarding_view>();
-    view->ticket = current.number;
-    view->routes = m_routes;
-    view->hosts = running.size();
-    view->targets = list_forwarding_targets(now, running);
-    return {std::move(view), std::move(entries), m_entered && !m_leaving};
-}
-
-std::vector<forwarding_target> hosts_duty::list_forwarding_targets(time_point now,
-                                                                   const std::vector<host_id>& running) {
-    std::vector<forwarding_target> targets;
-    if (!m_routes) {
-        return targets;
-    }
-    for (const routed_service& service : m_routes->services) {
-        for (const target_record& record : m_registry->usable(service.id)) {
-            const announcement& latest = record.latest;
-            auto& warm = m_warm_at[latest.target];
-            if (warm.first != latest.life) {
-                warm = {latest.life, now + latest.warmup_left};
-            }
-            forwarding_target target{latest.target,      latest.life,  latest.service, latest.address,
-                                     latest.data_center, latest.slots, warm.second,    0};
-            target.connections = connection_share(service.connections, running, m_settings.host,
-                                                  latest.target, now - m_started);
-            if (target.connections > 0) {
-                targets.push_back(std::move(target));
-            }
-        }
-    }
-    return targets;
-}
-
-bool hosts_duty::may_enter_forwarding(time_point now) {
-    if (!m_control->current().routes || m_routed_since == time_point::max()) {
-        return false;
-    }
-    const auto& services = m_control->current().routes->services;
-    const bool all_known =
-        std::all_of(services.begin(), services.end(), [this](const routed_service& service) {
-            return !m_registry->usable(service.id).empty();
-        });
-    return all_known || now >= m_routed_since + longest_wait_for_targets;
-}
-
 void hosts_duty::send_control(const host_id& to, const endpoint& address, const control_message& message) {
     if (to == m_settings.host) {
         m_thread.try_post([this, message] {
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -2,6 +2,7 @@
 
 #include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
+#include "forwarding_pictures.h"
 #include "host_links.h"
 #include "peer_inquiry.h"
 #include "readiness_gate.h"
@@ -34,7 +35,8 @@
     std::function<bool(request_number)> claim_failed_for;
     std::function<bool(spread_suspicion)> suspicion;
     std::function<bool(digest)> quarantine;
-    target_memory* memory = nullptr; ///< where targets are kept over a start; none without a disk
+    std::function<std::uint64_t()> exchanges; ///< with targets, since the start
+    target_memory* memory = nullptr;          ///< where targets are kept over a start; none without a disk
 };
 
 /** Time for the news that a host leaves to reach every host. */
@@ -158,10 +160,7 @@
     void send_identity(time_point now);
     void found_when_due();
     void propose_voters(time_point now);
-    forwarding_picture build_forwarding_picture(time_point now);
-    std::vector<forwarding_target> list_forwarding_targets(time_point now,
-                                                           const std::vector<host_id>& running);
-    bool may_enter_forwarding(time_point now);
+    void tell_load(time_point now);
 
     void update_control_hosts();
     void ask_a_peer(time_point now);
@@ -169,12 +168,9 @@
 
     std::vector<seed_host> m_seeds; ///< as last set
     std::map<host_id, introduced_host> m_identities;
-    std::shared_ptr<const route_table> m_routes;
-    ticket_number m_routes_number;
-    time_point m_routed_since = time_point::max(); ///< when this host learnt its first route table
-    std::map<target_id, std::pair<incarnation, time_point>> m_warm_at;
-    time_point m_started{};
-    bool m_met_others = false; ///< enough time has passed since the start
+    std::map<host_id, host_record> m_seen_hosts; ///< as last reported by the detector
+    std::unique_ptr<forwarding_pictures> m_pictures;
+    load_report m_load;
     time_point m_next_introduction{};
     time_point m_next_picture = time_point::max();
     std::uint64_t m_pictured_generation = 0;
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -1,5 +1,6 @@
 #include "hosts_options.h"
 
+#include <cmath>
 #include <utility>
 
 namespace tamarack {
@@ -79,6 +80,9 @@
     self.callers_address = callers;
     self.control = chosen.role != host_role::entry;
     self.draining = serves_callers(chosen);
+    constexpr double thousandths = 1'000.0;
+    self.capacity = static_cast<std::uint32_t>(
+        std::lround(thousandths * chosen.processor_share * chosen.processor_speed));
     return self;
 }
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -283,8 +283,8 @@
     bool postponed = false;
     for (auto& [id, service] : m_core.services) {
         for (const known_target_pointer& target : service->targets) {
-            const std::size_t wanted =
-                std::min(m_core.options.warm_connections, m_core.connections_allowed(*target));
+            const std::size_t warm = m_core.view->takes_callers ? m_core.options.warm_connections : 0;
+            const std::size_t wanted = std::min(warm, m_core.connections_allowed(*target));
             if (!target->usable || target->connections() >= wanted) {
                 continue;
             }
--- a/modules/tamarack_forwarding/placement/connection_share.cpp
+++ b/modules/tamarack_forwarding/placement/connection_share.cpp
@@ -9,15 +9,25 @@
 
 /** Share of the limit that is given out. */
 constexpr double share_used = 0.9;
+/** Share of the limit that the active hosts divide where others stand by. */
+constexpr double share_of_active = 0.6;
 
 } // namespace
 
-std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
+std::size_t connection_share(std::uint32_t limit, const connection_sharers& sharers, const host_id& self,
                              const target_id& target, duration up_for) {
+    const std::vector<host_id>& hosts = sharers.active;
+    const bool stands_by = std::ranges::find(sharers.standby, self) != sharers.standby.end();
+    if (stands_by) {
+        return 1;
+    }
     const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
-    const auto used = std::max<std::size_t>(static_cast<std::size_t>(share_used * limit), 1);
+    const double part = sharers.standby.empty() ? 1.0 : share_of_active;
+    const auto used = std::max<std::size_t>(static_cast<std::size_t>(share_used * part * limit), 1);
     if (count <= used) {
-        return up_for < meeting_time ? 1 : std::max<std::size_t>(limit / count, 1);
+        return up_for < meeting_time
+                   ? 1
+                   : std::max<std::size_t>(static_cast<std::size_t>(part * limit) / count, 1);
     }
     const std::uint64_t seed = stable_hash(target.value());
     const std::uint64_t own = stable_hash(self.value(), seed);
--- a/modules/tamarack_forwarding/placement/connection_share.h
+++ b/modules/tamarack_forwarding/placement/connection_share.h
@@ -8,6 +8,14 @@
 
 namespace tamarack {
 
+/** The hosts that share a target's connections. */
+struct connection_sharers {
+    std::vector<host_id> active;  ///< callers are sent to them
+    std::vector<host_id> standby; ///< callers come to them by exception
+
+    bool operator==(const connection_sharers&) const = default;
+};
+
 /**
  * Divides the connections that one target accepts over the hosts, without asking anybody.
  *
@@ -17,6 +25,9 @@
  * those that rank first for it by rendezvous hashing, so that each host keeps most of its targets when hosts
  * come and go, and each shard stays within reach of nearly every host.
  *
+ * Hosts on standby get one connection each, opened only for the few requests that come to them; the active
+ * ones divide what a part of the limit leaves.
+ *
  * Watch out: hosts that know different hosts may grant themselves one connection more than the sum allows; a
  * part of the limit is kept free for that. A host that has just started believes itself nearly alone, while
  * its targets may still count connections of its former life: it takes one connection until it has met the
@@ -28,7 +39,7 @@
  * @param up_for  how long this host has been running
  * @return connections that `self` may have; 0 when it does not use the target
  */
-std::size_t connection_share(std::uint32_t limit, const std::vector<host_id>& hosts, const host_id& self,
+std::size_t connection_share(std::uint32_t limit, const connection_sharers& hosts, const host_id& self,
                              const target_id& target, duration up_for);
 
 /** After this time a host that has started knows the others: two comparisons of states. */
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -25,7 +25,8 @@
     ticket_number ticket;
     std::shared_ptr<const route_table> routes; ///< nullptr while no ticket is known
     std::vector<forwarding_target> targets;
-    std::size_t hosts = 1; ///< that share the targets and the budget for extra load
+    std::size_t hosts = 1;     ///< among which the budget for extra load is divided
+    bool takes_callers = true; ///< callers are sent here: connections to targets are kept warm
 };
 
 using forwarding_view_pointer = std::shared_ptr<const forwarding_view>;
--- /dev/null
+++ b/modules/tamarack_membership/directory/active_hosts.cpp
@@ -0,0 +1,76 @@
+#include "active_hosts.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** Callers' requests wait about as long as they are worked on at this use of a processor (M/M/1). */
+constexpr double highest_use = 0.5;
+/** Slower hosts beside the fast ones, so that a caller always knows an address outside their group. */
+constexpr std::size_t fewest_spare = 2;
+/** With fewer active hosts, the loss of one takes more than a quarter of the callers with it. */
+constexpr std::size_t fewest_active = 4;
+
+std::uint32_t fastest_of(const std::vector<host_record>& hosts) {
+    const auto fastest = std::ranges::max_element(hosts, {}, &host_record::capacity);
+    return fastest == hosts.end() ? 0 : fastest->capacity;
+}
+
+template <typename Member>
+double sum_of(const std::vector<host_record>& hosts, Member member) {
+    return std::accumulate(hosts.begin(), hosts.end(), 0.0, [member](double sum, const host_record& host) {
+        return sum + static_cast<double>(host.*member);
+    });
+}
+
+} // namespace
+
+active_hosts choose_active_hosts(std::vector<host_record> running) {
+    const std::uint32_t fastest = fastest_of(running);
+    const bool all_tell =
+        std::ranges::all_of(running, [](const host_record& host) { return host.capacity > 0; });
+    const double load = sum_of(running, &host_record::load);
+    const auto slower = std::stable_partition(running.begin(), running.end(), [&](const host_record& host) {
+        return !all_tell || host.capacity * 2 >= fastest;
+    });
+    std::sort(slower, running.end(), [](const host_record& left, const host_record& right) {
+        return std::make_pair(stable_hash(left.host.value()), left.host) <
+               std::make_pair(stable_hash(right.host.value()), right.host);
+    });
+    active_hosts chosen;
+    chosen.load = static_cast<std::uint32_t>(load);
+    chosen.active.assign(running.begin(), slower);
+    const std::size_t fewest = std::max(chosen.active.size() + fewest_spare, fewest_active);
+    double room = highest_use * sum_of(chosen.active, &host_record::capacity);
+    for (auto host = slower; host != running.end(); ++host) {
+        if (chosen.active.size() >= fewest && room >= load) {
+            chosen.standby.push_back(host->host);
+            continue;
+        }
+        room += highest_use * static_cast<double>(host->capacity);
+        chosen.active.push_back(*host);
+    }
+    return chosen;
+}
+
+std::vector<endpoint> name_to_caller(const std::vector<host_record>& entries, random_source& random,
+                                     std::size_t most) {
+    const double fastest = fastest_of(entries);
+    std::vector<endpoint> named;
+    for (const host_record& entry : entries) {
+        if (fastest == 0.0 || random.chance(static_cast<double>(entry.capacity) / fastest)) {
+            named.push_back(entry.callers_address);
+        }
+    }
+    for (std::size_t index = named.size(); index > 1; --index) {
+        std::swap(named[index - 1], named[random.below(index)]);
+    }
+    named.resize(std::min(named.size(), most));
+    return named;
+}
+
+} // namespace tamarack
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -70,6 +70,11 @@
     return take_actions(now);
 }
 
+membership_actions failure_detector::set_load(time_point now, std::uint32_t load) {
+    m_state.change_load(now, load);
+    return take_actions(now);
+}
+
 membership_actions failure_detector::leave(time_point now) {
     m_state.change_self(now, true, host_state::left);
     const membership_news goodbye{{m_state.self()}, {}};
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -100,6 +100,9 @@
     /** This host drains or goes back to work; spread at once. */
     membership_actions set_draining(time_point now, bool draining);
 
+    /** This host's load, in thousandths of a core, has changed enough to be told. */
+    membership_actions set_load(time_point now, std::uint32_t load);
+
     /** This host stops; tells some others. */
     membership_actions leave(time_point now);
 
--- a/modules/tamarack_membership/hosts/host_record.h
+++ b/modules/tamarack_membership/hosts/host_record.h
@@ -32,9 +32,11 @@
     host_state state = host_state::alive;
     bool draining = false; ///< leaves the directory, serves until kept answers have run out
     data_center_id data_center;
-    endpoint hosts_address;   ///< where other hosts reach it
-    endpoint callers_address; ///< where callers and targets reach it; empty for a pure control host
-    bool control = false;     ///< takes part in the replicated log
+    endpoint hosts_address;     ///< where other hosts reach it
+    endpoint callers_address;   ///< where callers and targets reach it; empty for a pure control host
+    bool control = false;       ///< takes part in the replicated log
+    std::uint32_t capacity = 0; ///< of its processor, in thousandths of a core; 0 when it does not tell
+    std::uint32_t load = 0;     ///< in thousandths of a core, as last told; see load_report
 
     bool operator==(const host_record&) const = default;
 };
--- a/modules/tamarack_membership/hosts/membership_codec.cpp
+++ b/modules/tamarack_membership/hosts/membership_codec.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t highest = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t highest_hash = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t most_capacity = 1'000'000; ///< a thousand cores
 constexpr std::size_t most_records = membership_message_bounds::records;
 
 template <typename Record, typename Encoder>
@@ -216,6 +217,10 @@
     if (!record.callers_address.empty()) {
         json["callers_address"] = record.callers_address.value();
     }
+    if (record.capacity > 0) {
+        json["capacity"] = Json::UInt{record.capacity};
+        json["load"] = Json::UInt{record.load};
+    }
     return json;
 }
 
@@ -231,6 +236,8 @@
     record.data_center = data_center_id{reader.optional_text("data_center")};
     record.hosts_address = endpoint{reader.text("hosts_address")};
     record.callers_address = endpoint{reader.optional_text("callers_address")};
+    record.capacity = static_cast<std::uint32_t>(reader.optional_number("capacity", 0, most_capacity));
+    record.load = static_cast<std::uint32_t>(reader.optional_number("load", 0, most_capacity));
     if (!reader.good()) {
         return reader.fault();
     }
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -90,6 +90,12 @@
     tell_self(now);
 }
 
+void membership_state::change_load(time_point now, std::uint32_t load) {
+    m_self.load = load;
+    ++m_self.version;
+    tell_self(now);
+}
+
 void membership_state::exchange_with(time_point now, target_registry& registry) {
     for (const target_record& change : registry.take_changes()) {
         tell(now, change, news_origin::own);
--- a/modules/tamarack_membership/hosts/membership_state.h
+++ b/modules/tamarack_membership/hosts/membership_state.h
@@ -49,6 +49,8 @@
     /** Changes what this host says of itself, as a new version. */
     void change_self(time_point now, bool draining, host_state state);
 
+    void change_load(time_point now, std::uint32_t load);
+
     /** Takes the registry's changes as news, and tells it when hosts changed. */
     void exchange_with(time_point now, target_registry& registry);
 
--- a/modules/tamarack_membership/tamarack_membership.h
+++ b/modules/tamarack_membership/tamarack_membership.h
@@ -15,10 +15,12 @@
 
 #include "hosts/failure_detector.h"
 #include "hosts/host_record.h"
+#include "hosts/load_report.h"
 #include "hosts/membership_codec.h"
 #include "hosts/membership_message.h"
 
 #include "shares/assignment.h"
 #include "shares/replica_share.h"
 
+#include "directory/active_hosts.h"
 #include "directory/entry_directory.h"
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -103,7 +103,9 @@
     data_center_id data_center;
     host_role role = host_role::entry;
     listen_addresses listen;
-    std::string data_folder; ///< empty for a host without a disk
+    double processor_share = 1.0; ///< of one core that this host may use
+    double processor_speed = 1.0; ///< of that core, against the other hosts
+    std::string data_folder;      ///< empty for a host without a disk
     bool recognise_copies =
         true; ///< a data folder put back from a copy is set aside; needs stable inode numbers
     std::vector<seed_host> seeds; ///< control hosts, this one among them when it is one
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t longest_name = 64;
 constexpr std::uint64_t most_tolerated_losses = 3;
+constexpr double most_processor_cores = 1'000.0;
 constexpr double most_extra_ratio = 1.0;
 constexpr double most_extra_allowance = 1e6;
 constexpr auto allowed_name = "1 to 64 letters, digits, '-', '_' or '.'";
@@ -128,6 +129,24 @@
 
 } // namespace
 
+namespace {
+
+void read_positive(settings_source& source, const std::string& section, const std::string& key,
+                   double highest, double& into) {
+    const auto text = source.find(section, key);
+    if (!text) {
+        return;
+    }
+    const auto value = parse_real(*text);
+    if (value && *value > 0.0 && *value <= highest) {
+        into = *value;
+        return;
+    }
+    source.report(section, key, "above 0, at most " + std::to_string(static_cast<long>(highest)));
+}
+
+} // namespace
+
 void read_host(settings_source& source, settings& into) {
     into.host = host_id{read_name(source, "host", "name")};
     into.data_center = data_center_id{read_name(source, "host", "data_center")};
@@ -139,6 +158,8 @@
         source.report("host", "recognise_copies", "true or false");
     }
     into.recognise_copies = recognise == "true";
+    read_positive(source, "host", "processor_share", most_processor_cores, into.processor_share);
+    read_positive(source, "host", "processor_speed", most_processor_cores, into.processor_speed);
 }
 
 void read_listen(settings_source& source, settings& into) {
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -183,10 +183,10 @@
  */
 TEST(connection_share, a_host_that_has_just_started_takes_one_connection) {
     const auto alone = many_hosts(1);
-    EXPECT_EQ(connection_share(26, alone, alone[0], target_id{"i-1"}, 100ms), 1U);
-    EXPECT_EQ(connection_share(26, alone, alone[0], target_id{"i-1"}, meeting_time), 26U);
+    EXPECT_EQ(connection_share(26, {alone, {}}, alone[0], target_id{"i-1"}, 100ms), 1U);
+    EXPECT_EQ(connection_share(26, {alone, {}}, alone[0], target_id{"i-1"}, meeting_time), 26U);
     const auto many = many_hosts(9);
-    EXPECT_EQ(connection_share(26, many, many[3], target_id{"i-1"}, 100ms), 1U);
+    EXPECT_EQ(connection_share(26, {many, {}}, many[3], target_id{"i-1"}, 100ms), 1U);
 }
 
 TEST(connection_share, never_gives_out_more_than_a_target_accepts) {
@@ -195,7 +195,7 @@
             const auto hosts = many_hosts(count);
             std::size_t sum = 0;
             for (const host_id& host : hosts) {
-                sum += connection_share(limit, hosts, host, target_id{"i-1"}, long_up);
+                sum += connection_share(limit, {hosts, {}}, host, target_id{"i-1"}, long_up);
             }
             EXPECT_LE(sum, limit) << limit << " over " << count;
             EXPECT_GE(sum, 1U);
@@ -211,7 +211,7 @@
             std::size_t reachable = 0;
             for (int replica = 0; replica < 3; ++replica) {
                 const target_id target{"i-" + std::to_string(shard) + "-" + std::to_string(replica)};
-                reachable += connection_share(67, hosts, host, target, long_up);
+                reachable += connection_share(67, {hosts, {}}, host, target, long_up);
             }
             without += reachable == 0 ? 1 : 0;
         }
@@ -219,13 +219,31 @@
     EXPECT_LE(without, 36U * 71U / 50U);
 }
 
+/** Load pattern: many slow hosts stand by while a few fast ones take the callers. */
+TEST(connection_share, active_hosts_divide_most_of_the_limit_and_those_on_standby_get_one_each) {
+    connection_sharers sharers;
+    for (const host_id& host : many_hosts(71)) {
+        (sharers.active.size() < 10 ? sharers.active : sharers.standby).push_back(host);
+    }
+    std::size_t sum = 0;
+    for (const host_id& host : sharers.active) {
+        const std::size_t share = connection_share(67, sharers, host, target_id{"i-1"}, long_up);
+        EXPECT_EQ(share, 4U);
+        sum += share;
+    }
+    EXPECT_LE(sum, 67U * 6U / 10U);
+    for (const host_id& host : sharers.standby) {
+        EXPECT_EQ(connection_share(67, sharers, host, target_id{"i-1"}, long_up), 1U);
+    }
+}
+
 TEST(connection_share, changes_for_few_hosts_when_one_leaves) {
     const auto before = many_hosts(71);
     const auto after = many_hosts(70);
     int changed = 0;
     for (const host_id& host : after) {
-        changed += connection_share(67, before, host, target_id{"i-1"}, long_up) !=
-                           connection_share(67, after, host, target_id{"i-1"}, long_up)
+        changed += connection_share(67, {before, {}}, host, target_id{"i-1"}, long_up) !=
+                           connection_share(67, {after, {}}, host, target_id{"i-1"}, long_up)
                        ? 1
                        : 0;
     }
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -81,7 +81,7 @@
         for (const auto& [id, target] : m_targets) {
             forwarding_target listed = target.behaviour.known;
             listed.connections = connection_share(static_cast<std::uint32_t>(target.behaviour.connections),
-                                                  names, names[host], id, 1h);
+                                                  {names, {}}, names[host], id, 1h);
             if (!m_hidden.contains(id) && listed.connections > 0) {
                 own->targets.push_back(listed);
             }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -100,6 +100,20 @@
               "[times] lease_length = \"9s\"; allowed: 200ms to 5s, with a unit: ms, s, min or h");
 }
 
+TEST(settings, reads_the_processor_and_keeps_the_default_of_one_core) {
+    const auto given = parse_settings(
+        replaced(good_text, "role = both", "role = both\nprocessor_share = 0.12\nprocessor_speed = 2"));
+    ASSERT_TRUE(succeeded(given));
+    EXPECT_EQ(value_of(given).processor_share, 0.12);
+    EXPECT_EQ(value_of(given).processor_speed, 2.0);
+    EXPECT_EQ(value_of(parse_settings(good_text)).processor_share, 1.0);
+    for (const char* wrong : {"0", "-1", "much", "5000"}) {
+        const auto mistakes = mistakes_of(
+            replaced(good_text, "role = both", std::string{"role = both\nprocessor_share = "} + wrong));
+        EXPECT_THAT(mistakes, ElementsAre(mistake_at("host", "processor_share"))) << wrong;
+    }
+}
+
 TEST(settings, checks_addresses_together) {
     const auto overlapping = mistakes_of(replaced(good_text, "127.0.0.1:7200", "127.0.0.1:7100"));
     EXPECT_THAT(overlapping, ElementsAre(mistake_at("listen", "operators")));
