Tell less: recalled targets from one host, fewer copies of pushed records, compressed configurations

Change: the control host that ranks first for a newcomer tells it what it recalled from its own disk; records of targets that were pushed to all ride on two probes of each host in place of six; a configuration is compressed once (zlib, Base64) and kept for all hosts. Ruled out: the hosts' own records, which keep their copies: with two, hosts that start together meet too late (test hosts_that_start_together_* failed). Tests: compressed_text.*; a_host_that_runs_for_long_takes_no_recalled_target_from_another.

--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -1,5 +1,7 @@
 #include "control_message_codec.h"
 
+#include "compressed_text.h"
+
 #include <string>
 #include <string_view>
 
@@ -7,6 +9,9 @@
 
 namespace {
 
+/** Above what the platform's and the operators' edges accept of one configuration. */
+constexpr std::size_t most_configuration_bytes = 16 * mebibyte;
+
 /** Name of each kind of message, as it stands in "kind". */
 template <typename Message>
 constexpr std::string_view kind_of = "";
@@ -30,8 +35,9 @@
 constexpr std::string_view kind_of<result_recorded> = "result_recorded";
 
 /**
- * A configuration travels as text: a leader sends the same one to every host, and a large one takes long to
- * encode. The text of the last one is kept for each thread; it is a function of number and content alone.
+ * A configuration travels as compressed text: a leader sends the same one to every host, and a large one
+ * takes long to encode. The text of the last one is kept for each thread; it is a function of number and
+ * content alone.
  */
 const std::string& configuration_text(const configuration& value) {
     struct kept_text {
@@ -41,7 +47,7 @@
     };
     static thread_local kept_text kept;
     if (kept.text.empty() || kept.number != value.number || kept.content != value.content) {
-        kept = {value.number, value.content, write_json(encode_configuration(value))};
+        kept = {value.number, value.content, compress_text(write_json(encode_configuration(value)))};
     }
     return kept.text;
 }
@@ -50,7 +56,11 @@
     if (!json.isString()) {
         return error{error_code::malformed, "a configuration must be a text"};
     }
-    const auto decoded = read_json(json.asString());
+    const auto text = decompress_text(json.asString(), most_configuration_bytes);
+    if (!succeeded(text)) {
+        return error_of(text);
+    }
+    const auto decoded = read_json(value_of(text));
     if (!succeeded(decoded)) {
         return error_of(decoded);
     }
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -354,21 +354,31 @@
 
 void failure_detector::greet_newcomers(const target_registry& registry) {
     for (const host_id& newcomer : std::exchange(m_newcomers, {})) {
-        membership_news kept;
-        kept.hosts.push_back(m_state.self());
-        registry.for_each([&](const target_record& record, time_point /*changed_at*/) {
-            if (record.keeper == m_state.self().host || record.keeper.empty()) {
-                kept.targets.push_back(record);
-                kept.targets.back().latest.load = {};
+        membership_news told;
+        told.hosts.push_back(m_state.self());
+        for (target_record& record : registry.told_to_newcomer(recalls_for(newcomer))) {
+            told.targets.push_back(std::move(record));
+            if (told.targets.size() == m_options.news_in_message) {
+                send(newcomer, news_push{m_state.self().host, std::exchange(told, {})});
             }
-            if (kept.targets.size() == m_options.news_in_message) {
-                send(newcomer, news_push{m_state.self().host, std::exchange(kept, {})});
-            }
-        });
-        send(newcomer, news_push{m_state.self().host, std::move(kept)});
+        }
+        send(newcomer, news_push{m_state.self().host, std::move(told)});
     }
 }
 
+/** One control host tells a newcomer what was recalled: the first by rendezvous hashing of those known to
+ * run. */
+bool failure_detector::recalls_for(const host_id& newcomer) const {
+    const std::uint64_t seed = stable_hash(newcomer.value());
+    const std::uint64_t own = stable_hash(m_state.self().host.value(), seed);
+    const auto& peers = m_state.hosts().peers();
+    return std::ranges::none_of(peers, [&](const auto& item) {
+        const host_record& other = item.second.record;
+        return other.control && is_running(other.state) && other.host != newcomer &&
+               stable_hash(other.host.value(), seed) < own;
+    });
+}
+
 void failure_detector::note_newcomer(const host_record& record) {
     if (!is_running(record.state)) {
         m_greeted.erase(record.host);
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -157,6 +157,7 @@
     void ask_suspects(time_point now, target_registry& registry);
     void push_news(time_point now, target_registry& registry);
     void greet_newcomers(const target_registry& registry);
+    bool recalls_for(const host_id& newcomer) const;
     void note_newcomer(const host_record& record);
     void start_sync(time_point now, const host_id& peer, std::size_t first_group, target_registry& registry);
     void compare_states(time_point now, target_registry& registry);
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -6,6 +6,14 @@
 
 namespace tamarack {
 
+namespace {
+
+/** Of a target's record that its origin has pushed to all hosts: a host that missed it gets it with seven in
+ * eight. Hosts' records keep all copies, since hosts that start together learn of each other by them. */
+constexpr std::size_t copies_of_pushed_news = 2;
+
+} // namespace
+
 membership_state::membership_state(host_record self, double news_copies, duration news_age,
                                    std::size_t direct_hosts, time_point now)
     : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age),
@@ -118,7 +126,9 @@
 }
 
 void membership_state::tell(time_point now, const target_record& record, news_origin origin) {
-    m_news.add({host_id{}, record.latest.target}, copies(), now + m_news_age, is_pushed(origin));
+    const bool pushed_to_all = origin == news_origin::heard && pushes_directly();
+    m_news.add({host_id{}, record.latest.target}, pushed_to_all ? copies_of_pushed_news : copies(),
+               now + m_news_age, is_pushed(origin));
 }
 
 std::size_t membership_state::copies() const {
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -245,15 +245,17 @@
     for (target_record record : kept) {
         record.keeper = {};
         record.latest.warmup_left = {};
-        merge_recalled(now, record);
+        if (merge_recalled(now, record)) {
+            m_entries.at(record.latest.target).recalled_here = true;
+        }
     }
 }
 
 /** Takes what is not known otherwise, and only shortly after the start: others may have forgotten its end. */
-void target_registry::merge_recalled(time_point now, const target_record& kept) {
+bool target_registry::merge_recalled(time_point now, const target_record& kept) {
     const bool known = m_entries.contains(kept.latest.target) || m_index.address_taken(kept.latest);
     if (known || !kept.alive || now >= m_grace_ends || m_entries.size() >= m_options.targets) {
-        return;
+        return false;
     }
     entry& recalled = m_entries[kept.latest.target];
     recalled.record = kept;
@@ -262,6 +264,7 @@
     m_index.add(recalled.record.latest, true);
     set_deadline(recalled, m_grace_ends);
     ++m_generation;
+    return true;
 }
 
 bool target_registry::merge(time_point now, const target_record& change) {
@@ -453,6 +456,18 @@
     return changes;
 }
 
+std::vector<target_record> target_registry::told_to_newcomer(bool recalled) const {
+    std::vector<target_record> records;
+    for (const auto& [target, known] : m_entries) {
+        const bool recalled_here = known.record.keeper.empty() && known.recalled_here;
+        if (known.record.keeper == m_self || (recalled && recalled_here)) {
+            records.push_back(known.record);
+            records.back().latest.load = {};
+        }
+    }
+    return records;
+}
+
 std::vector<target_record> target_registry::all() const {
     std::vector<target_record> records;
     records.reserve(m_entries.size());
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -146,6 +146,12 @@
     /** @return whether take_changes has something to give; failure_detector::on_timer is due then */
     bool changes_due() const { return !m_due.empty(); }
 
+    /**
+     * @param recalled  whether to name those that this host has kept over its start as well
+     * @return what a host that was just met is told: the targets that this host keeps
+     */
+    std::vector<target_record> told_to_newcomer(bool recalled) const;
+
     /** @return every record, for a host that joins and for state reports */
     std::vector<target_record> all() const;
 
@@ -185,6 +191,7 @@
         time_point deadline{}; ///< of the lease, of an orphan's time, or until it is forgotten
         bool has_deadline = false;
         bool kept_here = false;
+        bool recalled_here = false; ///< kept over this host's own start
         std::vector<incarnation> ended;
     };
     struct keeper_candidate {
@@ -201,7 +208,7 @@
     std::vector<const keeper_candidate*> rank_keepers(const announcement& value) const;
     void accept(time_point now, entry& kept, const announcement& value);
     bool merge(time_point now, const target_record& change);
-    void merge_recalled(time_point now, const target_record& kept);
+    bool merge_recalled(time_point now, const target_record& kept);
     void restate(time_point now, entry& kept);
     void replace(time_point now, entry& known, const target_record& change);
     void end_life(entry& known, incarnation life) const;
