Compare the names of fields without a locale

Cause: find_field compared with boost::algorithm::iequals, which copies the locale for each pair of names; an exchange with a target looks up about six fields among eight. Change: strncasecmp on names of equal length.

--- a/modules/tamarack_transport/http/http_message.cpp
+++ b/modules/tamarack_transport/http/http_message.cpp
@@ -1,8 +1,7 @@
 #include "http_message.h"
 
-#include <boost/algorithm/string/predicate.hpp>
-
 #include <charconv>
+#include <strings.h>
 
 namespace tamarack {
 
@@ -42,7 +41,7 @@
 
 std::string_view find_field(const http_fields& fields, std::string_view name) {
     for (const auto& [listed, value] : fields) {
-        if (boost::algorithm::iequals(listed, name)) {
+        if (listed.size() == name.size() && strncasecmp(listed.data(), name.data(), name.size()) == 0) {
             return value;
         }
     }
