Recognise requests that crash the targets that run them, and don't send them to a second one

Change: an exchange that is lost counts against its content (method, target, body) when its target refuses connections right after, once a target; two targets are evidence, for 60 s after the last loss. Such a request gets no retry and no hedge. Other hosts are told by the message that the own edge uses. Ruled out: lost connections alone as evidence, since lost answers and resets are common while targets live on. Tests: crash_evidence.*, crashing_targets.*; switched off, ten requests crash 20 targets in place of 13 at most.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -33,7 +33,8 @@
 
 } // namespace
 
-forwarding_duty::forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics)
+forwarding_duty::forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics,
+                                 std::function<void(const digest&)> tell_crash)
     : m_settings(chosen), m_edge(std::move(edge)), m_metrics(metrics), m_thread("forwarding", ring_capacity),
       m_engine(options_of(chosen), system_random()),
       m_connections(
@@ -61,7 +62,7 @@
                       on_directory(message, respond);
                       return std::function<void()>{};
                   }),
-      m_random(system_random()) {}
+      m_random(system_random()), m_tell_crash(std::move(tell_crash)) {}
 
 outcome<endpoint> forwarding_duty::start() {
     if (auto readiness = m_readiness.listen(m_settings.edge.readiness); !succeeded(readiness)) {
@@ -101,6 +102,15 @@
     m_callers.set_limits(limits);
 }
 
+bool forwarding_duty::post_crash_told(digest content) {
+    return m_thread.try_post([this, content = std::move(content)] {
+        log_state_change(log_level::info, "crashing_request_told",
+                         m_picture.view ? m_picture.view->ticket : ticket_number{},
+                         {{"content", content.hex()}});
+        m_engine.on_crash_told(steady_now(), content);
+    });
+}
+
 bool forwarding_duty::post_leaving() {
     return m_thread.try_post([this] {
         m_leaving = true;
@@ -154,7 +164,7 @@
             overloaded{
                 [this](const open_target_connection& open) {
                     m_metrics.count(counter_id::connections_opened_total);
-                    m_connections.open(open, forwarding_options{}.connect_limit);
+                    m_connections.open(open, m_connect_limit);
                 },
                 [this](const close_target_connection& close) { m_connections.close(close.connection); },
                 [this](const send_target_exchange& send) {
@@ -162,6 +172,11 @@
                     m_connections.send(send);
                 },
                 [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
+                [this](const crash_found& found) {
+                    log_state_change(log_level::warning, "crashing_request_found", m_picture.view->ticket,
+                                     {{"content", found.content.hex()}, {"target", found.target.value()}});
+                    m_tell_crash(found.content);
+                },
                 [this](const target_changed& changed) {
                     log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
                                      {{"target", changed.target.value()},
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -35,8 +35,10 @@
      * @param chosen   the host's settings; must outlive the duty
      * @param edge     codecs of the edge
      * @param metrics  must outlive the duty
+     * @param tell_crash  tells the other hosts of a content that crashes targets
      */
-    forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics);
+    forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics,
+                    std::function<void(const digest&)> tell_crash);
 
     /** Begins to listen and starts the thread. @return the callers' address in use */
     outcome<endpoint> start();
@@ -44,6 +46,8 @@
 
     /** From any thread: a new picture. */
     bool post_picture(forwarding_picture picture);
+    /** From any thread: another host found that requests of this content crash targets. */
+    bool post_crash_told(digest content);
     /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
     bool post_leaving();
     /** From any thread. @return exchanges with targets that have begun since the start */
@@ -78,6 +82,8 @@
     std::atomic<std::uint64_t> m_exchanges{0};
     std::map<forward_number, http_responder> m_waiting;
     std::function<void()> m_drained;
+    std::function<void(const digest&)> m_tell_crash;
+    duration m_connect_limit = forwarding_options{}.connect_limit;
 };
 
 } // namespace tamarack
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -112,7 +112,10 @@
         m_serving = std::make_unique<serving_duty>(m_settings, m_life, m_metrics, hooks_of_serving());
         return m_serving->start();
     }
-    m_forwarding = std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics);
+    m_forwarding =
+        std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics, [this](const digest& content) {
+            m_hosts->post_quarantine({content});
+        });
     m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
                                                     control_edge_hooks{m_hosts.get(), m_control.get()});
     return m_forwarding->start();
@@ -273,6 +276,9 @@
     };
     hooks.exchanges = [this] { return m_forwarding ? m_forwarding->exchanges() : 0; };
     hooks.quarantine = [this](digest request) {
+        if (m_forwarding) {
+            return m_forwarding->post_crash_told(std::move(request));
+        }
         return !m_serving || m_serving->post_quarantine(std::move(request));
     };
     return hooks;
--- /dev/null
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <tamarack_tickets/tamarack_tickets.h>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace tamarack {
+
+/**
+ * Finds requests that crash the targets that run them.
+ *
+ * Load pattern: a request that crashes each target that runs it comes again and again, at any host, while
+ * other exchanges lose their connections for other reasons. An exchange that is lost counts against its
+ * content only when its target can't be reached right after, and only once for each target. Two targets lost
+ * to one content are evidence: it is not sent to a second target any more.
+ */
+class crash_evidence {
+public:
+    /** An exchange ended with its connection, without a reply. */
+    void on_exchange_lost(time_point now, const target_id& target, const digest& content);
+
+    /**
+     * A connection to a target could not be opened.
+     *
+     * @return contents for which there is evidence now, and was none before: other hosts are to be told
+     */
+    std::vector<digest> on_target_unreachable(time_point now, const target_id& target);
+
+    /** Another host has evidence against a content. */
+    void on_told(time_point now, const digest& content);
+
+    /** @return whether there is evidence against a content; what was seen long ago does not count */
+    bool crashes_targets(time_point now, const digest& content) const;
+
+    /** @return whether anything is suspected at all: otherwise no digest need be computed */
+    bool empty() const { return m_suspects.empty(); }
+
+private:
+    struct lost_exchange {
+        digest content;
+        time_point at{};
+    };
+    struct suspect {
+        std::set<target_id> lost_targets;
+        bool told = false; ///< by another host
+        time_point last{};
+    };
+
+    void forget(time_point now);
+
+    std::map<target_id, std::vector<lost_exchange>> m_lost;
+    std::map<digest, suspect> m_suspects;
+};
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -61,9 +61,15 @@
     duration until{};           ///< how long it is ejected
 };
 
+/** There is evidence that requests of this content crash the targets that run them: tell the other hosts. */
+struct crash_found {
+    digest content;
+    target_id target; ///< lost last
+};
+
 /** What the shell has to do after an event, in order. */
 using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
-                                       deliver_answer, target_changed>;
+                                       deliver_answer, target_changed, crash_found>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -63,6 +63,11 @@
     return options.protections.limit_connections ? target.known.connections : unlimited_connections;
 }
 
+bool forwarding_core::crashes_targets(const forwarding_run& run) const {
+    return options.protections.single_run_of_crashing && !crashes.empty() &&
+           crashes.crashes_targets(now, content_of(*run.request.payload));
+}
+
 exchange_timing& forwarding_core::timing_of(const route& taken) {
     return timings.try_emplace(taken.name, taken.objective).first->second;
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../crashes/crash_evidence.h"
 #include "../routes/route_index.h"
 #include "../routes/split_choice.h"
 #include "forwarding_actions.h"
@@ -67,6 +68,7 @@
     std::unordered_map<forward_number, std::unique_ptr<forwarding_run>> runs;
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
     std::map<std::string, exchange_timing> timings;     ///< by route
+    crash_evidence crashes;
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     std::size_t opening = 0;
     target_connection last_connection = 0;
@@ -89,6 +91,8 @@
     std::size_t hosts() const;
     /** @return connections that this host may have to a target */
     std::size_t connections_allowed(const known_target& target) const;
+    /** @return whether requests like this one are known to crash targets */
+    bool crashes_targets(const forwarding_run& run) const;
     exchange_timing& timing_of(const route& taken);
     void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
                std::string result = {}, std::size_t candidates = 0) const;
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -190,6 +190,13 @@
         on_failure(*held.target);
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
+    if (held.phase == connection_phase::opening) {
+        for (const digest& content : core.crashes.on_target_unreachable(core.now, held.target->known.id)) {
+            core.out.emplace_back(crash_found{content, held.target->known.id});
+        }
+    } else if (run != nullptr) {
+        core.crashes.on_exchange_lost(core.now, held.target->known.id, content_of(*run->request.payload));
+    }
     if (run != nullptr) {
         flow.on_lost(*run, held.part, connection);
     }
@@ -342,6 +349,10 @@
     return due.empty() ? time_point::max() : due.top().at;
 }
 
+void forwarding_engine::on_crash_told(time_point now, const digest& content) {
+    m_implementation->core.crashes.on_told(now, content);
+}
+
 std::size_t forwarding_engine::unanswered() const {
     return m_implementation->core.runs.size();
 }
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -11,7 +11,8 @@
 struct forwarding_protections {
     bool limit_extra_load = true;
     bool limit_connections = true;
-    bool single_run_of_once = true; ///< a request that must not repeat is sent once
+    bool single_run_of_crashing = true; ///< a request that crashes targets is sent to one only
+    bool single_run_of_once = true;     ///< a request that must not repeat is sent once
 };
 
 /** Times and bounds of the engine. */
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -272,7 +272,7 @@
     part.hedge_at = time_point::max();
     const bool once =
         run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
-    const bool may_repeat = did_not_run || !once;
+    const bool may_repeat = did_not_run || (!once && !m_core.crashes_targets(run));
     const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
     if (!may_repeat || !in_time || !part_dispatcher::has_untried(part)) {
         give_up(run, part, cause);
@@ -295,7 +295,7 @@
 void request_flow::hedge(forwarding_run& run, std::size_t part_index) {
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
-    const bool once = run.taken->repeats == repeatability::once;
+    const bool once = run.taken->repeats == repeatability::once || m_core.crashes_targets(run);
     const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts && !once &&
                         part_dispatcher::has_untried(part);
     if (!wanted || !take_extra(run, part)) {
--- a/modules/tamarack_forwarding/payload/forward_request.h
+++ b/modules/tamarack_forwarding/payload/forward_request.h
@@ -25,6 +25,9 @@
     std::string body;
 };
 
+/** @return what tells requests of the same content apart from others: of method, target and body */
+digest content_of(const message_payload& payload);
+
 /** A caller's request as an edge hands it to the engine. */
 struct forward_request {
     forward_number number = 0;
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -13,6 +13,8 @@
 #include "payload/forward_request.h"
 #include "payload/target_exchange.h"
 
+#include "crashes/crash_evidence.h"
+
 #include "explain/request_sampling.h"
 #include "explain/request_trace.h"
 
--- /dev/null
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -0,0 +1,173 @@
+#include <tamarack_forwarding/tamarack_forwarding.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace tamarack {
+namespace {
+
+constexpr time_point start{1h};
+const digest poison = digest_of("poison");
+const digest innocent = digest_of("innocent");
+
+target_id target(int number) {
+    return target_id{"i-" + std::to_string(number)};
+}
+
+TEST(crash_evidence, two_targets_lost_to_one_content_are_evidence) {
+    crash_evidence evidence;
+    evidence.on_exchange_lost(start, target(1), poison);
+    EXPECT_TRUE(evidence.on_target_unreachable(start + 5ms, target(1)).empty());
+    EXPECT_FALSE(evidence.crashes_targets(start + 5ms, poison));
+    evidence.on_exchange_lost(start + 10ms, target(2), poison);
+    EXPECT_EQ(evidence.on_target_unreachable(start + 15ms, target(2)), std::vector<digest>{poison});
+    EXPECT_TRUE(evidence.crashes_targets(start + 15ms, poison));
+    EXPECT_FALSE(evidence.crashes_targets(start + 15ms, innocent));
+}
+
+/** Load pattern: many exchanges lose their connections while their targets live on. */
+TEST(crash_evidence, lost_connections_alone_are_none) {
+    crash_evidence evidence;
+    for (int number = 0; number < 100; ++number) {
+        evidence.on_exchange_lost(start + number * 1ms, target(number), poison);
+    }
+    EXPECT_TRUE(evidence.empty());
+    EXPECT_TRUE(evidence.on_target_unreachable(start + 1h, target(1)).empty()) << "long after the loss";
+}
+
+TEST(crash_evidence, the_same_target_counts_once) {
+    crash_evidence evidence;
+    for (int crash = 0; crash < 3; ++crash) {
+        const time_point now = start + crash * 5s;
+        evidence.on_exchange_lost(now, target(1), poison);
+        evidence.on_target_unreachable(now + 5ms, target(1));
+    }
+    EXPECT_FALSE(evidence.crashes_targets(start + 15s, poison));
+}
+
+TEST(crash_evidence, an_exchange_beside_the_crashing_one_stays_innocent) {
+    crash_evidence evidence;
+    evidence.on_exchange_lost(start, target(1), poison);
+    evidence.on_exchange_lost(start, target(1), innocent);
+    evidence.on_target_unreachable(start + 5ms, target(1));
+    evidence.on_exchange_lost(start + 1s, target(2), poison);
+    evidence.on_target_unreachable(start + 1005ms, target(2));
+    EXPECT_TRUE(evidence.crashes_targets(start + 2s, poison));
+    EXPECT_FALSE(evidence.crashes_targets(start + 2s, innocent));
+}
+
+TEST(crash_evidence, is_taken_from_other_hosts_and_forgotten_after_a_while) {
+    crash_evidence evidence;
+    evidence.on_told(start, poison);
+    EXPECT_TRUE(evidence.crashes_targets(start + 59s, poison));
+    EXPECT_FALSE(evidence.crashes_targets(start + 61s, poison));
+}
+
+/** Targets that crash on each request, for a host's engine: connections break, and open again only later. */
+struct crashing_targets : ::testing::Test {
+    forwarding_engine engine_with(forwarding_protections protections) const {
+        forwarding_options options;
+        options.protections = protections;
+        return forwarding_engine{options, random_source{1}};
+    }
+
+    forwarding_view_pointer view() const {
+        auto table = std::make_shared<route_table>();
+        route taken;
+        taken.name = "fetch";
+        taken.authority = "example";
+        taken.prefix = "/";
+        taken.services = {{service_id{"orders"}, 1}};
+        taken.timeout = 2s;
+        taken.objective = 500ms;
+        taken.attempts = 2;
+        table->routes.push_back(taken);
+        routed_service orders;
+        orders.id = service_id{"orders"};
+        orders.connections = 40;
+        table->services.push_back(orders);
+        auto made = std::make_shared<forwarding_view>();
+        made->ticket = ticket_number{1};
+        made->routes = std::move(table);
+        for (int number = 1; number <= 6; ++number) {
+            forwarding_target listed;
+            listed.id = target(number);
+            listed.service = service_id{"orders"};
+            listed.address = endpoint{"10.0.0.1:" + std::to_string(number)};
+            made->targets.push_back(listed);
+        }
+        return made;
+    }
+
+    /** Carries out what the engine wants: each exchange crashes its target for half a second. */
+    void carry_out(forwarding_engine& engine, const forwarding_actions& actions) {
+        for (const forwarding_action& action : actions) {
+            if (const auto* open = std::get_if<open_target_connection>(&action)) {
+                m_target_of[open->connection] = open->target;
+                const bool down = m_down_until[open->target] > m_now;
+                m_now += 1ms;
+                carry_out(engine, down ? engine.on_connection_lost(m_now, open->connection)
+                                       : engine.on_connected(m_now, open->connection));
+            } else if (const auto* send = std::get_if<send_target_exchange>(&action)) {
+                ++m_runs;
+                m_down_until[m_target_of[send->connection]] = m_now + 500ms;
+                m_now += 1ms;
+                carry_out(engine, engine.on_connection_lost(m_now, send->connection));
+            } else if (std::holds_alternative<crash_found>(action)) {
+                ++m_found;
+            }
+        }
+    }
+
+    int runs_of_ten_requests(forwarding_engine& engine) {
+        carry_out(engine, engine.on_view(m_now, view()));
+        for (forward_number number = 1; number <= 10; ++number) {
+            m_now += 3s;
+            carry_out(engine, engine.on_timer(m_now));
+            forward_request request;
+            request.number = number;
+            request.id = request_id{"r" + std::to_string(number)};
+            request.authority = "example";
+            request.path = "/same";
+            auto payload = std::make_shared<message_payload>();
+            payload->target = "/same";
+            request.payload = payload;
+            carry_out(engine, engine.on_request(m_now, std::move(request)));
+        }
+        return m_runs;
+    }
+
+    time_point m_now = start;
+    std::map<target_connection, target_id> m_target_of;
+    std::map<target_id, time_point> m_down_until;
+    int m_runs = 0;
+    int m_found = 0;
+};
+
+/** Load pattern: a request that crashes each target that runs it comes ten times. */
+TEST_F(crashing_targets, one_that_crashed_two_targets_is_not_sent_to_a_second_one_again) {
+    forwarding_engine engine = engine_with({});
+    const int runs = runs_of_ten_requests(engine);
+    EXPECT_LE(runs, 13) << "one target for each request, and three retries at most";
+    EXPECT_EQ(m_found, 1) << "other hosts are told once";
+}
+
+TEST_F(crashing_targets, loses_two_targets_to_each_request_without_the_protection) {
+    forwarding_protections protections;
+    protections.single_run_of_crashing = false;
+    forwarding_engine engine = engine_with(protections);
+    EXPECT_EQ(runs_of_ten_requests(engine), 20);
+}
+
+TEST_F(crashing_targets, one_of_which_another_host_told_is_sent_once) {
+    forwarding_engine engine = engine_with({});
+    message_payload payload;
+    payload.target = "/same";
+    engine.on_crash_told(m_now, content_of(payload));
+    EXPECT_EQ(runs_of_ten_requests(engine), 10);
+}
+
+} // namespace
+} // namespace tamarack
