--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -116,6 +116,8 @@
     put_port(text, "operators = " + ip + ":", port(5));
     put(text, "seeds", seeds);
     put(text, "bootstrap", m_first_start ? "true" : "false");
+    put(text, "limits.cpu-share", has_disk ? "0.45" : "0.25");
+    put(text, "limits.cores", "1");
     put(text, "fault-tolerance.machines", "1");
     put(text, "bounds.retry-budget-ratio", "0.2");
     put(text, "bounds.budget-min-retries", "58");
