--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -31,12 +31,12 @@
         return found;
     }
     for (const lost_exchange& item : lost->second) {
-        const bool known = m_suspects.contains(item.content);
+        const bool known = m_suspects.contains(item.content.hex());
         if (item.at + crash_shows_within < now || (!known && m_suspects.size() >= most_suspects)) {
             continue;
         }
         const bool before = crashes_targets(now, item.content);
-        suspect& suspected = m_suspects[item.content];
+        suspect& suspected = m_suspects[item.content.hex()];
         suspected.lost_targets.insert(target);
         suspected.last = now;
         if (!before && crashes_targets(now, item.content)) {
@@ -49,14 +49,15 @@
 
 void crash_evidence::on_told(time_point now, const digest& content) {
     forget(now);
-    if (m_suspects.size() < most_suspects || m_suspects.contains(content)) {
-        m_suspects[content].told = true;
-        m_suspects[content].last = now;
+    if (m_suspects.size() < most_suspects || m_suspects.contains(content.hex())) {
+        suspect& suspected = m_suspects[content.hex()];
+        suspected.told = true;
+        suspected.last = now;
     }
 }
 
 bool crash_evidence::crashes_targets(time_point now, const digest& content) const {
-    const auto found = m_suspects.find(content);
+    const auto found = m_suspects.find(content.hex());
     if (found == m_suspects.end() || found->second.last + remembered_for < now) {
         return false;
     }
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace tamarack {
@@ -52,7 +53,7 @@
     void forget(time_point now);
 
     std::map<target_id, std::vector<lost_exchange>> m_lost;
-    std::map<digest, suspect> m_suspects;
+    std::map<std::string, suspect> m_suspects; ///< by the hexadecimal text of the content's digest
 };
 
 } // namespace tamarack
