--- a/apps/tamarackd/hosts/target_memory.cpp
+++ b/apps/tamarackd/hosts/target_memory.cpp
@@ -44,8 +44,8 @@
     return records;
 }
 
-void report(const error& reason, const char* event) {
-    log_state_change(log_level::warning, event, {}, {{"reason", reason.message}});
+void report_not_recalled(const error& reason) {
+    log_state_change(log_level::warning, "targets_not_recalled", {}, {{"reason", reason.message}});
 }
 
 } // namespace
@@ -68,7 +68,7 @@
 std::vector<target_record> target_memory::read() const {
     const auto content = read_kept_file(m_folder, file_name);
     if (!succeeded(content)) {
-        report(error_of(content), "targets_not_recalled");
+        report_not_recalled(error_of(content));
         return {};
     }
     if (value_of(content).empty()) {
@@ -76,7 +76,7 @@
     }
     auto records = from_text(value_of(content));
     if (!succeeded(records)) {
-        report(error_of(records), "targets_not_recalled");
+        report_not_recalled(error_of(records));
         return {};
     }
     return value_of(std::move(records));
@@ -99,7 +99,7 @@
 void target_memory::write(const std::vector<target_record>& records) {
     const auto written = replace_kept_file(m_folder, file_name, to_text(records), system_file_hooks());
     if (!succeeded(written)) {
-        report(error_of(written), "targets_not_kept");
+        log_state_change(log_level::warning, "targets_not_kept", {}, {{"reason", error_of(written).message}});
     }
 }
 
--- a/tests/membership/active_hosts_test.cpp
+++ b/tests/membership/active_hosts_test.cpp
@@ -23,6 +23,7 @@
 /** Eight fast hosts and sixty-three slow ones. */
 std::vector<host_record> large_deployment(std::uint32_t load_of_fast = 0) {
     std::vector<host_record> hosts;
+    hosts.reserve(71);
     for (int index = 0; index < 8; ++index) {
         hosts.push_back(host("fast-" + std::to_string(index), fast, load_of_fast));
     }
