A departure told to another host than the keeper ends the target everywhere

Cause, found on reading the change again: a record's version follows the sequence that the host knows. A host that is told of an end knows the sequence of the last spread change; the keeper has heard later heartbeats and took the end for older news, stated itself alive anew, and so revived the target everywhere until its lease ran out (6 s, beyond the 3 s that a drain allows). A host that had recalled the target spread an end without a keeper, which others ignored. Change: the end of a life has the highest version; whoever learns of it refuses late heartbeats of that life. Ruled out: draining, which comes with a heartbeat of its own sequence. Tests: a_departure_told_to_another_host_than_the_keeper_*, a_departure_told_to_a_host_that_recalled_*: both failed before.

--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -3,12 +3,16 @@
 #include "announcement_checks.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace tamarack {
 
 namespace {
 
+/** A life that ended stays ended: heartbeats that its keeper heard meanwhile don't count against it. */
+constexpr std::uint64_t version_of_end = std::numeric_limits<std::uint64_t>::max();
+
 /** Sequence numbers order the states of one life; the end of a lease comes after the last one heard. */
 std::uint64_t version_of(std::uint64_t sequence, bool alive) {
     return sequence * 2 + (alive ? 0 : 1);
@@ -128,12 +132,16 @@
     m_index.remove(known.record.latest);
     known.record.alive = false;
     known.record.latest.state = target_state::draining;
+    if (known.record.keeper.empty()) {
+        known.record.keeper = m_self; // a record without keeper is no news to others
+    }
     end_life(known, known.record.latest.life);
     set_kept(known, false);
     set_deadline(known, now + m_options.forget_after);
     m_index.add(known.record.latest, false);
     ++m_generation;
     restate(now, known);
+    known.record.version = version_of_end;
 }
 
 outcome<done> target_registry::on_departure(time_point now, const target_id& target,
@@ -314,6 +322,9 @@
     known.heard_sequence = change.latest.sequence;
     known.record.latest.load = {};
     known.changed_at = now;
+    if (change.version == version_of_end) {
+        end_life(known, change.latest.life);
+    }
     m_index.add(known.record.latest, known.record.alive);
     ++m_generation;
     set_kept(known, change.alive && change.keeper == m_self);
--- a/tests/membership/start_time_lives_test.cpp
+++ b/tests/membership/start_time_lives_test.cpp
@@ -148,5 +148,34 @@
     EXPECT_EQ(usable(young), 1U);
 }
 
+/** Hands over what one registry has to tell. */
+void tell(target_registry& from, target_registry& to) {
+    to.on_changes(start + 2s, from.take_changes());
+}
+
+/** A departure may be told to any host, while the host that hears the heartbeats has heard many since. */
+TEST_F(start_time_lives, a_departure_told_to_another_host_than_the_keeper_ends_the_target_everywhere) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    tell(m_registry, m_other);
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 50)));
+    ASSERT_TRUE(succeeded(m_other.on_departure(start + 2s, target_id{"i-1"}, incarnation{100})));
+    tell(m_other, m_registry);
+    tell(m_registry, m_other);
+    EXPECT_EQ(usable(m_registry), 0U) << "the keeper has heard later heartbeats, but none after the end";
+    EXPECT_EQ(usable(m_other), 0U);
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 51))) << "a heartbeat that was late";
+    EXPECT_EQ(usable(m_registry), 0U);
+}
+
+TEST_F(start_time_lives, a_departure_told_to_a_host_that_recalled_the_target_ends_it_everywhere) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 5)));
+    target_registry restarted{host_id{"c"}, options(), start};
+    restarted.recall(start, m_registry.all());
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 50)));
+    ASSERT_TRUE(succeeded(restarted.on_departure(start + 2s, target_id{"i-1"}, incarnation{100})));
+    tell(restarted, m_registry);
+    EXPECT_EQ(usable(m_registry), 0U);
+}
+
 } // namespace
 } // namespace tamarack
