Split the longest files: keepers, newcomers, introductions and the methods between hosts get classes of their own

The limits of the callers' server stood twice (forwarding_duty, serving_duty): caller_limits_of. The limit on opening a connection travels with the action in place of a copy of the default options in the duty. Two tests of the forwarding engine share their route. An identity or quarantine that can't be read is reported now, as other messages are; before it was dropped without a line. Tests: control_introductions.*, host_methods.*.

--- a/apps/tamarackd/forwarding/exchange_connections.cpp
+++ b/apps/tamarackd/forwarding/exchange_connections.cpp
@@ -14,7 +14,7 @@
                                            exchange_connection_events events)
     : m_thread(thread), m_edge(edge), m_events(std::move(events)) {}
 
-void exchange_connections::open(const open_target_connection& wanted, duration connect_limit) {
+void exchange_connections::open(const open_target_connection& wanted) {
     const target_connection number = wanted.connection;
     http_connection_events events;
     events.opened = [this, number] { m_events.opened(number); };
@@ -22,7 +22,7 @@
         m_connections.erase(number);
         m_events.lost(number);
     };
-    m_connections[number] = std::make_unique<http_connection>(m_thread, wanted.address, connect_limit,
+    m_connections[number] = std::make_unique<http_connection>(m_thread, wanted.address, wanted.limit,
                                                               reply_body_limit, std::move(events));
 }
 
--- a/apps/tamarackd/forwarding/exchange_connections.h
+++ b/apps/tamarackd/forwarding/exchange_connections.h
@@ -25,7 +25,7 @@
 public:
     exchange_connections(duty_thread& thread, const edge_protocol& edge, exchange_connection_events events);
 
-    void open(const open_target_connection& wanted, duration connect_limit);
+    void open(const open_target_connection& wanted);
     void close(target_connection connection);
     void send(const send_target_exchange& wanted);
 
--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_duty.h"
 
+#include "../server_limits.h"
 #include "../system_random.h"
 
 #include <algorithm>
@@ -13,16 +14,6 @@
 /** Hosts named in one directory reply. */
 constexpr std::size_t most_entries = 64;
 
-http_server_limits limits_of(const settings& chosen) {
-    http_server_limits limits;
-    limits.header_bytes = chosen.limits.header_bytes;
-    limits.body_bytes = chosen.limits.body_bytes;
-    limits.connections = chosen.limits.caller_connections;
-    limits.idle = chosen.limits.idle_connection;
-    limits.receipt = chosen.limits.request_receipt;
-    return limits;
-}
-
 forwarding_options options_of(const settings& chosen) {
     forwarding_options options;
     options.data_center = chosen.data_center;
@@ -48,7 +39,7 @@
       m_timer(
           m_thread, [this] { return m_engine.next_timer(); },
           [this](time_point now) { carry_out(m_engine.on_timer(now)); }),
-      m_callers(m_thread, limits_of(chosen),
+      m_callers(m_thread, caller_limits_of(chosen),
                 [this](http_request message, const http_responder& respond) {
                     return on_request(std::move(message), respond);
                 }),
@@ -92,7 +83,7 @@
 }
 
 void forwarding_duty::apply_limits() {
-    http_server_limits limits = limits_of(m_settings);
+    http_server_limits limits = caller_limits_of(m_settings);
     if (m_picture.view->routes) {
         const caller_limits& wanted = m_picture.view->routes->limits;
         limits.header_bytes = wanted.header_bytes > 0 ? wanted.header_bytes : limits.header_bytes;
@@ -164,7 +155,7 @@
             overloaded{
                 [this](const open_target_connection& open) {
                     m_metrics.count(counter_id::connections_opened_total);
-                    m_connections.open(open, m_connect_limit);
+                    m_connections.open(open);
                 },
                 [this](const close_target_connection& close) { m_connections.close(close.connection); },
                 [this](const send_target_exchange& send) {
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -83,7 +83,6 @@
     std::map<forward_number, http_responder> m_waiting;
     std::function<void()> m_drained;
     std::function<void(const digest&)> m_tell_crash;
-    duration m_connect_limit = forwarding_options{}.connect_limit;
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/hosts/control_introductions.cpp
@@ -0,0 +1,50 @@
+#include "control_introductions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+void control_introductions::on_introduced(time_point now, member_id member, data_center_id data_center) {
+    const host_id host = member.host;
+    m_hosts[host] = {std::move(member), std::move(data_center), now};
+}
+
+std::vector<member_id> control_introductions::first_voters(const host_id& leader) const {
+    const formation_settings& formation = m_settings.formation;
+    const bool founder = formation.automatic && formation.first_start && !m_settings.seeds.empty() &&
+                         m_settings.seeds.front().host == m_settings.host;
+    if (!founder || !leader.empty()) {
+        return {};
+    }
+    const std::size_t wanted =
+        std::min<std::size_t>(2U * formation.tolerated_losses + 1U, m_settings.seeds.size());
+    std::vector<member_id> voters;
+    for (std::size_t index = 0; index < wanted; ++index) {
+        const auto known = m_hosts.find(m_settings.seeds[index].host);
+        if (known == m_hosts.end()) {
+            return {};
+        }
+        voters.push_back(known->second.member);
+    }
+    return voters;
+}
+
+std::vector<voter_candidate> control_introductions::candidates(time_point now) const {
+    std::vector<voter_candidate> known;
+    known.reserve(m_hosts.size());
+    for (const auto& [host, introduced] : m_hosts) {
+        known.push_back({introduced.member, introduced.data_center, now - introduced.heard_at});
+    }
+    return known;
+}
+
+std::map<host_id, member_id> control_introductions::identities() const {
+    std::map<host_id, member_id> identities;
+    for (const auto& [host, introduced] : m_hosts) {
+        identities[host] = introduced.member;
+    }
+    return identities;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -0,0 +1,79 @@
+#include "host_methods.h"
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+outcome<digest> decode_quarantine(const Json::Value& parameters) {
+    if (!parameters["digest"].isString()) {
+        return error{error_code::malformed, "a quarantine lacks its digest"};
+    }
+    return digest{parameters["digest"].asString()};
+}
+
+/** Registers one method: what its codec reads goes to the handler, what it can't read is reported. */
+template <typename Decode, typename Handler>
+void on(host_dispatcher& dispatcher, const std::string& method, const host_method_handlers& handlers,
+        Decode decode, Handler handler) {
+    dispatcher.on(method,
+                  [method, decode, handler, unreadable = handlers.unreadable](const Json::Value& parameters) {
+                      auto message = decode(parameters);
+                      if (succeeded(message)) {
+                          handler(value_of(std::move(message)));
+                      } else {
+                          unreadable(method, error_of(message));
+                      }
+                  });
+}
+
+} // namespace
+
+Json::Value encode_identity(const host_identity& value) {
+    Json::Value parameters;
+    parameters["host"] = value.member.host.value();
+    parameters["life"] = Json::UInt64{value.member.life.value};
+    parameters["data_center"] = value.data_center.value();
+    return parameters;
+}
+
+Json::Value encode_inquiry(const configuration_inquiry& value) {
+    Json::Value parameters;
+    parameters["host"] = value.from.value();
+    parameters["reply_to"] = value.reply_to.value();
+    parameters["holds"] = Json::UInt64{value.holds.value};
+    return parameters;
+}
+
+outcome<host_identity> decode_identity(const Json::Value& parameters) {
+    const bool readable = parameters["host"].isString() && parameters["life"].isUInt64() &&
+                          parameters["data_center"].isString();
+    if (!readable) {
+        return error{error_code::malformed, "an identity lacks a member"};
+    }
+    return host_identity{{host_id{parameters["host"].asString()}, incarnation{parameters["life"].asUInt64()}},
+                         data_center_id{parameters["data_center"].asString()}};
+}
+
+outcome<configuration_inquiry> decode_inquiry(const Json::Value& parameters) {
+    const bool readable =
+        parameters["host"].isString() && parameters["reply_to"].isString() && parameters["holds"].isUInt64();
+    if (!readable) {
+        return error{error_code::malformed, "an inquiry lacks a member"};
+    }
+    return configuration_inquiry{host_id{parameters["host"].asString()},
+                                 endpoint{parameters["reply_to"].asString()},
+                                 ticket_number{parameters["holds"].asUInt64()}};
+}
+
+void register_host_methods(host_dispatcher& dispatcher, const host_method_handlers& handlers) {
+    on(dispatcher, raft_method, handlers, decode_envelope, handlers.raft);
+    on(dispatcher, control_method, handlers, decode_control_message, handlers.control);
+    on(dispatcher, membership_method, handlers, decode_membership_message, handlers.membership);
+    on(dispatcher, quarantine_method, handlers, decode_quarantine, handlers.quarantine);
+    on(dispatcher, identity_method, handlers, decode_identity, handlers.identity);
+    on(dispatcher, inquiry_method, handlers, decode_inquiry, handlers.inquiry);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/hosts/host_methods.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <tamarack_control/tamarack_control.h>
+#include <tamarack_membership/tamarack_membership.h>
+#include <tamarack_transport/tamarack_transport.h>
+
+#include <functional>
+#include <string>
+
+namespace tamarack {
+
+/** Names of the notifications between hosts, but for those of suspicion_exchange. */
+inline const std::string raft_method = "raft.message";
+inline const std::string control_method = "control.message";
+inline const std::string membership_method = "membership.message";
+inline const std::string quarantine_method = "quarantine.request";
+inline const std::string identity_method = "control.identity";
+inline const std::string inquiry_method = "control.inquiry";
+
+/** A control host says which life of its data folder it has. */
+struct host_identity {
+    member_id member;
+    data_center_id data_center;
+};
+
+/** A host asks another for its configuration. */
+struct configuration_inquiry {
+    host_id from;
+    endpoint reply_to;
+    ticket_number holds; ///< nothing is answered unless the other holds a later one
+};
+
+/** @return the parameters of the notification */
+Json::Value encode_identity(const host_identity& value);
+Json::Value encode_inquiry(const configuration_inquiry& value);
+
+/** @return the message, or malformed when a member is missing or of another type */
+outcome<host_identity> decode_identity(const Json::Value& parameters);
+outcome<configuration_inquiry> decode_inquiry(const Json::Value& parameters);
+
+/** What is done with a notification of another host, once it is decoded. Every handler is set. */
+struct host_method_handlers {
+    std::function<void(raft_envelope)> raft;
+    std::function<void(control_message)> control;
+    std::function<void(membership_message)> membership;
+    std::function<void(digest)> quarantine;
+    std::function<void(host_identity)> identity;
+    std::function<void(configuration_inquiry)> inquiry;
+    /** A notification can't be decoded; it is dropped, as if it were lost. */
+    std::function<void(const std::string& method, const error& reason)> unreadable;
+};
+
+/** Registers the methods with a dispatcher. */
+void register_host_methods(host_dispatcher& dispatcher, const host_method_handlers& handlers);
+
+} // namespace tamarack
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -19,13 +19,6 @@
  * the bench (docs/CAPACITY.md). The process's own clock of processor time is not kept on every platform. */
 constexpr duration processor_time_of_exchange = 170us;
 
-const std::string raft_method = "raft.message";
-const std::string control_method = "control.message";
-const std::string membership_method = "membership.message";
-const std::string quarantine_method = "quarantine.request";
-const std::string identity_method = "control.identity";
-const std::string inquiry_method = "control.inquiry";
-
 } // namespace
 
 hosts_duty::hosts_duty(const settings& chosen, incarnation life, member_id identity, metric_registry& metrics,
@@ -40,7 +33,7 @@
                    settle();
                    return std::function<void()>{};
                }),
-      m_links(m_thread),
+      m_links(m_thread), m_introductions(m_settings),
       m_suspicions(m_settings.host,
                    [this](const endpoint& address, const std::string& method, Json::Value parameters) {
                        m_links.send(address, method, std::move(parameters));
@@ -90,54 +83,32 @@
 }
 
 void hosts_duty::register_methods() {
-    m_dispatcher.on(raft_method, [this](const Json::Value& parameters) {
-        auto envelope = decode_envelope(parameters);
-        if (!succeeded(envelope)) {
-            report_unreadable(raft_method, error_of(envelope));
-        } else if (m_hooks.to_log) {
-            m_hooks.to_log(value_of(std::move(envelope)));
-        }
-    });
-    m_dispatcher.on(control_method, [this](const Json::Value& parameters) {
-        const auto message = decode_control_message(parameters);
-        if (succeeded(message)) {
-            route_control(value_of(message));
-        } else {
-            report_unreadable(control_method, error_of(message));
-        }
-    });
-    m_dispatcher.on(membership_method, [this](const Json::Value& parameters) {
-        const auto message = decode_membership_message(parameters);
-        if (succeeded(message)) {
-            carry_out(m_detector->on_message(steady_now(), value_of(message), *m_registry));
-        } else {
-            report_unreadable(membership_method, error_of(message));
+    host_method_handlers handlers;
+    handlers.raft = [this](raft_envelope envelope) {
+        if (m_hooks.to_log) {
+            m_hooks.to_log(std::move(envelope));
         }
-    });
+    };
+    handlers.control = [this](const control_message& message) { route_control(message); };
+    handlers.membership = [this](const membership_message& message) {
+        carry_out(m_detector->on_message(steady_now(), message, *m_registry));
+    };
+    handlers.quarantine = [this](digest request) { m_hooks.quarantine(std::move(request)); };
+    handlers.identity = [this](const host_identity& told) {
+        m_introductions.on_introduced(steady_now(), told.member, told.data_center);
+    };
+    handlers.inquiry = [this](const configuration_inquiry& inquiry) { answer_peer(inquiry); };
+    handlers.unreadable = [this](const std::string& method, const error& reason) {
+        log_state_change(log_level::warning, "host_message_unreadable", m_control->current().number,
+                         {{"method", method}, {"reason", reason.message}});
+    };
+    register_host_methods(m_dispatcher, handlers);
     m_dispatcher.on(suspicion_method, [this](const Json::Value& parameters) {
         m_suspicions.on_told(
             parameters, [this](const host_id& host) { return address_of(host); }, m_hooks.suspicion);
     });
     m_dispatcher.on(suspicion_known_method,
                     [this](const Json::Value& parameters) { m_suspicions.on_known(parameters); });
-    m_dispatcher.on(quarantine_method, [this](const Json::Value& parameters) {
-        if (parameters["digest"].isString()) {
-            m_hooks.quarantine(digest{parameters["digest"].asString()});
-        }
-    });
-    m_dispatcher.on(inquiry_method, [this](const Json::Value& parameters) { answer_peer(parameters); });
-    m_dispatcher.on(identity_method, [this](const Json::Value& parameters) {
-        if (parameters["host"].isString() && parameters["life"].isUInt64()) {
-            const host_id host{parameters["host"].asString()};
-            m_identities[host] = {member_id{host, incarnation{parameters["life"].asUInt64()}},
-                                  data_center_id{parameters["data_center"].asString()}, steady_now()};
-        }
-    });
-}
-
-void hosts_duty::report_unreadable(const std::string& method, const error& reason) const {
-    log_state_change(log_level::warning, "host_message_unreadable", m_control->current().number,
-                     {{"method", method}, {"reason", reason.message}});
 }
 
 bool hosts_duty::post_raft(raft_envelope envelope) {
@@ -305,10 +276,15 @@
     if (m_identity.host.empty()) {
         return;
     }
-    m_identities[m_identity.host] = {m_identity, m_settings.data_center, now};
-    send_identity(now);
-    found_when_due();
-    propose_voters(now);
+    m_introductions.on_introduced(now, m_identity, m_settings.data_center);
+    send_identity();
+    const std::vector<member_id> first = m_introductions.first_voters(m_control->leader());
+    if (!first.empty() && m_hooks.found) {
+        m_hooks.found(first);
+    }
+    if (m_settings.formation.automatic && m_control->leader() == m_settings.host && m_hooks.voters) {
+        m_hooks.voters(m_introductions.candidates(now));
+    }
     remember_targets(now);
 }
 
@@ -337,34 +313,22 @@
         }
     }
     if (const auto peer = m_inquiry.next(now, inputs)) {
-        Json::Value parameters;
-        parameters["host"] = m_settings.host.value();
-        parameters["reply_to"] = m_address.value();
-        parameters["holds"] = Json::UInt64{m_control->current().number.value};
-        m_links.send(address_of(*peer), inquiry_method, parameters);
+        const configuration_inquiry inquiry{m_settings.host, m_address, m_control->current().number};
+        m_links.send(address_of(*peer), inquiry_method, encode_inquiry(inquiry));
     }
 }
 
-void hosts_duty::answer_peer(const Json::Value& parameters) {
-    const bool readable =
-        parameters["host"].isString() && parameters["reply_to"].isString() && parameters["holds"].isUInt64();
-    if (!readable) {
-        report_unreadable(inquiry_method, error{error_code::malformed, "an inquiry lacks a member"});
-        return;
-    }
+void hosts_duty::answer_peer(const configuration_inquiry& inquiry) {
     const configuration& current = m_control->current();
-    if (current.number.value <= parameters["holds"].asUInt64()) {
+    if (current.number <= inquiry.holds) {
         return;
     }
     const ask_elsewhere answer{m_settings.host, 0, m_control->leader(), current};
-    send_control(host_id{parameters["host"].asString()}, endpoint{parameters["reply_to"].asString()}, answer);
+    send_control(inquiry.from, inquiry.reply_to, answer);
 }
 
-void hosts_duty::send_identity(time_point /*now*/) {
-    Json::Value parameters;
-    parameters["host"] = m_identity.host.value();
-    parameters["life"] = Json::UInt64{m_identity.life.value};
-    parameters["data_center"] = m_settings.data_center.value();
+void hosts_duty::send_identity() {
+    const Json::Value parameters = encode_identity({m_identity, m_settings.data_center});
     const host_id leader = m_control->leader();
     if (!leader.empty()) {
         if (m_settings.formation.automatic && leader != m_settings.host) {
@@ -379,38 +343,6 @@
     }
 }
 
-/** On the first start of a deployment the first seed forms the history, once it has heard all others. */
-void hosts_duty::found_when_due() {
-    const formation_settings& formation = m_settings.formation;
-    const bool founder = formation.automatic && formation.first_start && !m_settings.seeds.empty() &&
-                         m_settings.seeds.front().host == m_settings.host;
-    if (!founder || !m_control->leader().empty() || !m_hooks.found) {
-        return;
-    }
-    std::vector<member_id> voters;
-    const std::size_t wanted =
-        std::min<std::size_t>(2U * formation.tolerated_losses + 1U, m_settings.seeds.size());
-    for (std::size_t index = 0; index < wanted; ++index) {
-        const auto known = m_identities.find(m_settings.seeds[index].host);
-        if (known == m_identities.end()) {
-            return;
-        }
-        voters.push_back(known->second.member);
-    }
-    m_hooks.found(std::move(voters));
-}
-
-void hosts_duty::propose_voters(time_point now) {
-    if (!m_settings.formation.automatic || m_control->leader() != m_settings.host || !m_hooks.voters) {
-        return;
-    }
-    std::vector<voter_candidate> known;
-    for (const auto& [host, introduced] : m_identities) {
-        known.push_back({introduced.member, introduced.data_center, now - introduced.heard_at});
-    }
-    m_hooks.voters(std::move(known));
-}
-
 void hosts_duty::carry_out(control_client_actions actions) {
     for (control_client_action& action : actions) {
         std::visit(
@@ -639,9 +571,7 @@
     result.lease_ends_at = m_control->lease_ends_at();
     result.leader = m_control->leader();
     result.isolated = m_isolated;
-    for (const auto& [host, introduced] : m_identities) {
-        result.identities[host] = introduced.member;
-    }
+    result.identities = m_introductions.identities();
     result.traffic = m_links.counts();
     return result;
 }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -2,8 +2,10 @@
 
 #include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
+#include "control_introductions.h"
 #include "forwarding_pictures.h"
 #include "host_links.h"
+#include "host_methods.h"
 #include "peer_inquiry.h"
 #include "readiness_gate.h"
 #include "suspicion_exchange.h"
@@ -112,8 +114,6 @@
 
 private:
     void register_methods();
-    /** Another host's message can't be decoded; it is dropped, as if it were lost. */
-    void report_unreadable(const std::string& method, const error& reason) const;
     /** @return the live hosts, this one left out, that a service is assigned to, with their addresses */
     std::map<host_id, endpoint> other_hosts_of(const service_id& service) const;
     void on_timer(time_point now);
@@ -146,28 +146,21 @@
     host_dispatcher m_dispatcher;
     http_server m_server;
     host_links m_links;
+    control_introductions m_introductions;
     suspicion_exchange m_suspicions;
     endpoint m_address;
     std::unique_ptr<control_client> m_control;
     std::unique_ptr<target_registry> m_registry;
     std::unique_ptr<failure_detector> m_detector;
     std::unique_ptr<timer_loop> m_timer;
-    struct introduced_host {
-        member_id member;
-        data_center_id data_center;
-        time_point heard_at;
-    };
-    void send_identity(time_point now);
-    void found_when_due();
-    void propose_voters(time_point now);
+    void send_identity();
     void tell_load(time_point now);
 
     void update_control_hosts();
     void ask_a_peer(time_point now);
-    void answer_peer(const Json::Value& parameters);
+    void answer_peer(const configuration_inquiry& inquiry);
 
-    std::vector<seed_host> m_seeds; ///< as last set
-    std::map<host_id, introduced_host> m_identities;
+    std::vector<seed_host> m_seeds;              ///< as last set
     std::map<host_id, host_record> m_seen_hosts; ///< as last reported by the detector
     std::unique_ptr<forwarding_pictures> m_pictures;
     load_report m_load;
--- /dev/null
+++ b/apps/tamarackd/server_limits.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <tamarack_settings/tamarack_settings.h>
+#include <tamarack_transport/tamarack_transport.h>
+
+namespace tamarack {
+
+/** @return the limits of the server that callers connect to, by the host's settings */
+http_server_limits caller_limits_of(const settings& chosen);
+
+} // namespace tamarack
--- a/apps/tamarackd/serving/serving_duty.cpp
+++ b/apps/tamarackd/serving/serving_duty.cpp
@@ -1,5 +1,6 @@
 #include "serving_duty.h"
 
+#include "../server_limits.h"
 #include "../system_random.h"
 #include "caller_codec.h"
 
@@ -13,16 +14,6 @@
 constexpr std::size_t ring_capacity = 4'096;
 constexpr duration fallback_deadline = 1s;
 
-http_server_limits limits_of(const settings& chosen) {
-    http_server_limits limits;
-    limits.header_bytes = chosen.limits.header_bytes;
-    limits.body_bytes = chosen.limits.body_bytes;
-    limits.connections = chosen.limits.caller_connections;
-    limits.idle = chosen.limits.idle_connection;
-    limits.receipt = chosen.limits.request_receipt;
-    return limits;
-}
-
 } // namespace
 
 serving_duty::serving_duty(const settings& chosen, incarnation life, metric_registry& metrics,
@@ -41,9 +32,10 @@
       m_cancellations(m_thread, life), m_timer(
                                            m_thread, [this] { return m_engine.next_timer(); },
                                            [this](time_point now) { carry_out(m_engine.on_timer(now)); }),
-      m_server(m_thread, limits_of(chosen), [this](const http_request& message, http_responder respond) {
-          return on_http(message, std::move(respond));
-      }) {}
+      m_server(m_thread, caller_limits_of(chosen),
+               [this](const http_request& message, http_responder respond) {
+                   return on_http(message, std::move(respond));
+               }) {}
 
 outcome<endpoint> serving_duty::start() {
     auto listening = m_server.listen(m_settings.listen.callers);
--- a/modules/tamarack_control/messages/compressed_text.h
+++ b/modules/tamarack_control/messages/compressed_text.h
@@ -11,8 +11,7 @@
 /**
  * Compresses a text for a JSON message.
  *
- * Use it for texts of some kilobytes that go to many hosts, compressed once: a configuration shrinks to a
- * seventh.
+ * Use it for texts of some kilobytes that go to many hosts: compress once, send often.
  *
  * @return the compressed bytes as Base64
  */
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -14,6 +14,7 @@
     target_connection connection = 0;
     target_id target;
     endpoint address;
+    duration limit{}; ///< for the opening
 };
 
 /** Close a connection; nothing further is reported of it. */
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -262,7 +262,8 @@
     ++target->opening;
     ++m_core.opening;
     ++m_core.counted.connections_opened;
-    m_core.out.emplace_back(open_target_connection{connection, target->known.id, target->known.address});
+    m_core.out.emplace_back(open_target_connection{connection, target->known.id, target->known.address,
+                                                   m_core.options.connect_limit});
 }
 
 void part_dispatcher::open_for(const known_service& service, const run_part& part) {
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -353,7 +353,11 @@
 }
 
 void failure_detector::greet_newcomers(const target_registry& registry) {
-    for (const host_id& newcomer : std::exchange(m_newcomers, {})) {
+    const std::vector<host_id> hosts = m_newcomers.take();
+    if (!m_state.pushes_directly()) {
+        return;
+    }
+    for (const host_id& newcomer : hosts) {
         membership_news told;
         told.hosts.push_back(m_state.self());
         for (target_record& record : registry.told_to_newcomer(recalls_for(newcomer))) {
@@ -379,19 +383,6 @@
     });
 }
 
-void failure_detector::note_newcomer(const host_record& record) {
-    if (!is_running(record.state)) {
-        m_greeted.erase(record.host);
-        return;
-    }
-    const auto [greeted, is_new] = m_greeted.try_emplace(record.host, record.life);
-    const bool known = !is_new && greeted->second == record.life;
-    greeted->second = record.life;
-    if (!known && m_state.pushes_directly()) {
-        m_newcomers.push_back(record.host);
-    }
-}
-
 std::size_t failure_detector::pushes() const {
     if (m_state.pushes_directly()) {
         return m_state.hosts().running().size();
@@ -462,7 +453,7 @@
 
 void failure_detector::report(const std::vector<host_record>& changed) {
     for (const host_record& record : changed) {
-        note_newcomer(record);
+        m_newcomers.on_host(record);
         m_actions.emplace_back(host_changed{record});
     }
 }
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -3,6 +3,7 @@
 #include "isolation_monitor.h"
 #include "membership_message.h"
 #include "membership_state.h"
+#include "newcomers.h"
 #include "probe_order.h"
 
 #include <cstddef>
@@ -158,7 +159,6 @@
     void push_news(time_point now, target_registry& registry);
     void greet_newcomers(const target_registry& registry);
     bool recalls_for(const host_id& newcomer) const;
-    void note_newcomer(const host_record& record);
     void start_sync(time_point now, const host_id& peer, std::size_t first_group, target_registry& registry);
     void compare_states(time_point now, target_registry& registry);
     void answer_syncs(time_point now, target_registry& registry);
@@ -187,8 +187,7 @@
     time_point m_next_exchange{};
     duration m_exchange_wait; ///< until the next comparison; short after a start or a heal
     std::uint64_t m_seen_returns = 0;
-    std::map<host_id, incarnation> m_greeted; ///< running hosts that were told all that is kept here
-    std::vector<host_id> m_newcomers;         ///< running hosts that are still to be told
+    newcomers m_newcomers;
     bool m_joined = false; ///< whether a comparison of states has been completed since the start or a heal
     membership_actions m_actions;
 };
--- /dev/null
+++ b/modules/tamarack_membership/hosts/newcomers.cpp
@@ -0,0 +1,25 @@
+#include "newcomers.h"
+
+#include <utility>
+
+namespace tamarack {
+
+void newcomers::on_host(const host_record& record) {
+    const bool runs = record.state == host_state::alive || record.state == host_state::suspect;
+    if (!runs) {
+        m_met.erase(record.host);
+        return;
+    }
+    const auto [met, is_new] = m_met.try_emplace(record.host, record.life);
+    const bool known = !is_new && met->second == record.life;
+    met->second = record.life;
+    if (!known) {
+        m_waiting.push_back(record.host);
+    }
+}
+
+std::vector<host_id> newcomers::take() {
+    return std::exchange(m_waiting, {});
+}
+
+} // namespace tamarack
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -33,7 +33,8 @@
 }
 
 target_registry::target_registry(host_id self, registry_options options, time_point now)
-    : m_self(std::move(self)), m_options(options), m_grace_ends(now + options.grace_after_isolation) {}
+    : m_self(self), m_options(options), m_keepers(std::move(self)),
+      m_grace_ends(now + options.grace_after_isolation) {}
 
 outcome<announcement_receipt> target_registry::on_announcement(time_point now, const announcement& value,
                                                                const configuration& in_force) {
@@ -199,7 +200,7 @@
 
 announcement_receipt target_registry::receipt_for(const announcement& value) const {
     announcement_receipt receipt;
-    for (const keeper_candidate* keeper : rank_keepers(value)) {
+    for (const keeper_candidate* keeper : m_keepers.rank(value, m_options.keepers, m_isolated)) {
         receipt.announce_to.push_back(keeper->address);
     }
     const double paced = static_cast<double>(m_kept) / m_options.heartbeats_per_second;
@@ -208,31 +209,9 @@
     return receipt;
 }
 
-std::vector<const target_registry::keeper_candidate*>
-target_registry::rank_keepers(const announcement& value) const {
-    using ranked_keeper = std::tuple<bool, std::uint64_t, const keeper_candidate*>;
-    const std::uint64_t seed = stable_hash(value.target.value());
-    std::vector<ranked_keeper> ranked;
-    ranked.reserve(m_candidates.size());
-    for (const keeper_candidate& candidate : m_candidates) {
-        const bool cut_off = m_isolated && candidate.host == m_self;
-        ranked.emplace_back(cut_off, stable_hash(candidate.host.value(), seed), &candidate);
-    }
-    const std::size_t named = std::min(m_options.keepers, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(named), ranked.end());
-    std::vector<const keeper_candidate*> keepers;
-    for (std::size_t index = 0; index < named; ++index) {
-        keepers.push_back(std::get<2>(ranked[index]));
-    }
-    std::stable_partition(keepers.begin(), keepers.end(), [&](const keeper_candidate* keeper) {
-        return keeper->data_center == value.data_center;
-    });
-    return keepers;
-}
-
 std::vector<host_id> target_registry::keepers_of(const announcement& value) const {
     std::vector<host_id> hosts;
-    for (const keeper_candidate* keeper : rank_keepers(value)) {
+    for (const keeper_candidate* keeper : m_keepers.rank(value, m_options.keepers, m_isolated)) {
         hosts.push_back(keeper->host);
     }
     return hosts;
@@ -332,7 +311,7 @@
         set_deadline(known, now + m_options.forget_after);
     } else if (known.kept_here) {
         set_deadline(known, std::max(now, m_grace_ends) + m_options.target_lease);
-    } else if (!keeper_lives(change.keeper)) {
+    } else if (!m_keepers.lives(change.keeper)) {
         orphan(now, known);
     } else {
         clear_deadline(known);
@@ -393,28 +372,14 @@
 }
 
 void target_registry::on_hosts(time_point now, const std::vector<host_record>& hosts) {
-    std::set<host_id> live;
-    m_candidates.clear();
-    for (const host_record& record : hosts) {
-        const bool lives = record.state == host_state::alive || record.state == host_state::suspect;
-        if (!lives) {
-            continue;
-        }
-        live.insert(record.host);
-        if (!record.draining && !record.callers_address.empty()) {
-            m_candidates.push_back({record.host, record.data_center, record.callers_address});
-        }
-    }
-    const bool same = live == m_live_hosts;
-    m_live_hosts = std::move(live);
-    if (same) {
+    if (!m_keepers.on_hosts(hosts)) {
         return;
     }
     for (auto& [target, known] : m_entries) {
         if (!known.record.alive || known.kept_here) {
             continue;
         }
-        const bool lives = keeper_lives(known.record.keeper);
+        const bool lives = m_keepers.lives(known.record.keeper);
         if (!lives && !known.has_deadline) {
             orphan(now, known);
         } else if (lives && known.has_deadline) {
@@ -424,7 +389,7 @@
 }
 
 void target_registry::on_host_lost(time_point now, const host_id& host) {
-    m_live_hosts.erase(host);
+    m_keepers.on_host_lost(host);
     for (auto& [target, known] : m_entries) {
         if (known.record.alive && !known.kept_here && known.record.keeper == host) {
             orphan(now, known);
@@ -448,10 +413,6 @@
     set_deadline(known, std::max(now, m_grace_ends) + wait);
 }
 
-bool target_registry::keeper_lives(const host_id& keeper) const {
-    return keeper == m_self || m_live_hosts.count(keeper) > 0;
-}
-
 std::vector<target_record> target_registry::take_changes() {
     const std::size_t taken = std::min(m_due.size(), m_options.changes_in_message);
     std::vector<target_record> changes;
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "announcement.h"
+#include "keeper_ranking.h"
 #include "target_index.h"
 
 #include "../hosts/host_record.h"
@@ -194,18 +195,12 @@
         bool recalled_here = false; ///< kept over this host's own start
         std::vector<incarnation> ended;
     };
-    struct keeper_candidate {
-        host_id host;
-        data_center_id data_center;
-        endpoint address;
-    };
 
     outcome<done> check_against_known(const announcement& value) const;
     outcome<done> check_address(const announcement& value) const;
     void end_others_at(time_point now, const announcement& value);
     void end(time_point now, entry& known);
     announcement_receipt receipt_for(const announcement& value) const;
-    std::vector<const keeper_candidate*> rank_keepers(const announcement& value) const;
     void accept(time_point now, entry& kept, const announcement& value);
     bool merge(time_point now, const target_record& change);
     bool merge_recalled(time_point now, const target_record& kept);
@@ -219,7 +214,6 @@
     void orphan(time_point now, entry& known);
     void erase(const target_id& target);
     void mark_due(const target_id& target);
-    bool keeper_lives(const host_id& keeper) const;
     bool silence_is_no_sign(time_point now) const;
 
     host_id m_self;
@@ -229,8 +223,7 @@
     std::set<std::pair<time_point, target_id>> m_deadlines;
     std::vector<target_id> m_due;
     std::set<target_id> m_due_set;
-    std::vector<keeper_candidate> m_candidates;
-    std::set<host_id> m_live_hosts;
+    keeper_ranking m_keepers;
     std::size_t m_kept = 0;
     std::uint64_t m_generation = 0;
     time_point m_grace_ends{};
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -127,10 +127,6 @@
     into.*key.member = static_cast<std::size_t>(*value);
 }
 
-} // namespace
-
-namespace {
-
 void read_positive(settings_source& source, const std::string& section, const std::string& key,
                    double highest, double& into) {
     const auto text = source.find(section, key);
--- /dev/null
+++ b/tests/daemon/host_methods_test.cpp
@@ -0,0 +1,44 @@
+#include "hosts/host_methods.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace tamarack {
+namespace {
+
+TEST(host_methods, identity_and_inquiry_come_back_as_they_were) {
+    const auto identity = decode_identity(
+        encode_identity({{host_id{"a"}, incarnation{~std::uint64_t{0}}}, data_center_id{"dc"}}));
+    ASSERT_TRUE(succeeded(identity));
+    EXPECT_EQ(value_of(identity).member.life.value, ~std::uint64_t{0});
+    EXPECT_EQ(value_of(identity).data_center, data_center_id{"dc"});
+    const auto inquiry =
+        decode_inquiry(encode_inquiry({host_id{"a"}, endpoint{"10.0.0.1:80"}, ticket_number{7}}));
+    ASSERT_TRUE(succeeded(inquiry));
+    EXPECT_EQ(value_of(inquiry).reply_to, endpoint{"10.0.0.1:80"});
+    EXPECT_EQ(value_of(inquiry).holds, ticket_number{7});
+}
+
+TEST(host_methods, reports_what_it_can_not_read_and_hands_nothing_on) {
+    host_dispatcher dispatcher;
+    std::vector<std::string> unreadable;
+    host_method_handlers handlers;
+    handlers.raft = [](const raft_envelope&) { FAIL(); };
+    handlers.control = [](const control_message&) { FAIL(); };
+    handlers.membership = [](const membership_message&) { FAIL(); };
+    handlers.quarantine = [](const digest&) { FAIL(); };
+    handlers.identity = [](const host_identity&) { FAIL(); };
+    handlers.inquiry = [](const configuration_inquiry&) { FAIL(); };
+    handlers.unreadable = [&](const std::string& method, const error&) { unreadable.push_back(method); };
+    register_host_methods(dispatcher, handlers);
+    const std::vector<std::string> methods{raft_method,       control_method,  membership_method,
+                                           quarantine_method, identity_method, inquiry_method};
+    for (const std::string& method : methods) {
+        dispatcher.dispatch(R"({"jsonrpc":"2.0","method":")" + method + R"(","params":{"life":"x"}})");
+    }
+    EXPECT_EQ(unreadable, methods);
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include <tamarack_forwarding/tamarack_forwarding.h>
+#include "single_route.h"
 
 #include <gtest/gtest.h>
 
@@ -73,34 +73,6 @@
         return forwarding_engine{options, random_source{1}};
     }
 
-    forwarding_view_pointer view() const {
-        auto table = std::make_shared<route_table>();
-        route taken;
-        taken.name = "fetch";
-        taken.authority = "example";
-        taken.prefix = "/";
-        taken.services = {{service_id{"orders"}, 1}};
-        taken.timeout = 2s;
-        taken.objective = 500ms;
-        taken.attempts = 2;
-        table->routes.push_back(taken);
-        routed_service orders;
-        orders.id = service_id{"orders"};
-        orders.connections = 40;
-        table->services.push_back(orders);
-        auto made = std::make_shared<forwarding_view>();
-        made->ticket = ticket_number{1};
-        made->routes = std::move(table);
-        for (int number = 1; number <= 6; ++number) {
-            forwarding_target listed;
-            listed.id = target(number);
-            listed.service = service_id{"orders"};
-            listed.address = endpoint{"10.0.0.1:" + std::to_string(number)};
-            made->targets.push_back(listed);
-        }
-        return made;
-    }
-
     /** Carries out what the engine wants: each exchange crashes its target for half a second. */
     void carry_out(forwarding_engine& engine, const forwarding_actions& actions) {
         for (const forwarding_action& action : actions) {
@@ -122,19 +94,11 @@
     }
 
     int runs_of_ten_requests(forwarding_engine& engine) {
-        carry_out(engine, engine.on_view(m_now, view()));
+        carry_out(engine, engine.on_view(m_now, single_route_view(6)));
         for (forward_number number = 1; number <= 10; ++number) {
             m_now += 3s;
             carry_out(engine, engine.on_timer(m_now));
-            forward_request request;
-            request.number = number;
-            request.id = request_id{"r" + std::to_string(number)};
-            request.authority = "example";
-            request.path = "/same";
-            auto payload = std::make_shared<message_payload>();
-            payload->target = "/same";
-            request.payload = payload;
-            carry_out(engine, engine.on_request(m_now, std::move(request)));
+            carry_out(engine, engine.on_request(m_now, single_route_request(number)));
         }
         return m_runs;
     }
@@ -163,9 +127,7 @@
 
 TEST_F(crashing_targets, one_of_which_another_host_told_is_sent_once) {
     forwarding_engine engine = engine_with({});
-    message_payload payload;
-    payload.target = "/same";
-    engine.on_crash_told(m_now, content_of(payload));
+    engine.on_crash_told(m_now, content_of(*single_route_request(1).payload));
     EXPECT_EQ(runs_of_ten_requests(engine), 10);
 }
 
