--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -195,13 +195,7 @@
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
-    const auto running =
-        std::find_if(part.exchanges.begin(), part.exchanges.end(),
-                     [connection](const running_exchange& item) { return item.connection == connection; });
-    if (running != part.exchanges.end()) {
-        m_core.trace(run, trace_step::reply, part.service->id, running->target.get(),
-                     std::string{to_name(reply.verdict)});
-    }
+    trace_end(run, part, connection, trace_step::reply, std::string{to_name(reply.verdict)});
     remove_exchange(part, connection);
     switch (reply.verdict) {
     case target_verdict::completed:
@@ -227,11 +221,22 @@
     settle(run);
 }
 
+/** Traces how an exchange ended, with the target that it ran at. */
+void request_flow::trace_end(forwarding_run& run, const run_part& part, target_connection connection,
+                             trace_step step, std::string result) const {
+    const auto running =
+        std::find_if(part.exchanges.begin(), part.exchanges.end(),
+                     [connection](const running_exchange& item) { return item.connection == connection; });
+    if (running != part.exchanges.end()) {
+        m_core.trace(run, step, part.service->id, running->target.get(), std::move(result));
+    }
+}
+
 void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection) {
     run_part& part = run.parts[part_index];
+    trace_end(run, part, connection, trace_step::lost, {});
     remove_exchange(part, connection);
     ++run.lost;
-    m_core.trace(run, trace_step::lost, part.service->id, nullptr);
     try_again(run, part_index, false, "connection_lost");
     settle(run);
 }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -20,6 +20,8 @@
     void on_wake(forwarding_run& run);
 
 private:
+    void trace_end(forwarding_run& run, const run_part& part, target_connection connection, trace_step step,
+                   std::string result) const;
     forwarding_core& m_core;
     part_dispatcher& m_dispatcher;
 
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <vector>
 
 namespace tamarack {
 namespace {
@@ -89,6 +90,8 @@
                 carry_out(engine, engine.on_connection_lost(m_now, send->connection));
             } else if (std::holds_alternative<crash_found>(action)) {
                 ++m_found;
+            } else if (const auto* delivered = std::get_if<deliver_answer>(&action)) {
+                m_traces.push_back(delivered->answer.trace);
             }
         }
     }
@@ -108,6 +111,7 @@
     std::map<target_id, time_point> m_down_until;
     int m_runs = 0;
     int m_found = 0;
+    std::vector<request_trace> m_traces;
 };
 
 /** Load pattern: a request that crashes each target that runs it comes ten times. */
@@ -118,6 +122,17 @@
     EXPECT_EQ(m_found, 1) << "other hosts are told once";
 }
 
+TEST_F(crashing_targets, the_trace_of_a_lost_exchange_names_its_target) {
+    forwarding_engine engine = engine_with({});
+    runs_of_ten_requests(engine);
+    ASSERT_FALSE(m_traces.empty());
+    for (const trace_entry& entry : m_traces.front().entries) {
+        EXPECT_FALSE(entry.step == trace_step::lost && entry.target.empty());
+    }
+    EXPECT_TRUE(std::ranges::any_of(m_traces.front().entries,
+                                    [](const trace_entry& entry) { return entry.step == trace_step::lost; }));
+}
+
 TEST_F(crashing_targets, loses_two_targets_to_each_request_without_the_protection) {
     forwarding_protections protections;
     protections.single_run_of_crashing = false;
