Count repeats at the stand-in targets, and tell extra load in the log

The soak could not tell whether the budget for repeats held: its targets counted no arrivals. They now count arrivals beyond the first of each request over all hosts, by the sliding windows of the rule. The soak restarts hosts and changes configurations in series, disturbs the path to targets by a proxy, and its callers may pause.

A host logs extra_load: requests, repeats and refusals of a service in the window, the hosts that share the allowance, and the record's age.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -168,6 +168,7 @@
                                      {{"content", found.content.hex()}, {"target", found.target.value()}});
                     m_tell_crash(found.content);
                 },
+                [this](const extra_load_told& told) { write_extra_load(told); },
                 [this](const target_changed& changed) {
                     log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
                                      {{"target", changed.target.value()},
@@ -182,6 +183,17 @@
     check_drained();
 }
 
+void forwarding_duty::write_extra_load(const extra_load_told& told) {
+    m_metrics.count(counter_id::repeats_refused_total, {}, static_cast<double>(told.refused));
+    log_state_change(log_level::info, "extra_load", m_picture.view->ticket,
+                     {{"service", told.service.value()},
+                      {"requests", std::to_string(told.requests)},
+                      {"repeats", std::to_string(told.repeats)},
+                      {"refused", std::to_string(told.refused)},
+                      {"hosts", std::to_string(told.hosts)},
+                      {"record_age_ms", std::to_string(told.record_age / 1ms)}});
+}
+
 void forwarding_duty::deliver(forward_answer answer) {
     m_metrics.count(counter_id::requests_total, to_name(answer.outcome));
     if (answer.reason != forward_reason::none) {
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -61,6 +61,7 @@
     void on_directory(const http_request& message, const http_responder& respond);
     void carry_out(forwarding_actions actions);
     void deliver(forward_answer answer);
+    void write_extra_load(const extra_load_told& told);
     void check_drained();
     void apply_limits();
 
--- a/modules/tamarack_forwarding/budget/extra_budget.cpp
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -26,18 +26,22 @@
     ++current(now).requests;
 }
 
-double extra_budget::left(time_point now, std::size_t hosts) {
+extra_load_counts extra_budget::within_window(time_point now) {
     const std::int64_t newest = current(now).number;
-    double requests = 0;
-    double taken = 0;
+    extra_load_counts counts;
     for (const slice& item : m_slices) {
         if (item.number + static_cast<std::int64_t>(slices) >= newest) {
-            requests += item.requests;
-            taken += item.taken;
+            counts.requests += item.requests;
+            counts.taken += item.taken;
         }
     }
+    return counts;
+}
+
+double extra_budget::left(time_point now, std::size_t hosts) {
+    const extra_load_counts counts = within_window(now);
     const double share = m_limits.allowance / static_cast<double>(std::max<std::size_t>(hosts, 1));
-    return share_used * (m_limits.ratio * requests + share) - taken;
+    return share_used * (m_limits.ratio * counts.requests + share) - counts.taken;
 }
 
 bool extra_budget::try_take(time_point now, std::size_t hosts) {
--- a/modules/tamarack_forwarding/budget/extra_budget.h
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -15,6 +15,12 @@
     duration window = 10s;
 };
 
+/** What happened within a window. */
+struct extra_load_counts {
+    std::uint32_t requests = 0;
+    std::uint32_t taken = 0; ///< exchanges beyond the first of a request
+};
+
 /**
  * One host's share of a service's budget for hedges and retries, in any sliding window.
  *
@@ -43,6 +49,10 @@
     /** @return further exchanges that are allowed now */
     double left(time_point now, std::size_t hosts);
 
+    /** @return what happened within the window that ends now */
+    extra_load_counts within_window(time_point now);
+
+    const extra_budget_limits& limits() const { return m_limits; }
     void set_limits(extra_budget_limits limits) { m_limits = limits; }
 
 private:
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -95,6 +95,26 @@
     run.trace.entries.push_back(std::move(entry));
 }
 
+void forwarding_core::note_extra_load() {
+    if (!extra_load_due) {
+        extra_load_due = true;
+        schedule(now + extra_load_pause, due_kind::extra_load, 0);
+        extra_load_pause = std::min(2 * extra_load_pause, options.extra.window);
+    }
+}
+
+void forwarding_core::tell_extra_load() {
+    extra_load_due = false;
+    for (const auto& [id, service] : services) {
+        const extra_load_counts counts = service->budget.within_window(now);
+        const std::uint32_t refused = std::exchange(service->refused_repeats, 0);
+        if (counts.taken > 0 || refused > 0) {
+            out.emplace_back(extra_load_told{id, counts.requests, counts.taken, refused, hosts(),
+                                             now - service->known_since});
+        }
+    }
+}
+
 void forwarding_core::tell(target_change change, const known_target& target) {
     const duration until = std::max(target.ejected_until - now, duration{0});
     out.emplace_back(
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -41,6 +41,7 @@
     request,    ///< a request's next look
     connection, ///< the end of waiting for an unwanted reply
     warming,    ///< connections may be opened again
+    extra_load, ///< extra load is to be told
 };
 
 struct due_item {
@@ -70,6 +71,9 @@
     std::map<std::string, exchange_timing> timings;     ///< by route
     crash_evidence crashes;
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
+    bool extra_load_due = false; ///< a due item for it is scheduled
+    /** Until extra load is told; grows to a window, so that a process that soon ends has told some. */
+    duration extra_load_pause = 1s;
     std::size_t opening = 0;
     target_connection last_connection = 0;
     duration lag{}; ///< of the event loop, when a timer last fired late
@@ -96,6 +100,9 @@
     exchange_timing& timing_of(const route& taken);
     void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
                std::string result = {}, std::size_t candidates = 0) const;
+    /** A repeat was charged or refused: the service's extra load is told when a window has passed. */
+    void note_extra_load();
+    void tell_extra_load();
     void tell(target_change change, const known_target& target);
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -75,7 +75,7 @@
         }
         auto& service = core.services[listed.id];
         if (!service) {
-            service = std::make_shared<known_service>(listed.id);
+            service = std::make_shared<known_service>(listed.id, core.now);
         }
         service->budget.set_limits(core.options.extra);
     }
@@ -291,6 +291,9 @@
     case due_kind::warming:
         dispatcher.keep_warm();
         break;
+    case due_kind::extra_load:
+        core.tell_extra_load();
+        break;
     }
 }
 
--- a/modules/tamarack_forwarding/targets/known_target.h
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -58,8 +58,10 @@
     std::vector<known_target_pointer> targets;
     std::list<waiting_part> waiting; ///< the most urgent first, then the one due first
     extra_budget budget;
+    time_point known_since{};
+    std::uint32_t refused_repeats = 0; ///< by the budget, since they were last told
 
-    explicit known_service(service_id name) : id(std::move(name)) {}
+    known_service(service_id name, time_point now) : id(std::move(name)), known_since(now) {}
 };
 
 using known_service_pointer = std::shared_ptr<known_service>;
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -13,6 +13,7 @@
     exchanges_total, ///< label: result
     hedges_total,
     retries_total,
+    repeats_refused_total,
     refusals_total, ///< label: reason
     connections_opened_total,
     connections_closed_total, ///< label: reason
--- /dev/null
+++ b/tests/forwarding/extra_load_test.cpp
@@ -0,0 +1,128 @@
+#include "forwarding_world.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarack {
+namespace {
+
+constexpr std::size_t all_hosts = 9;
+
+forwarding_options le_goff_options() {
+    forwarding_options options;
+    options.extra = {0.2, 58.0, 10s};
+    return options;
+}
+
+/** One service whose targets fail nearly every request, so that each request asks for a repeat. */
+void add_failing_service(forwarding_world& world, double fail) {
+    world_target like;
+    like.work = 2ms;
+    like.slots = 4;
+    like.connections = 45;
+    like.fail = fail;
+    world.add_service("s", 3, like);
+    route& match = world.add_route("match", {"s"});
+    match.timeout = 800ms;
+    match.objective = 250ms;
+}
+
+std::string describe(const forwarding_world& world) {
+    std::string text;
+    for (const auto& breach : world.extra_load_breaches()) {
+        text += breach.service + ": " + std::to_string(breach.extra) + " repeats of " +
+                std::to_string(breach.allowed) + " allowed\n";
+    }
+    return text;
+}
+
+TEST(extra_load, stays_within_its_bound_when_hosts_restart_in_series) {
+    forwarding_world world{21, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.9);
+    world.publish();
+    world.load("match", 30.0, 1s, 40s);
+    for (std::size_t restart = 0; restart < 40; ++restart) {
+        world.at(12s + 400ms * static_cast<int>(restart),
+                 [&world, restart] { world.restart_host(restart % all_hosts); });
+    }
+    world.run_until(45s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
+TEST(extra_load, stays_within_its_bound_when_a_service_leaves_the_routes_and_returns) {
+    forwarding_world world{22, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.9);
+    world.publish();
+    world.load("match", 30.0, 1s, 40s);
+    for (int change = 0; change < 20; ++change) {
+        world.at(12s + 500ms * change, [&world] {
+            world.remove_route("match");
+            world.publish();
+            route& match = world.add_route("match", {"s"});
+            match.timeout = 800ms;
+            match.objective = 250ms;
+            world.publish();
+        });
+    }
+    world.run_until(45s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
+TEST(extra_load, stays_within_its_bound_when_repeats_wait_for_a_connection) {
+    forwarding_world world{23, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.0);
+    route& match = world.add_route("slow", {"s"});
+    match.timeout = 8s;
+    match.objective = 800ms;
+    world.publish();
+    world.load("slow", 20.0, 1s, 60s);
+    // All targets go and come back: what waited for them is sent at once.
+    for (int round = 0; round < 4; ++round) {
+        world.at(12s + 12s * round, [&world] {
+            world.for_each_target([](const std::string&, world_target& target) { target.lose_reply = 1.0; });
+        });
+        world.at(14s + 12s * round, [&world] {
+            world.for_each_target([](const std::string&, world_target& target) { target.dark = true; });
+        });
+        world.at(20s + 12s * round, [&world] {
+            world.for_each_target([](const std::string&, world_target& target) {
+                target.dark = false;
+                target.lose_reply = 0.0;
+                target.fail = 0.9;
+            });
+        });
+    }
+    world.run_until(70s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
+TEST(extra_load, stays_within_its_bound_when_a_target_that_stood_still_reads_on) {
+    forwarding_world world{24, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.0);
+    world.publish();
+    world.load("match", 30.0, 1s, 70s);
+    for (int round = 0; round < 3; ++round) {
+        world.at(12s + 20s * round, [&world] { world.target("s-1").reads = false; });
+        world.at(30s + 20s * round, [&world] { world.read_on("s-1"); });
+    }
+    world.run_until(80s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
+TEST(extra_load, stays_within_its_bound_when_load_comes_in_bursts) {
+    forwarding_world world{25, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.9);
+    world.publish();
+    for (int burst = 0; burst < 6; ++burst) {
+        world.load("match", 1000.0, 1s + 10200ms * burst, 1400ms + 10200ms * burst);
+    }
+    world.run_until(70s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -19,14 +19,42 @@
 } // namespace
 
 forwarding_world::forwarding_world(std::uint64_t seed, std::size_t hosts, forwarding_options options)
-    : m_random(seed), m_hosts(hosts) {
-    options.data_center = data_center_id{"near"};
-    options.fewest_hosts = hosts;
-    for (std::size_t host = 0; host < hosts; ++host) {
-        m_hosts[host].engine = std::make_unique<forwarding_engine>(options, random_source{seed * 100 + host});
+    : m_options(std::move(options)), m_next_seed(seed * 100), m_random(seed), m_hosts(hosts) {
+    m_options.data_center = data_center_id{"near"};
+    m_options.fewest_hosts = hosts;
+    for (simulated_host& host : m_hosts) {
+        host.engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
     }
 }
 
+void forwarding_world::restart_host(std::size_t host) {
+    for (const auto& [connection, id] : m_hosts[host].connections) {
+        --m_targets.at(id).open_connections;
+    }
+    std::erase_if(m_open, [host](const auto& item) { return item.second.host == host; });
+    const std::size_t life = m_hosts[host].life + 1;
+    m_hosts[host] = {};
+    m_hosts[host].life = life;
+    m_hosts[host].engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
+    publish();
+}
+
+void forwarding_world::remove_route(const std::string& name) {
+    std::erase_if(m_table.routes, [&name](const route& item) { return item.name == name; });
+}
+
+void forwarding_world::read_on(const std::string& id) {
+    simulated_target& target = m_targets.at(target_id{id});
+    target.behaviour.reads = true;
+    for (const running_work& work : std::exchange(target.unread, {})) {
+        receive(target_id{id}, work);
+    }
+}
+
+std::vector<testing_support::extra_load_breach> forwarding_world::extra_load_breaches() const {
+    return m_extra_load.breaches({m_options.extra.ratio, m_options.extra.allowance, m_options.extra.window});
+}
+
 void forwarding_world::add_service(const std::string& service, std::size_t replicas,
                                    const world_target& like) {
     m_table.services.push_back(
@@ -66,6 +94,7 @@
 
 void forwarding_world::publish() {
     if (!m_published || !(*m_published == m_table)) {
+        m_former.push_back(m_published);
         m_published = std::make_shared<const route_table>(m_table);
     }
     auto view = std::make_shared<forwarding_view>();
@@ -128,6 +157,9 @@
 void forwarding_world::arrive(const std::string& route_name) {
     const auto taken = std::find_if(m_published->routes.begin(), m_published->routes.end(),
                                     [&](const route& item) { return item.name == route_name; });
+    if (taken == m_published->routes.end()) {
+        return;
+    }
     const std::size_t host = m_random.below(m_hosts.size());
     forward_request request;
     request.number = m_next_request++;
@@ -138,6 +170,7 @@
     m_open[request.number] = {host, m_now, &*taken, request.id};
     for (const route_service& service : taken->services) {
         ++m_requests_for[service.service.value()];
+        m_extra_load.on_request(m_now.time_since_epoch(), service.service.value());
     }
     carry_out(host, m_hosts[host].engine->on_request(m_now, std::move(request)));
 }
@@ -157,7 +190,12 @@
     });
 }
 
+bool forwarding_world::holds(std::size_t host, std::size_t life, target_connection connection) const {
+    return m_hosts[host].life == life && m_hosts[host].connections.contains(connection);
+}
+
 void forwarding_world::carry_out(std::size_t host, forwarding_actions actions) {
+    const std::size_t life = m_hosts[host].life;
     for (forwarding_action& action : actions) {
         if (const auto* open = std::get_if<open_target_connection>(&action)) {
             const target_connection connection = open->connection;
@@ -166,15 +204,15 @@
             ++target.open_connections;
             target.most_connections = std::max(target.most_connections, target.open_connections);
             if (!target.behaviour.dark) {
-                schedule(m_now + 2 * one_way + handshake, [this, host, connection] {
-                    if (m_hosts[host].connections.contains(connection)) {
+                schedule(m_now + 2 * one_way + handshake, [this, host, connection, life] {
+                    if (holds(host, life, connection)) {
                         carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
                     }
                 });
             } else {
-                schedule(m_now + 1s, [this, host, connection] {
+                schedule(m_now + 1s, [this, host, connection, life] {
                     const auto found = m_hosts[host].connections.find(connection);
-                    if (found != m_hosts[host].connections.end()) {
+                    if (holds(host, life, connection)) {
                         --m_targets.at(found->second).open_connections;
                         m_hosts[host].connections.erase(found);
                         carry_out(host, m_hosts[host].engine->on_connection_lost(m_now, connection));
@@ -198,23 +236,34 @@
 
 void forwarding_world::on_exchange(std::size_t host, const send_target_exchange& send) {
     const target_id id = send.exchange.target;
-    const running_work work{host, send.connection, send.exchange.id};
+    const running_work work{host, send.connection, send.exchange.id, m_hosts[host].life};
     schedule(m_now + one_way, [this, id, work] {
         simulated_target& target = m_targets.at(id);
-        ++target.arrivals;
-        if (target.behaviour.dark) {
-            return;
-        }
-        if (target.running < target.behaviour.slots) {
-            start_work(target, work);
-        } else if (target.waiting.size() < target.behaviour.queue) {
-            target.waiting.push_back(work);
+        if (target.behaviour.reads) {
+            receive(id, work);
         } else {
-            reply(work, id, target_verdict::not_run);
+            target.unread.push_back(work);
         }
     });
 }
 
+void forwarding_world::receive(const target_id& id, const running_work& work) {
+    simulated_target& target = m_targets.at(id);
+    ++target.arrivals;
+    m_extra_load.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
+                            work.id.value());
+    if (target.behaviour.dark) {
+        return;
+    }
+    if (target.running < target.behaviour.slots) {
+        start_work(target, work);
+    } else if (target.waiting.size() < target.behaviour.queue) {
+        target.waiting.push_back(work);
+    } else {
+        reply(work, id, target_verdict::not_run);
+    }
+}
+
 duration forwarding_world::pause_left(const simulated_target& target) const {
     if (target.behaviour.pause_every == duration{0}) {
         return duration{0};
@@ -251,7 +300,7 @@
     if (m_random.chance(target.behaviour.lose_reply)) {
         schedule(m_now + one_way, [this, work] {
             const auto found = m_hosts[work.host].connections.find(work.connection);
-            if (found != m_hosts[work.host].connections.end()) {
+            if (holds(work.host, work.life, work.connection)) {
                 --m_targets.at(found->second).open_connections;
                 m_hosts[work.host].connections.erase(found);
                 carry_out(work.host, m_hosts[work.host].engine->on_connection_lost(m_now, work.connection));
@@ -265,7 +314,7 @@
 
 void forwarding_world::reply(const running_work& work, const target_id& id, target_verdict verdict) {
     schedule(m_now + one_way, [this, work, id, verdict] {
-        if (!m_hosts[work.host].connections.contains(work.connection)) {
+        if (!holds(work.host, work.life, work.connection)) {
             return;
         }
         const simulated_target& target = m_targets.at(id);
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "support/checks/extra_load_check.h"
+
 #include <tamarack_forwarding/tamarack_forwarding.h>
 
 #include <cstdint>
@@ -28,6 +30,7 @@
     double fail = 0.0;       ///< share of exchanges that fail
     double lose_reply = 0.0; ///< share whose reply is lost: the connection breaks after the work
     bool dark = false;       ///< answers nothing at all
+    bool reads = true;       ///< takes what arrives; connections open in any case
 };
 
 /** What became of one request. */
@@ -46,8 +49,7 @@
 /**
  * Several hosts with a forwarding engine each, and targets, in virtual time.
  *
- * Checks on its way: each request has one answer; "not run" is true; no target has more connections than it
- * takes.
+ *
  */
 class forwarding_world {
 public:
@@ -60,6 +62,13 @@
     /** Gives all hosts the routes and the targets that are known now. */
     void publish();
 
+    /** A host's process is killed and started again; its requests lose their callers. */
+    void restart_host(std::size_t host);
+    /** Takes a route away, or puts it back, with the next publish. */
+    void remove_route(const std::string& name);
+    /** A target reads on; what has arrived meanwhile comes first. */
+    void read_on(const std::string& id);
+
     /** Requests of a route arrive at random times, at a rate, until a time. */
     void load(const std::string& route_name, double per_second, duration from, duration until);
     /** Calls a function at a time. */
@@ -82,6 +91,10 @@
     }
     std::size_t runs_of(const std::string& request, const std::string& service) const;
     const std::vector<std::string>& violations() const { return m_violations; }
+    /** @return services that got more repeats in some sliding window than the bound of the options allows */
+    std::vector<testing_support::extra_load_breach> extra_load_breaches() const;
+    /** @return repeats that a service got in all */
+    std::size_t extra_load(const std::string& service) const { return m_extra_load.extra(service); }
     std::size_t unanswered() const;
     time_point now() const { return m_now; }
 
@@ -90,6 +103,7 @@
         std::size_t host = 0;
         target_connection connection = 0;
         request_id id;
+        std::size_t life = 0; ///< of the host that sent it
     };
     struct simulated_target {
         world_target behaviour;
@@ -98,6 +112,7 @@
         std::size_t open_connections = 0;
         std::size_t most_connections = 0;
         std::size_t arrivals = 0;
+        std::vector<running_work> unread;
     };
     struct event {
         time_point at;
@@ -111,6 +126,7 @@
         std::unique_ptr<forwarding_engine> engine;
         std::map<target_connection, target_id> connections;
         time_point timer_at = time_point::max();
+        std::size_t life = 0; ///< grows with each restart
     };
     struct open_request {
         std::size_t host = 0;
@@ -124,18 +140,25 @@
     void carry_out(std::size_t host, forwarding_actions actions);
     void arm(std::size_t host);
     void on_exchange(std::size_t host, const send_target_exchange& send);
+    void receive(const target_id& id, const running_work& work);
     void start_work(simulated_target& target, const running_work& work);
     void end_work(const target_id& id, const running_work& work);
     void reply(const running_work& work, const target_id& id, target_verdict verdict);
     duration pause_left(const simulated_target& target) const;
+    /** @return whether a host's process still has the connection that it had in that life */
+    bool holds(std::size_t host, std::size_t life, target_connection connection) const;
     void on_answer(const forward_answer& answer);
 
+    forwarding_options m_options;
+    std::uint64_t m_next_seed;
     random_source m_random;
     std::vector<simulated_host> m_hosts;
+    testing_support::extra_load_check m_extra_load;
     std::map<target_id, simulated_target> m_targets;
     std::set<target_id> m_hidden;
     route_table m_table;
     std::shared_ptr<const route_table> m_published;
+    std::vector<std::shared_ptr<const route_table>> m_former; ///< open requests point into them
     std::priority_queue<event> m_events;
     std::uint64_t m_order = 0;
     time_point m_paused_until{};
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -21,6 +21,10 @@
 /** A third of the shortest interval that the platform states: tests needn't wait for it. */
 constexpr std::chrono::milliseconds heartbeat_interval{400};
 constexpr std::size_t ports_of_a_host = 6;
+/** The bound on repeats, as the platform's settings state it at Le Goff. */
+constexpr const char* extra_ratio = "0.2";
+constexpr const char* extra_allowance = "58";
+constexpr const char* extra_window_seconds = "10";
 constexpr std::size_t most_seeds = 3;
 constexpr unsigned ok = 200;
 constexpr unsigned redirect = 307;
@@ -79,8 +83,8 @@
     return true;
 }
 
-platform_deployment::platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts)
-    : m_disk_hosts(disk_hosts), m_entry_hosts(entry_hosts), m_ports(ports_of_a_host),
+platform_deployment::platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts, replica_path path)
+    : m_disk_hosts(disk_hosts), m_entry_hosts(entry_hosts), m_path(path), m_ports(ports_of_a_host),
       m_loop_thread([this] { m_loop.run(); }) {}
 
 platform_deployment::~platform_deployment() {
@@ -119,9 +123,9 @@
     put(text, "limits.cpu-share", has_disk ? "0.45" : "0.25");
     put(text, "limits.cores", "1");
     put(text, "fault-tolerance.machines", "1");
-    put(text, "bounds.retry-budget-ratio", "0.2");
-    put(text, "bounds.budget-min-retries", "58");
-    put(text, "bounds.budget-window-s", "10");
+    put(text, "bounds.retry-budget-ratio", extra_ratio);
+    put(text, "bounds.budget-min-retries", extra_allowance);
+    put(text, "bounds.budget-window-s", extra_window_seconds);
     return text;
 }
 
@@ -151,6 +155,10 @@
                 answer(added, request, respond);
             });
         added.address = added.listener->listen("127.0.0.1", 0);
+        if (m_path == replica_path::through_proxy) {
+            added.proxy = std::make_unique<fault_proxy::proxy_route>(m_loop, "127.0.0.1:0", added.address);
+            added.address = added.proxy->address();
+        }
         listening.set_value();
     });
     listening.get_future().wait();
@@ -158,8 +166,52 @@
     return added;
 }
 
+void platform_deployment::run_on_loop(const std::function<void()>& work) {
+    std::promise<void> ran;
+    m_loop.post([&] {
+        work();
+        ran.set_value();
+    });
+    ran.get_future().wait();
+}
+
+void platform_deployment::stop_reading(stand_in_replica& replica) {
+    run_on_loop([&replica] { replica.stands_still = true; });
+}
+
+void platform_deployment::read_on(stand_in_replica& replica) {
+    run_on_loop([&replica] {
+        replica.stands_still = false;
+        for (const auto& read : std::exchange(replica.unread, {})) {
+            read();
+        }
+    });
+}
+
+void platform_deployment::disturb_path(stand_in_replica& replica,
+                                       const std::function<void(fault_proxy::proxy_route&)>& change) {
+    run_on_loop([&] { change(*replica.proxy); });
+}
+
+std::chrono::microseconds platform_deployment::elapsed() const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_began);
+}
+
 void platform_deployment::answer(stand_in_replica& replica, const plain_request& request,
                                  const testing_support::plain_responder& respond) {
+    if (replica.stands_still) {
+        replica.unread.emplace_back([this, &replica, request, respond] { serve(replica, request, respond); });
+        return;
+    }
+    serve(replica, request, respond);
+}
+
+void platform_deployment::serve(stand_in_replica& replica, const plain_request& request,
+                                const testing_support::plain_responder& respond) {
+    {
+        const std::lock_guard lock{m_records};
+        m_extra_load.on_arrival(elapsed(), replica.service, request.field("x-tamarackstand-request-id"));
+    }
     plain_response response;
     response.fields["x-tamarackstand-request-id"] = request.field("x-tamarackstand-request-id");
     response.fields["x-tamarackstand-replica-load"] = "1,0,2";
@@ -292,6 +344,12 @@
     request.fields["host"] = authority;
     request.fields["x-tamarackstand-request-id"] = "r" + std::to_string(m_next_request++);
     request.fields["x-tamarackstand-deadline-ms"] = std::to_string(deadline_ms);
+    if (m_services_of) {
+        const std::lock_guard lock{m_records};
+        for (const std::string& service : m_services_of(path)) {
+            m_extra_load.on_request(elapsed(), service);
+        }
+    }
     auto response = testing_support::call_and_wait(callers_address(host), request, call_limit);
     if (response && response->status == not_run) {
         const std::lock_guard lock{m_records};
@@ -300,6 +358,18 @@
     return response;
 }
 
+std::vector<testing_support::extra_load_breach> platform_deployment::extra_load_breaches() {
+    const testing_support::extra_load_bound bound{std::stod(extra_ratio), std::stod(extra_allowance),
+                                                  std::chrono::seconds{std::stol(extra_window_seconds)}};
+    const std::lock_guard lock{m_records};
+    return m_extra_load.breaches(bound);
+}
+
+std::size_t platform_deployment::extra_load(const std::string& service) {
+    const std::lock_guard lock{m_records};
+    return m_extra_load.extra(service);
+}
+
 std::vector<std::string> platform_deployment::requests_run_after_refusal() {
     const std::lock_guard lock{m_records};
     std::vector<std::string> found;
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "fault_proxy/proxy_route.h"
+#include "support/checks/extra_load_check.h"
 #include "support/net/http_call.h"
 #include "support/net/http_listener.h"
 #include "support/net/port_reservation.h"
 #include "support/process/process_group.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +38,15 @@
     std::atomic<bool> fails{false};
     std::atomic<bool> draining{false}; ///< it says so in its heartbeats
     std::atomic<bool> ended{false};    ///< it has said that it ends, and sends no more heartbeats
+    std::unique_ptr<fault_proxy::proxy_route> proxy; ///< between hosts and the replica; none on a direct path
+    bool stands_still = false;                       ///< on the deployment's loop only
+    std::vector<std::function<void()>> unread;       ///< requests that arrived while it stood still
+};
+
+/** How hosts reach the replicas. */
+enum class replica_path {
+    direct,
+    through_proxy,
 };
 
 /**
@@ -46,8 +58,10 @@
     /**
      * @param disk_hosts   hosts with a data folder; the first three are the seeds
      * @param entry_hosts  hosts without
+     * @param path         how hosts reach the replicas
      */
-    platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts);
+    platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts,
+                        replica_path path = replica_path::direct);
     ~platform_deployment();
     platform_deployment(const platform_deployment&) = delete;
     platform_deployment& operator=(const platform_deployment&) = delete;
@@ -62,6 +76,14 @@
     std::string output(std::size_t host) { return m_processes.at(name_of(host)).output(); }
 
     stand_in_replica& add_replica(const std::string& service);
+    /** A replica reads nothing from now on; connections to it still open. Its heartbeats go on. */
+    void stop_reading(stand_in_replica& replica);
+    /** A replica reads on, first what has arrived meanwhile. */
+    void read_on(stand_in_replica& replica);
+    /** Changes the faults between hosts and a replica that is reached through a proxy. */
+    void disturb_path(stand_in_replica& replica,
+                      const std::function<void(fault_proxy::proxy_route&)>& change);
+
     /** Sends a heartbeat to a host. @return the status of its answer; 0 without one */
     unsigned beat(stand_in_replica& replica, std::size_t host, const std::string& state = "ready");
     unsigned deregister(stand_in_replica& replica, std::size_t host);
@@ -77,6 +99,14 @@
     /** A caller's request to one host. */
     std::optional<plain_response> request(std::size_t host, const std::string& authority,
                                           const std::string& path, int deadline_ms = 2'000);
+    /** Names the services that a request for a path is counted for; set before the first request. */
+    void count_requests_by(std::function<std::vector<std::string>(const std::string&)> services_of) {
+        m_services_of = std::move(services_of);
+    }
+    /** @return services that got more repeats in a sliding window than the settings of the hosts allow */
+    std::vector<testing_support::extra_load_breach> extra_load_breaches();
+    /** @return repeats that a service got in all */
+    std::size_t extra_load(const std::string& service);
     /** @return requests that some replica ran although their caller was told that they did not run */
     std::vector<std::string> requests_run_after_refusal();
     /** @return requests that replicas of a service ran more than once */
@@ -100,10 +130,15 @@
     std::optional<plain_response> control_call(std::size_t first, const plain_request& request);
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
+    void serve(stand_in_replica& replica, const plain_request& request,
+               const testing_support::plain_responder& respond);
     void send_heartbeats(stand_in_replica& replica, std::size_t first_host);
+    std::chrono::microseconds elapsed() const;
+    void run_on_loop(const std::function<void()>& work);
 
     std::size_t m_disk_hosts;
     std::size_t m_entry_hosts;
+    replica_path m_path;
     std::vector<testing_support::port_reservation>
         m_ports; ///< front, ready, control, directory, hosts, operators
     testing_support::process_group m_processes;
@@ -115,6 +150,9 @@
     std::mutex m_records; ///< of what ran and what was refused: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
     std::set<std::string> m_refused;
+    testing_support::extra_load_check m_extra_load;
+    std::function<std::vector<std::string>(const std::string&)> m_services_of;
+    std::chrono::steady_clock::time_point m_began = std::chrono::steady_clock::now();
     std::atomic<bool> m_ending{false};
     std::vector<std::thread> m_heartbeats; ///< a thread a replica
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -5,8 +5,8 @@
 #include <iostream>
 
 int main(int count, char** values) {
-    if (count != 4) {
-        std::cerr << "usage: soak FIRST_SEED COUNT SECONDS\n";
+    if (count < 4 || count > 7) {
+        std::cerr << "usage: soak FIRST_SEED COUNT SECONDS [PAUSE_OF_CALLERS_MS [ENTRY_HOSTS [CALLERS]]]\n";
         return 2;
     }
     const std::uint64_t first = std::strtoull(values[1], nullptr, 10);
@@ -16,10 +16,24 @@
         tamarack::soak::soak_options options;
         options.seed = seed;
         options.length = std::chrono::seconds{std::strtol(values[3], nullptr, 10)};
+        if (count > 4) {
+            options.pause_of_callers = std::chrono::milliseconds{std::strtol(values[4], nullptr, 10)};
+        }
+        if (count > 5) {
+            options.entry_hosts = std::strtoull(values[5], nullptr, 10);
+        }
+        if (count > 6) {
+            options.callers = std::strtoull(values[6], nullptr, 10);
+        }
         const auto result = tamarack::soak::soak_run{options}.run();
         std::cout << "seed " << seed << ": " << result.faults << " faults, " << result.answered
                   << " answered, " << result.refused << " refused, " << result.failed << " failed, "
-                  << result.violations.size() << " violations" << std::endl;
+                  << result.most_extra << " repeats at most, " << result.violations.size()
+                  << " violations; by status:";
+        for (const auto& [status, responses] : result.by_status) {
+            std::cout << " " << status << "=" << responses;
+        }
+        std::cout << std::endl;
         if (!result.violations.empty()) {
             ++failed;
             for (const std::string& event : result.events) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -15,6 +15,12 @@
 const std::vector<std::string> first_shards{"s1", "s2", "s3"};
 const std::vector<std::string> second_shards{"t1", "t2", "t3", "t4"};
 constexpr std::chrono::milliseconds between_faults{250};
+constexpr std::chrono::milliseconds between_restarts{100};
+constexpr std::chrono::milliseconds between_changes{150};
+constexpr std::size_t changes_in_series = 6;
+constexpr int usual_work_ms = 2;
+/** A configuration is in force everywhere within this time, as the platform's settings state it. */
+constexpr std::chrono::seconds apply_time{3};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_run = 503;
 constexpr std::size_t tolerated_losses = 1;
@@ -33,7 +39,9 @@
 } // namespace
 
 soak_run::soak_run(soak_options options)
-    : m_options(options), m_random(options.seed), m_deployment(options.disk_hosts, options.entry_hosts),
+    : m_options(options), m_random(options.seed),
+      m_deployment(options.disk_hosts, options.entry_hosts,
+                   platform_integration::replica_path::through_proxy),
       m_hosts(options.disk_hosts + options.entry_hosts), m_started(std::chrono::steady_clock::now()) {}
 
 std::size_t soak_run::pick(std::size_t count) {
@@ -86,6 +94,7 @@
     if (m_deployment.submit(document(m_version)) == status_ok) {
         m_acknowledged = m_version;
     }
+    m_deployment.count_requests_by([this](const std::string& path) { return services_of(path); });
     m_deployment.start_heartbeats();
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         eventually([&] { return m_deployment.ready(host); });
@@ -148,18 +157,126 @@
 }
 
 void soak_run::change_configuration() {
+    m_changed = std::chrono::steady_clock::now();
     const unsigned version = ++m_version;
     note("configuration " + std::to_string(version));
     if (m_deployment.submit(document(version)) == status_ok) {
         m_acknowledged = version;
+        m_changed = std::chrono::steady_clock::now();
         note("acknowledged " + std::to_string(version));
     }
 }
 
-void soak_run::disturb_replica() {
+/** Several configurations in quick succession: services leave the route table and come back. */
+void soak_run::change_configuration_in_series() {
+    for (std::size_t change = 0; change < changes_in_series; ++change) {
+        change_configuration();
+        std::this_thread::sleep_for(between_changes);
+    }
+}
+
+/** @return hosts that can be killed now without more losses among those with a disk than are tolerated */
+std::vector<std::size_t> soak_run::restartable_hosts() const {
+    std::vector<std::size_t> hosts;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const bool tolerated = host >= m_options.disk_hosts || stopped_disk_hosts() < tolerated_losses;
+        if (m_hosts[host].running && !m_hosts[host].paused && tolerated) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+/** Kills and starts one host after the other. */
+void soak_run::restart_in_series() {
+    note("restart hosts in series");
+    for (const std::size_t host : restartable_hosts()) {
+        m_deployment.kill_host(host);
+        m_deployment.start_host(host);
+        std::this_thread::sleep_for(between_restarts);
+    }
+}
+
+/** Kills all hosts that run at the same moment and starts them again. */
+void soak_run::restart_at_once() {
+    note("restart hosts at once");
+    const std::vector<std::size_t> hosts = restartable_hosts();
+    for (const std::size_t host : hosts) {
+        m_deployment.process(host).send_signal(SIGKILL);
+    }
+    for (const std::size_t host : hosts) {
+        m_deployment.kill_host(host);
+        m_deployment.start_host(host);
+    }
+}
+
+stand_in_replica& soak_run::pick_replica() {
     auto service = m_replicas.begin();
     std::advance(service, static_cast<std::ptrdiff_t>(pick(m_replicas.size())));
-    stand_in_replica& replica = *service->second[pick(service->second.size())];
+    return *service->second[pick(service->second.size())];
+}
+
+void soak_run::fail_most_replicas() {
+    note("most replicas fail");
+    for (auto& [service, replicas] : m_replicas) {
+        for (stand_in_replica* replica : replicas) {
+            replica->fails = m_random() % 4 != 0;
+        }
+    }
+}
+
+void soak_run::mend_replicas() {
+    note("all replicas work");
+    for (auto& [service, replicas] : m_replicas) {
+        for (stand_in_replica* replica : replicas) {
+            replica->fails = false;
+            replica->work_ms = usual_work_ms;
+            m_deployment.read_on(*replica);
+            m_deployment.disturb_path(*replica, [](fault_proxy::proxy_route& path) {
+                path.faults().delay = {};
+                path.faults().refuse = false;
+                path.faults().cut_replies = false;
+            });
+        }
+    }
+}
+
+void soak_run::stop_a_replica_reading() {
+    stand_in_replica& replica = pick_replica();
+    note("replica " + replica.id + " reads nothing");
+    m_deployment.stop_reading(replica);
+}
+
+/** Delays, resets, cuts or silences the connections to a replica. */
+void soak_run::disturb_path() {
+    constexpr std::chrono::milliseconds delay{40};
+    stand_in_replica& replica = pick_replica();
+    const std::size_t kind = pick(5);
+    note("path to replica " + replica.id + ", fault " + std::to_string(kind));
+    m_deployment.disturb_path(replica, [kind, delay](fault_proxy::proxy_route& path) {
+        switch (kind) {
+        case 0:
+            path.faults().delay = delay;
+            break;
+        case 1:
+            path.close_open_connections();
+            break;
+        case 2:
+            path.faults().cut_replies = true;
+            break;
+        case 3:
+            path.faults().refuse = true;
+            path.close_open_connections();
+            break;
+        default:
+            path.silence_open_connections();
+            break;
+        }
+    });
+}
+
+void soak_run::disturb_replica() {
+    stand_in_replica& replica = pick_replica();
     const bool fails = m_random() % 3 == 0;
     replica.fails = fails;
     replica.work_ms = m_random() % 4 == 0 ? 300 : 2;
@@ -169,7 +286,7 @@
 
 void soak_run::inject() {
     ++m_result.faults;
-    switch (pick(8)) {
+    switch (pick(16)) {
     case 0:
         return kill_one();
     case 1:
@@ -180,6 +297,20 @@
         return change_configuration();
     case 4:
         return disturb_replica();
+    case 5:
+        return change_configuration_in_series();
+    case 6:
+        return restart_in_series();
+    case 7:
+        return restart_at_once();
+    case 8:
+        return fail_most_replicas();
+    case 9:
+        return mend_replicas();
+    case 10:
+        return stop_a_replica_reading();
+    case 11:
+        return disturb_path();
     default:
         return mend();
     }
@@ -231,11 +362,39 @@
         if (response) {
             check_answer(*response, path);
         }
-        const std::lock_guard lock{m_mutex};
+        std::unique_lock lock{m_mutex};
+        ++m_result.by_status[response ? response->status : 0];
         m_result.answered += response && response->status == status_ok ? 1 : 0;
         m_result.refused += response && response->status == status_not_run ? 1 : 0;
         m_result.failed +=
             !response || (response->status != status_ok && response->status != status_not_run) ? 1 : 0;
+        lock.unlock();
+        std::this_thread::sleep_for(m_options.pause_of_callers);
+    }
+}
+
+/** The services whose requests a path's request counts for: of the configuration in force or the next one. */
+std::vector<std::string> soak_run::services_of(const std::string& path) const {
+    if (path.rfind("/fetch/", 0) == 0) {
+        return {"orders"};
+    }
+    std::vector<std::string> services = shards_of(m_version);
+    const bool other_may_be_in_force = std::chrono::steady_clock::now() - m_changed.load() < apply_time;
+    if (other_may_be_in_force) {
+        const auto& others = shards_of(m_version + 1);
+        services.insert(services.end(), others.begin(), others.end());
+    }
+    return services;
+}
+
+void soak_run::check_extra_load() {
+    for (const auto& [service, replicas] : m_replicas) {
+        m_result.most_extra = std::max(m_result.most_extra, m_deployment.extra_load(service));
+    }
+    for (const testing_support::extra_load_breach& breach : m_deployment.extra_load_breaches()) {
+        violate("service " + breach.service + " got " + std::to_string(breach.extra) + " repeats, " +
+                std::to_string(breach.allowed) + " are allowed, in the window from " +
+                std::to_string(breach.begins / std::chrono::milliseconds{1}) + " ms");
     }
 }
 
@@ -248,12 +407,8 @@
         }
         m_hosts[host] = {};
     }
-    for (auto& [service, replicas] : m_replicas) {
-        for (stand_in_replica* replica : replicas) {
-            replica->fails = false;
-            replica->work_ms = 2;
-        }
-    }
+    mend_replicas();
+    check_extra_load();
     const auto read = m_deployment.describe();
     const unsigned held =
         read ? static_cast<unsigned>(std::stoul(read->body.substr(read->body.find(':') + 1))) : 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,7 @@
     std::size_t disk_hosts = 3;
     std::size_t entry_hosts = 3;
     std::size_t callers = 4;
+    std::chrono::milliseconds pause_of_callers{0}; ///< between two requests of one
 };
 
 /** What a run counted. */
@@ -29,6 +30,8 @@
     unsigned refused = 0; ///< said not to have run
     unsigned failed = 0;  ///< no answer, or one that promises nothing
     unsigned faults = 0;
+    std::size_t most_extra = 0;             ///< repeats that one service got
+    std::map<unsigned, unsigned> by_status; ///< of the callers; 0 counts requests without an answer
     std::vector<std::string> violations;
     std::vector<std::string> events; ///< with their times, for a failed seed
 };
@@ -59,6 +62,17 @@
     void terminate_one();
     void change_configuration();
     void disturb_replica();
+    void fail_most_replicas();
+    void disturb_path();
+    void stop_a_replica_reading();
+    void mend_replicas();
+    void restart_in_series();
+    void restart_at_once();
+    void change_configuration_in_series();
+    void check_extra_load();
+    std::vector<std::size_t> restartable_hosts() const;
+    platform_integration::stand_in_replica& pick_replica();
+    std::vector<std::string> services_of(const std::string& path) const;
     void mend();
     void call(std::size_t caller);
     void check_answer(const platform_integration::plain_response& response, const std::string& path);
@@ -77,7 +91,8 @@
     std::atomic<bool> m_stopping{false};
     std::mutex m_mutex; ///< of the result: callers run on threads of their own
     soak_result m_result;
-    unsigned m_version = 1;
+    std::atomic<unsigned> m_version{1};
+    std::atomic<std::chrono::steady_clock::time_point> m_changed{}; ///< when the configuration last changed
     unsigned m_acknowledged = 0;
     std::chrono::steady_clock::time_point m_started;
 };
