Keep the record of a service's extra load while the service is out of the routes

Callers and targets saw: while configurations moved a route between two services, each got more repeats than the budget allows (real processes, 9 hosts: 264 of 161 and 258 of 160 in 10 s; virtual time: 275 of 119).

Cause: the record of what was spent was a member of known_service, which the engine drops when no route leads to the service and makes anew when one does. Each return began an empty record with a full share. Evidence: extra_load lines with record_age_ms of 9 to 299 on hosts that had run for seconds, a full allowance in each.

Change: the engine holds the records by service beside the services, and forgets one only when it has been idle for a window and no route leads to its service. Ruled out: a repeat sent by the transport (http_connection sends each message once).

--- a/modules/tamarack_forwarding/budget/extra_budget.cpp
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -38,6 +38,11 @@
     return counts;
 }
 
+bool extra_budget::idle(time_point now) {
+    const extra_load_counts counts = within_window(now);
+    return counts.requests == 0 && counts.taken == 0;
+}
+
 double extra_budget::left(time_point now, std::size_t hosts) {
     const extra_load_counts counts = within_window(now);
     const double share = m_limits.allowance / static_cast<double>(std::max<std::size_t>(hosts, 1));
--- a/modules/tamarack_forwarding/budget/extra_budget.h
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -33,7 +33,9 @@
  */
 class extra_budget {
 public:
-    explicit extra_budget(extra_budget_limits limits = {}) : m_limits(limits) {}
+    /** @param began  since when this record counts */
+    explicit extra_budget(extra_budget_limits limits, time_point began = {})
+        : m_limits(limits), m_began(began) {}
 
     /** A request's first exchange to this service. */
     void on_request(time_point now);
@@ -52,8 +54,10 @@
     /** @return what happened within the window that ends now */
     extra_load_counts within_window(time_point now);
 
-    const extra_budget_limits& limits() const { return m_limits; }
-    void set_limits(extra_budget_limits limits) { m_limits = limits; }
+    /** @return whether nothing happened within the window that ends now */
+    bool idle(time_point now);
+
+    time_point began() const { return m_began; }
 
 private:
     static constexpr std::size_t slices = 20;
@@ -66,6 +70,7 @@
     slice& current(time_point now);
 
     extra_budget_limits m_limits;
+    time_point m_began;
     std::array<slice, slices + 1> m_slices{};
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -95,6 +95,20 @@
     run.trace.entries.push_back(std::move(entry));
 }
 
+std::shared_ptr<extra_budget> forwarding_core::budget_of(const service_id& service) {
+    auto& budget = budgets[service];
+    if (!budget) {
+        budget = std::make_shared<extra_budget>(options.extra, now);
+    }
+    return budget;
+}
+
+void forwarding_core::drop_idle_budgets() {
+    std::erase_if(budgets, [this](const auto& item) {
+        return !services.contains(item.first) && item.second->idle(now);
+    });
+}
+
 void forwarding_core::note_extra_load() {
     if (!extra_load_due) {
         extra_load_due = true;
@@ -106,11 +120,11 @@
 void forwarding_core::tell_extra_load() {
     extra_load_due = false;
     for (const auto& [id, service] : services) {
-        const extra_load_counts counts = service->budget.within_window(now);
+        const extra_load_counts counts = service->budget->within_window(now);
         const std::uint32_t refused = std::exchange(service->refused_repeats, 0);
         if (counts.taken > 0 || refused > 0) {
             out.emplace_back(extra_load_told{id, counts.requests, counts.taken, refused, hosts(),
-                                             now - service->known_since});
+                                             now - service->budget->began()});
         }
     }
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -64,6 +64,7 @@
     std::optional<route_index> index;
     split_choice splits;
     std::map<service_id, known_service_pointer> services;
+    std::map<service_id, std::shared_ptr<extra_budget>> budgets;   ///< also of services that left the routes
     std::unordered_map<std::string, known_target_pointer> targets; ///< by id
     std::unordered_map<target_connection, held_connection> connections;
     std::unordered_map<forward_number, std::unique_ptr<forwarding_run>> runs;
@@ -100,6 +101,10 @@
     exchange_timing& timing_of(const route& taken);
     void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
                std::string result = {}, std::size_t candidates = 0) const;
+    /** @return the record of a service's extra load, a new one when there is none */
+    std::shared_ptr<extra_budget> budget_of(const service_id& service);
+    /** Forgets the records of services that left the routes a window ago. */
+    void drop_idle_budgets();
     /** A repeat was charged or refused: the service's extra load is told when a window has passed. */
     void note_extra_load();
     void tell_extra_load();
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -75,9 +75,8 @@
         }
         auto& service = core.services[listed.id];
         if (!service) {
-            service = std::make_shared<known_service>(listed.id, core.now);
+            service = std::make_shared<known_service>(listed.id, core.budget_of(listed.id));
         }
-        service->budget.set_limits(core.options.extra);
     }
     for (auto item = core.services.begin(); item != core.services.end();) {
         if (routed.contains(item->first)) {
@@ -90,6 +89,7 @@
             remove(target, target_change::removed);
         }
     }
+    core.drop_idle_budgets();
 }
 
 void forwarding_engine::implementation::update_targets(const forwarding_view& view) {
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -88,7 +88,7 @@
                  run.parts.size());
     leave_out_overloaded(run);
     for (std::size_t index = 0; index < run.parts.size(); ++index) {
-        run.parts[index].service->budget.on_request(m_core.now);
+        run.parts[index].service->budget->on_request(m_core.now);
         if (run.parts[index].progress != part_progress::missing) {
             m_dispatcher.send_or_wait(run, index, trace_step::sent);
         }
@@ -261,7 +261,7 @@
 bool request_flow::take_extra(forwarding_run& run, const run_part& part) {
     m_core.note_extra_load();
     if (!m_core.options.protections.limit_extra_load ||
-        part.service->budget.try_take(m_core.now, m_core.hosts())) {
+        part.service->budget->try_take(m_core.now, m_core.hosts())) {
         return true;
     }
     ++m_core.counted.refused_by_budget;
--- a/modules/tamarack_forwarding/targets/known_target.h
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -56,12 +56,12 @@
 struct known_service {
     service_id id;
     std::vector<known_target_pointer> targets;
-    std::list<waiting_part> waiting; ///< the most urgent first, then the one due first
-    extra_budget budget;
-    time_point known_since{};
-    std::uint32_t refused_repeats = 0; ///< by the budget, since they were last told
+    std::list<waiting_part> waiting;      ///< the most urgent first, then the one due first
+    std::shared_ptr<extra_budget> budget; ///< outlives the service: it may leave the routes and return
+    std::uint32_t refused_repeats = 0;    ///< by the budget, since they were last told
 
-    known_service(service_id name, time_point now) : id(std::move(name)), known_since(now) {}
+    known_service(service_id name, std::shared_ptr<extra_budget> record)
+        : id(std::move(name)), budget(std::move(record)) {}
 };
 
 using known_service_pointer = std::shared_ptr<known_service>;
