Divide the allowance for extra load so that parts never exceed the whole

Callers and targets saw: with hosts killed and started in series, targets that fail and few requests, a service got 450 repeats in 10 s where 161 are allowed; with all hosts killed at once 190 of 158 (real processes, nine hosts), 182 of 117 in virtual time.

Cause: each host took allowance / hosts known at that moment, at once and anew in each life of its process. What its predecessor had spent, what hosts taken for dead had spent, and hosts that did not know each other (each counts four at least) were in nobody's sum.

Change: allowance_share. A host spends only after it has belonged to its group for a window, divides by all that belonged in that window, and spends nothing without a lease of the control hosts (hosts cut apart). Whoever spends in a window belonged when it began, so all others count it.

The fixture of the crashing requests gives its host the whole allowance, which it had before by knowing no other.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -93,6 +93,10 @@
     m_callers.set_limits(limits);
 }
 
+bool forwarding_duty::post_lease(time_point ends_at) {
+    return m_thread.try_post([this, ends_at] { m_engine.on_lease(steady_now(), ends_at); });
+}
+
 bool forwarding_duty::post_crash_told(digest content) {
     return m_thread.try_post([this, content = std::move(content)] {
         log_state_change(log_level::info, "crashing_request_told",
@@ -190,7 +194,7 @@
                       {"requests", std::to_string(told.requests)},
                       {"repeats", std::to_string(told.repeats)},
                       {"refused", std::to_string(told.refused)},
-                      {"hosts", std::to_string(told.hosts)},
+                      {"allowance_part", std::to_string(told.allowance_part)},
                       {"record_age_ms", std::to_string(told.record_age / 1ms)}});
 }
 
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -46,6 +46,8 @@
 
     /** From any thread: a new picture. */
     bool post_picture(forwarding_picture picture);
+    /** From any thread: this host is in touch with the control hosts until then. */
+    bool post_lease(time_point ends_at);
     /** From any thread: another host found that requests of this content crash targets. */
     bool post_crash_told(digest content);
     /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -264,7 +264,12 @@
             return m_control->post_voter_candidates(std::move(known));
         };
     }
-    hooks.lease = [this](time_point ends_at) { return !m_serving || m_serving->post_lease(ends_at); };
+    hooks.lease = [this](time_point ends_at) {
+        if (m_forwarding) {
+            return m_forwarding->post_lease(ends_at);
+        }
+        return !m_serving || m_serving->post_lease(ends_at);
+    };
     hooks.claim_answer_for = [this](request_number request, claim_answer answer) {
         return m_serving && m_serving->post_claim_answer(request, std::move(answer));
     };
--- a/apps/tamarackd/hosts/forwarding_pictures.cpp
+++ b/apps/tamarackd/hosts/forwarding_pictures.cpp
@@ -10,8 +10,6 @@
 
 /** A started host waits this long at most for a target of each service before callers are sent to it. */
 constexpr duration longest_wait_for_targets = 2s;
-/** Parts of the budget for extra load that the active hosts get, for each part of those on standby. */
-constexpr std::size_t budget_of_active = 4;
 
 bool is_same_entry(const host_record& left, const host_record& right) {
     return left.host == right.host && left.callers_address == right.callers_address;
@@ -20,9 +18,9 @@
 } // namespace
 
 forwarding_pictures::forwarding_pictures(const settings& chosen, time_point started)
-    : m_settings(chosen), m_started(started) {}
+    : m_settings(chosen), m_started(started), m_allowance(chosen.host, chosen.forwarding.extra_window) {}
 
-bool forwarding_pictures::on_hosts(const std::vector<host_record>& hosts) {
+bool forwarding_pictures::on_hosts(time_point now, const std::vector<host_record>& hosts) {
     std::vector<host_record> running;
     for (const host_record& host : hosts) {
         if (host.state == host_state::alive || host.state == host_state::suspect) {
@@ -46,6 +44,7 @@
                           {"standby", std::to_string(sharers.standby.size())},
                           {"load", std::to_string(chosen.load)}});
     }
+    m_allowance.on_sharers(now, sharers);
     m_sharers = std::move(sharers);
     m_entries = std::move(entries);
     return !same;
@@ -53,7 +52,8 @@
 
 bool forwarding_pictures::on_time(time_point now) {
     const bool met_others = now >= m_started + meeting_time;
-    return met_others && !std::exchange(m_met_others, true);
+    const bool first_met = met_others && !std::exchange(m_met_others, true);
+    return m_allowance.part(now) != m_pictured_allowance || first_met;
 }
 
 forwarding_picture forwarding_pictures::build(time_point now, const configuration& current,
@@ -66,23 +66,13 @@
     auto view = std::make_shared<forwarding_view>();
     view->ticket = current.number;
     view->routes = m_routes;
-    view->hosts = budget_hosts();
+    m_pictured_allowance = m_allowance.part(now);
+    view->allowance = m_pictured_allowance;
     view->takes_callers = std::ranges::find(m_sharers.standby, m_settings.host) == m_sharers.standby.end();
     view->targets = list_targets(now, registry);
     return {std::move(view), std::make_shared<const std::vector<host_record>>(m_entries), entered};
 }
 
-std::size_t forwarding_pictures::budget_hosts() const {
-    const std::size_t active = m_sharers.active.size();
-    const std::size_t standby = m_sharers.standby.size();
-    if (standby == 0) {
-        return active;
-    }
-    const bool stands_by = std::ranges::find(m_sharers.standby, m_settings.host) != m_sharers.standby.end();
-    return stands_by ? standby * (budget_of_active + 1)
-                     : (active * (budget_of_active + 1) + budget_of_active - 1) / budget_of_active;
-}
-
 std::vector<forwarding_target> forwarding_pictures::list_targets(time_point now,
                                                                  const target_registry& registry) {
     std::vector<forwarding_target> targets;
--- a/apps/tamarackd/hosts/forwarding_pictures.h
+++ b/apps/tamarackd/hosts/forwarding_pictures.h
@@ -25,7 +25,7 @@
     forwarding_pictures(const settings& chosen, time_point started);
 
     /** Another host's record, or this one's, has changed. @return whether the picture changes with it */
-    bool on_hosts(const std::vector<host_record>& hosts);
+    bool on_hosts(time_point now, const std::vector<host_record>& hosts);
 
     /** @return whether enough time has passed since the last call for the picture to change by itself */
     bool on_time(time_point now);
@@ -39,13 +39,14 @@
 
 private:
     std::vector<forwarding_target> list_targets(time_point now, const target_registry& registry);
-    std::size_t budget_hosts() const;
 
     const settings& m_settings;
     time_point m_started;
     bool m_met_others = false; ///< enough time has passed since the start
     std::vector<host_record> m_entries;
     connection_sharers m_sharers;
+    allowance_share m_allowance;
+    allowance_part m_pictured_allowance; ///< as the last picture has it
     std::shared_ptr<const route_table> m_routes;
     ticket_number m_routes_number;
     time_point m_routed_since = time_point::max(); ///< when this host learnt its first route table
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -381,7 +381,7 @@
 
 void hosts_duty::on_host_changed(const host_record& record) {
     const bool pictured = m_settings.edge.kind != edge_kind::platform;
-    m_picture_stale = m_pictures->on_hosts(m_detector->hosts()) || pictured || m_picture_stale;
+    m_picture_stale = m_pictures->on_hosts(steady_now(), m_detector->hosts()) || pictured || m_picture_stale;
     const auto [seen, is_new] = m_seen_hosts.try_emplace(record.host, record);
     const bool only_load = !is_new && seen->second.life == record.life &&
                            seen->second.state == record.state && seen->second.draining == record.draining;
@@ -411,7 +411,7 @@
     const auto exchanges = static_cast<duration::rep>(m_hooks.exchanges());
     if (const auto load = m_load.observe(now, exchanges * processor_time_of_exchange)) {
         carry_out(m_detector->set_load(now, *load));
-        m_picture_stale = m_pictures->on_hosts(m_detector->hosts()) || m_picture_stale;
+        m_picture_stale = m_pictures->on_hosts(now, m_detector->hosts()) || m_picture_stale;
     }
 }
 
@@ -500,7 +500,7 @@
     m_pictured_generation = m_registry->generation();
     m_picture_stale = false;
     if (m_settings.edge.kind == edge_kind::platform) {
-        m_pictures->on_hosts(m_detector->hosts());
+        m_pictures->on_hosts(now, m_detector->hosts());
         m_picture_stale = !m_hooks.forwarding(
             m_pictures->build(now, m_control->current(), *m_registry, m_entered && !m_leaving));
         return;
--- /dev/null
+++ b/modules/tamarack_forwarding/budget/allowance_share.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "../placement/connection_share.h"
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <map>
+
+namespace tamarack {
+
+/** One host's part of an allowance that all hosts share. */
+struct allowance_part {
+    double fraction = 0.0;
+    time_point from = time_point::max(); ///< nothing of it may be spent before
+
+    bool operator==(const allowance_part&) const = default;
+
+    /** @return the fraction that may be spent now */
+    double at(time_point now) const { return now >= from ? fraction : 0.0; }
+};
+
+/**
+ * Divides an allowance over the hosts, such that their parts never add up to more than the whole in any
+ * sliding window, without asking anybody.
+ *
+ * Load pattern: hosts that are killed and started in series, or that are cut off from each other, while
+ * targets fail most requests. A host spends its part only after it has belonged to its group for a whole
+ * window, and divides by all that belonged to the group at any time in that window. So whoever spends in a
+ * window belonged to the group when the window began, and is counted by all others that spend in it; a
+ * process that starts has nothing to spend until what its predecessor spent has left the window.
+ *
+ * Watch out: both spans are longer than the window by the time that news of a host takes (see news_time). A
+ * host that is cut off from the others must not spend its part at all: its lease tells, see
+ * forwarding_engine::on_lease.
+ */
+class allowance_share {
+public:
+    /**
+     * @param self    this host
+     * @param window  in which the allowance holds
+     */
+    allowance_share(host_id self, duration window);
+
+    /** The hosts that share the allowance, this one among them, as they are known now. */
+    void on_sharers(time_point now, const connection_sharers& sharers);
+
+    /** @return this host's part, as of the hosts told last */
+    allowance_part part(time_point now);
+
+    /** News of a host reaches every other within this, and a lease of the control hosts ends within it. */
+    static constexpr duration news_time = 5s;
+
+private:
+    struct membership {
+        time_point since;
+        time_point last; ///< time_point::max() while it belongs to the group
+    };
+    using group = std::map<host_id, membership>;
+
+    static void update(group& members, time_point now, const std::vector<host_id>& present);
+    void forget(group& members, time_point now) const;
+
+    host_id m_self;
+    duration m_span; ///< the window and news_time
+    group m_active;
+    group m_standby;
+};
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/budget/extra_budget.cpp
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Share of the bounds that is given out; the rest covers hosts that joined, left or have not met yet. */
+/** Share of the bounds that is given out; the rest covers the way from here to the target. */
 constexpr double share_used = 0.8;
 
 } // namespace
@@ -43,14 +43,14 @@
     return counts.requests == 0 && counts.taken == 0;
 }
 
-double extra_budget::left(time_point now, std::size_t hosts) {
+double extra_budget::left(time_point now, double allowance_part) {
     const extra_load_counts counts = within_window(now);
-    const double share = m_limits.allowance / static_cast<double>(std::max<std::size_t>(hosts, 1));
-    return share_used * (m_limits.ratio * counts.requests + share) - counts.taken;
+    return share_used * (m_limits.ratio * counts.requests + m_limits.allowance * allowance_part) -
+           counts.taken;
 }
 
-bool extra_budget::try_take(time_point now, std::size_t hosts) {
-    if (left(now, hosts) < 1.0) {
+bool extra_budget::try_take(time_point now, double allowance_part) {
+    if (left(now, allowance_part) < 1.0) {
         return false;
     }
     ++current(now).taken;
--- a/modules/tamarack_forwarding/budget/extra_budget.h
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -26,10 +26,7 @@
  *
  * Load pattern: periodic pauses of targets make hedges pay all the time, and replies that fail in numbers
  * make retries pay for seconds; both must not add up to a multiple of the load. The ratio is kept by each
- * host for the requests that it has itself; the allowance is divided by the number of hosts.
- *
- * Watch out: a host that joins or leaves changes the divisor at once while spent exchanges stay in the
- * window, so only a part of the whole is given out (see share_used).
+ * host for the requests that it has itself; allowance_share divides the allowance.
  */
 class extra_budget {
 public:
@@ -43,13 +40,13 @@
     /**
      * Takes one further exchange.
      *
-     * @param hosts  that share the allowance
+     * @param allowance_part  fraction of the allowance that this host may spend
      * @return whether it is allowed
      */
-    bool try_take(time_point now, std::size_t hosts);
+    bool try_take(time_point now, double allowance_part);
 
     /** @return further exchanges that are allowed now */
-    double left(time_point now, std::size_t hosts);
+    double left(time_point now, double allowance_part);
 
     /** @return what happened within the window that ends now */
     extra_load_counts within_window(time_point now);
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -55,8 +55,8 @@
     due.push({at, kind, number});
 }
 
-std::size_t forwarding_core::hosts() const {
-    return std::max(view ? view->hosts : 1, options.fewest_hosts);
+double forwarding_core::allowance_now() const {
+    return view && now < lease_ends_at ? view->allowance.at(now) : 0.0;
 }
 
 std::size_t forwarding_core::connections_allowed(const known_target& target) const {
@@ -123,7 +123,7 @@
         const extra_load_counts counts = service->budget->within_window(now);
         const std::uint32_t refused = std::exchange(service->refused_repeats, 0);
         if (counts.taken > 0 || refused > 0) {
-            out.emplace_back(extra_load_told{id, counts.requests, counts.taken, refused, hosts(),
+            out.emplace_back(extra_load_told{id, counts.requests, counts.taken, refused, allowance_now(),
                                              now - service->budget->began()});
         }
     }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -61,6 +61,7 @@
     time_point now{};
     forwarding_actions out;
     forwarding_view_pointer view;
+    time_point lease_ends_at{}; ///< until then this host is in touch with the control hosts
     std::optional<route_index> index;
     split_choice splits;
     std::map<service_id, known_service_pointer> services;
@@ -93,7 +94,8 @@
     /** Looks at a request again at this time, or earlier. */
     void wake(forwarding_run& run, time_point at);
     void schedule(time_point at, due_kind kind, std::uint64_t number);
-    std::size_t hosts() const;
+    /** @return the part of the allowance for extra load that this host may spend now */
+    double allowance_now() const;
     /** @return connections that this host may have to a target */
     std::size_t connections_allowed(const known_target& target) const;
     /** @return whether requests like this one are known to crash targets */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -308,6 +308,11 @@
     return m_implementation->handle(now, [&] { m_implementation->on_view(std::move(view)); });
 }
 
+void forwarding_engine::on_lease(time_point now, time_point ends_at) {
+    m_implementation->core.now = std::max(m_implementation->core.now, now);
+    m_implementation->core.lease_ends_at = ends_at;
+}
+
 forwarding_actions forwarding_engine::on_request(time_point now, forward_request request) {
     return m_implementation->handle(now, [&] { m_implementation->flow.on_arrival(std::move(request)); });
 }
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -38,6 +38,8 @@
 
     /** The routes, the usable targets or the hosts changed. */
     forwarding_actions on_view(time_point now, forwarding_view_pointer view);
+    /** This host is in touch with the control hosts until then: only so long it spends its allowance. */
+    void on_lease(time_point now, time_point ends_at);
     /** A caller's request arrived. */
     forwarding_actions on_request(time_point now, forward_request request);
     /** Another host found that requests of this content crash the targets that run them. */
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -17,9 +17,8 @@
 
 /** Times and bounds of the engine. */
 struct forwarding_options {
-    data_center_id data_center;   ///< of this host
-    extra_budget_limits extra;    ///< of each service, all hosts together
-    std::size_t fewest_hosts = 4; ///< believed to share targets before the others are known
+    data_center_id data_center; ///< of this host
+    extra_budget_limits extra;  ///< of each service, all hosts together
     duration connect_limit = 1s;
     duration unwanted_limit = 300ms;   ///< a reply that is no longer wanted is awaited for this long
     duration first_open_pause = 100ms; ///< after a connection could not be opened; doubles
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -261,7 +261,7 @@
 bool request_flow::take_extra(forwarding_run& run, const run_part& part) {
     m_core.note_extra_load();
     if (!m_core.options.protections.limit_extra_load ||
-        part.service->budget->try_take(m_core.now, m_core.hosts())) {
+        part.service->budget->try_take(m_core.now, m_core.allowance_now())) {
         return true;
     }
     ++m_core.counted.refused_by_budget;
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -26,6 +26,7 @@
 #include "merging/record_merge.h"
 
 #include "admission/admission.h"
+#include "budget/allowance_share.h"
 #include "budget/extra_budget.h"
 #include "placement/connection_share.h"
 #include "placement/placement.h"
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../budget/allowance_share.h"
+
 #include <tamarack_tickets/tamarack_tickets.h>
 
 #include <cstdint>
@@ -25,7 +27,7 @@
     ticket_number ticket;
     std::shared_ptr<const route_table> routes; ///< nullptr while no ticket is known
     std::vector<forwarding_target> targets;
-    std::size_t hosts = 1;     ///< among which the budget for extra load is divided
+    allowance_part allowance;  ///< of the budget for extra load
     bool takes_callers = true; ///< callers are sent here: connections to targets are kept warm
 };
 
--- /dev/null
+++ b/tests/forwarding/allowance_share_test.cpp
@@ -0,0 +1,168 @@
+#include <tamarack_forwarding/tamarack_forwarding.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace tamarack {
+namespace {
+
+constexpr time_point start{1h};
+constexpr duration window = 10s;
+constexpr duration span = window + allowance_share::news_time;
+
+std::vector<host_id> named(std::initializer_list<const char*> names) {
+    std::vector<host_id> hosts;
+    for (const char* name : names) {
+        hosts.emplace_back(name);
+    }
+    return hosts;
+}
+
+TEST(allowance_share, a_host_that_has_just_started_has_nothing_to_spend) {
+    allowance_share share{host_id{"a"}, window};
+    share.on_sharers(start, {named({"a", "b"}), {}});
+    EXPECT_EQ(share.part(start).at(start + span - 1ms), 0.0);
+    EXPECT_EQ(share.part(start + span).at(start + span), 0.5);
+}
+
+TEST(allowance_share, counts_a_host_that_left_until_what_it_spent_has_left_the_window) {
+    allowance_share share{host_id{"a"}, window};
+    share.on_sharers(start, {named({"a", "b"}), {}});
+    share.on_sharers(start + 20s, {named({"a"}), {}});
+    EXPECT_EQ(share.part(start + 20s + span).at(start + 20s + span), 0.5);
+    EXPECT_EQ(share.part(start + 20s + span + 1ms).at(start + 20s + span + 1ms), 1.0);
+}
+
+TEST(allowance_share, a_host_called_from_standby_waits_like_a_new_one) {
+    allowance_share share{host_id{"b"}, window};
+    share.on_sharers(start, {named({"a"}), named({"b"})});
+    EXPECT_NEAR(share.part(start + 1min).at(start + 1min), 0.2, 1e-9);
+    share.on_sharers(start + 1min, {named({"a", "b"}), {}});
+    EXPECT_EQ(share.part(start + 1min + span - 1ms).at(start + 1min + span - 1ms), 0.0);
+}
+
+/** Hosts come, go and restart at random; each hears of it up to two seconds later and spends all it may. */
+class random_fleet {
+public:
+    explicit random_fleet(std::uint64_t seed) : m_random(seed) {
+        for (std::size_t host = 0; host < most_hosts; ++host) {
+            m_hosts[host].running = true;
+        }
+    }
+
+    void run(duration length) {
+        for (m_now = start; m_now < start + length; m_now += step) {
+            if (m_random.chance(changes_in_step)) {
+                change(m_random.below(most_hosts));
+            }
+            m_history.emplace_back(m_now, running());
+            while (m_history.front().first < m_now - longest_delay) {
+                m_history.pop_front();
+            }
+            for (std::size_t host = 0; host < most_hosts; ++host) {
+                spend(host);
+            }
+        }
+    }
+
+    /** @return the most of the allowance that was spent in one window */
+    double most_spent() const {
+        double most = 0.0;
+        double sum = 0.0;
+        std::size_t first = 0;
+        for (const auto& [at, fraction] : m_spent) {
+            sum += fraction;
+            while (m_spent[first].first <= at - window) {
+                sum -= m_spent[first++].second;
+            }
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+
+private:
+    static constexpr std::size_t most_hosts = 12;
+    static constexpr duration step = 100ms;
+    static constexpr duration longest_delay = 2s;
+    static constexpr double changes_in_step = 0.04;
+
+    struct fleet_host {
+        bool running = false;
+        std::optional<allowance_share> share;
+        duration delay{};
+        std::deque<std::pair<time_point, double>> spent; ///< within the window
+    };
+
+    static host_id name(std::size_t host) { return host_id{"host-" + std::to_string(host)}; }
+
+    std::vector<host_id> running() const {
+        std::vector<host_id> names;
+        for (std::size_t host = 0; host < most_hosts; ++host) {
+            if (m_hosts[host].running) {
+                names.push_back(name(host));
+            }
+        }
+        return names;
+    }
+
+    void change(std::size_t host) {
+        m_hosts[host].running = !m_hosts[host].running || m_random.chance(0.5);
+        m_hosts[host].share.reset();
+        m_hosts[host].spent.clear();
+    }
+
+    void spend(std::size_t host) {
+        fleet_host& own = m_hosts[host];
+        if (!own.running) {
+            return;
+        }
+        if (!own.share) {
+            own.share.emplace(name(host), window);
+            own.delay = m_random.between(duration{0}, longest_delay);
+        }
+        std::vector<host_id> seen = m_history.front().second;
+        for (const auto& [at, names] : m_history) {
+            seen = at <= m_now - own.delay ? names : seen;
+        }
+        if (std::ranges::find(seen, name(host)) == seen.end()) {
+            seen.push_back(name(host));
+        }
+        own.share->on_sharers(m_now, {seen, {}});
+        while (!own.spent.empty() && own.spent.front().first <= m_now - window) {
+            own.spent.pop_front();
+        }
+        double within = 0.0;
+        for (const auto& [at, fraction] : own.spent) {
+            within += fraction;
+        }
+        const double left = own.share->part(m_now).at(m_now) - within;
+        if (left > 0.0 && m_random.chance(0.2)) {
+            own.spent.emplace_back(m_now, left);
+            m_spent.emplace_back(m_now, left);
+        }
+    }
+
+    random_source m_random;
+    time_point m_now{};
+    std::array<fleet_host, most_hosts> m_hosts;
+    std::deque<std::pair<time_point, std::vector<host_id>>> m_history;
+    std::vector<std::pair<time_point, double>> m_spent;
+};
+
+TEST(allowance_share, parts_spent_in_one_window_never_exceed_the_whole) {
+    double most = 0.0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        random_fleet fleet{seed};
+        fleet.run(3min);
+        EXPECT_LE(fleet.most_spent(), 1.0 + 1e-9) << "seed " << seed;
+        most = std::max(most, fleet.most_spent());
+    }
+    EXPECT_GT(most, 0.5) << "hosts that stay together spend most of it";
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -97,6 +97,7 @@
     }
 
     int runs_of_ten_requests(forwarding_engine& engine) {
+        engine.on_lease(m_now, time_point::max());
         carry_out(engine, engine.on_view(m_now, single_route_view(6)));
         for (forward_number number = 1; number <= 10; ++number) {
             m_now += 3s;
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -98,7 +98,7 @@
             budgets[host].on_request(now);
             requests.push_back(now);
         }
-        if (budgets[host].try_take(now, hosts)) {
+        if (budgets[host].try_take(now, 1.0 / hosts)) {
             taken.push_back(now);
         }
     }
--- a/tests/forwarding/extra_load_test.cpp
+++ b/tests/forwarding/extra_load_test.cpp
@@ -49,6 +49,29 @@
     EXPECT_EQ(describe(world), "");
 }
 
+/** Hosts cut apart from 20 s on; the last of them forget each other at 35 s. */
+std::size_t breaches_when_cut_apart(duration lease_left) {
+    forwarding_world world{26, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.9);
+    world.publish();
+    world.load("match", 60.0, 1s, 70s);
+    world.at(20s, [&world, lease_left] { world.cut_hosts_apart(lease_left); });
+    for (int second = 21; second < 70; ++second) {
+        world.at(std::chrono::seconds{second}, [&world] { world.publish(); });
+    }
+    world.run_until(75s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    return world.extra_load_breaches().size();
+}
+
+TEST(extra_load, stays_within_its_bound_when_hosts_are_cut_apart) {
+    EXPECT_EQ(breaches_when_cut_apart(3s), 0U);
+}
+
+TEST(extra_load, exceeds_its_bound_when_hosts_that_are_cut_apart_spend_without_a_lease) {
+    EXPECT_EQ(breaches_when_cut_apart(1h), 1U);
+}
+
 TEST(extra_load, stays_within_its_bound_when_a_service_leaves_the_routes_and_returns) {
     forwarding_world world{22, all_hosts, le_goff_options()};
     add_failing_service(world, 0.9);
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -21,12 +21,18 @@
 forwarding_world::forwarding_world(std::uint64_t seed, std::size_t hosts, forwarding_options options)
     : m_options(std::move(options)), m_next_seed(seed * 100), m_random(seed), m_hosts(hosts) {
     m_options.data_center = data_center_id{"near"};
-    m_options.fewest_hosts = hosts;
-    for (simulated_host& host : m_hosts) {
-        host.engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
+    for (std::size_t host = 0; host < hosts; ++host) {
+        start_host(host);
     }
 }
 
+void forwarding_world::start_host(std::size_t host) {
+    m_hosts[host].engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
+    m_hosts[host].engine->on_lease(m_now, time_point::max());
+    m_hosts[host].allowance =
+        std::make_unique<allowance_share>(host_id{"host-" + std::to_string(host)}, m_options.extra.window);
+}
+
 void forwarding_world::restart_host(std::size_t host) {
     for (const auto& [connection, id] : m_hosts[host].connections) {
         --m_targets.at(id).open_connections;
@@ -35,7 +41,15 @@
     const std::size_t life = m_hosts[host].life + 1;
     m_hosts[host] = {};
     m_hosts[host].life = life;
-    m_hosts[host].engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
+    start_host(host);
+    publish();
+}
+
+void forwarding_world::cut_hosts_apart(duration lease_left) {
+    m_cut_apart = true;
+    for (simulated_host& host : m_hosts) {
+        host.engine->on_lease(m_now, m_now + lease_left);
+    }
     publish();
 }
 
@@ -100,13 +114,14 @@
     auto view = std::make_shared<forwarding_view>();
     view->ticket = ticket_number{1};
     view->routes = m_published;
-    view->hosts = m_hosts.size();
     std::vector<host_id> names;
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         names.emplace_back("host-" + std::to_string(host));
     }
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         auto own = std::make_shared<forwarding_view>(*view);
+        m_hosts[host].allowance->on_sharers(m_now, {m_cut_apart ? std::vector{names[host]} : names, {}});
+        own->allowance = m_hosts[host].allowance->part(m_now);
         for (const auto& [id, target] : m_targets) {
             forwarding_target listed = target.behaviour.known;
             listed.connections = connection_share(static_cast<std::uint32_t>(target.behaviour.connections),
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -64,6 +64,8 @@
 
     /** A host's process is killed and started again; its requests lose their callers. */
     void restart_host(std::size_t host);
+    /** Each host knows no other from now on. @param lease_left  how long hosts still hold their lease */
+    void cut_hosts_apart(duration lease_left);
     /** Takes a route away, or puts it back, with the next publish. */
     void remove_route(const std::string& name);
     /** A target reads on; what has arrived meanwhile comes first. */
@@ -124,6 +126,7 @@
     };
     struct simulated_host {
         std::unique_ptr<forwarding_engine> engine;
+        std::unique_ptr<allowance_share> allowance;
         std::map<target_connection, target_id> connections;
         time_point timer_at = time_point::max();
         std::size_t life = 0; ///< grows with each restart
@@ -135,6 +138,7 @@
         request_id id;
     };
 
+    void start_host(std::size_t host);
     void schedule(time_point when, std::function<void()> action);
     void arrive(const std::string& route_name);
     void carry_out(std::size_t host, forwarding_actions actions);
@@ -162,6 +166,7 @@
     std::priority_queue<event> m_events;
     std::uint64_t m_order = 0;
     time_point m_paused_until{};
+    bool m_cut_apart = false;
     time_point m_start{1h};
     time_point m_now{1h};
     forward_number m_next_request = 1;
--- a/tests/forwarding/single_route.h
+++ b/tests/forwarding/single_route.h
@@ -25,6 +25,7 @@
     auto view = std::make_shared<forwarding_view>();
     view->ticket = ticket_number{1};
     view->routes = std::move(table);
+    view->allowance = {1.0, time_point{}};
     for (int number = 1; number <= targets; ++number) {
         forwarding_target listed;
         listed.id = target_id{"i-" + std::to_string(number)};
