Charge a repeat in the window in which it reaches its target

Cause: a repeat was charged when it was decided. It may then wait for a connection, or lie unread in the socket of a target that stands still. The window in which it arrives counts it again beside what is charged there.

Change: a charge is opened by the decision, counts in every window while it is open, and closes when the exchanges of its part that may arrive last were answered or lost; those closed unanswered keep it open until their target replies to anything, or for two windows. A repeat that is never sent is not charged at all.

Ruled out: one target of three that stands still does not exceed the bound by itself.

--- a/modules/tamarack_forwarding/budget/extra_budget.cpp
+++ b/modules/tamarack_forwarding/budget/extra_budget.cpp
@@ -29,6 +29,7 @@
 extra_load_counts extra_budget::within_window(time_point now) {
     const std::int64_t newest = current(now).number;
     extra_load_counts counts;
+    counts.taken = m_open;
     for (const slice& item : m_slices) {
         if (item.number + static_cast<std::int64_t>(slices) >= newest) {
             counts.requests += item.requests;
@@ -49,12 +50,23 @@
            counts.taken;
 }
 
-bool extra_budget::try_take(time_point now, double allowance_part) {
+bool extra_budget::try_open(time_point now, double allowance_part) {
     if (left(now, allowance_part) < 1.0) {
         return false;
     }
-    ++current(now).taken;
+    ++m_open;
     return true;
 }
 
+void extra_budget::close(time_point now) {
+    require_invariant(m_open > 0, "a charge is closed once");
+    --m_open;
+    ++current(now).taken;
+}
+
+void extra_budget::cancel() {
+    require_invariant(m_open > 0, "a charge is cancelled once");
+    --m_open;
+}
+
 } // namespace tamarack
--- a/modules/tamarack_forwarding/budget/extra_budget.h
+++ b/modules/tamarack_forwarding/budget/extra_budget.h
@@ -18,7 +18,7 @@
 /** What happened within a window. */
 struct extra_load_counts {
     std::uint32_t requests = 0;
-    std::uint32_t taken = 0; ///< exchanges beyond the first of a request
+    std::uint32_t taken = 0; ///< exchanges beyond the first of a request, open charges included
 };
 
 /**
@@ -38,12 +38,16 @@
     void on_request(time_point now);
 
     /**
-     * Takes one further exchange.
+     * Opens a charge for one further exchange: until it is closed it counts in each window.
      *
      * @param allowance_part  fraction of the allowance that this host may spend
      * @return whether it is allowed
      */
-    bool try_take(time_point now, double allowance_part);
+    bool try_open(time_point now, double allowance_part);
+    /** The exchange of an open charge has reached its target by now. */
+    void close(time_point now);
+    /** The exchange of an open charge was not sent and won't be. */
+    void cancel();
 
     /** @return further exchanges that are allowed now */
     double left(time_point now, double allowance_part);
@@ -68,6 +72,7 @@
 
     extra_budget_limits m_limits;
     time_point m_began;
+    std::uint32_t m_open = 0;
     std::array<slice, slices + 1> m_slices{};
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -14,6 +14,8 @@
 constexpr duration longest_lag = 200ms;
 /** A lag falls to 1/e after this: load that lasts shows itself again with the next timer. */
 constexpr duration lag_fade = 150ms;
+/** Charges of exchanges that nothing answers are closed after so many windows. */
+constexpr int windows_until_lost = 2;
 /** Without the protection, for tests. */
 constexpr std::size_t unlimited_connections = 1'000;
 
@@ -103,6 +105,20 @@
     return budget;
 }
 
+void forwarding_core::keep_charges(held_connection& held) {
+    std::erase_if(unread, [this](const unread_exchange& item) { return item.until <= now; });
+    if (!held.charges.empty()) {
+        const duration limit = windows_until_lost * options.extra.window;
+        unread.push_back({held.target->known.id, now + limit, std::move(held.charges)});
+    }
+}
+
+void forwarding_core::close_charges(const target_id& target) {
+    if (!unread.empty()) {
+        std::erase_if(unread, [&target](const unread_exchange& item) { return item.target == target; });
+    }
+}
+
 void forwarding_core::drop_idle_budgets() {
     std::erase_if(budgets, [this](const auto& item) {
         return !services.contains(item.first) && item.second->idle(now);
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -31,9 +31,17 @@
     connection_phase phase = connection_phase::opening;
     forward_number request = 0;
     std::size_t part = 0;
-    time_point since;                   ///< of the phase
-    std::optional<duration> idle_limit; ///< as the target last said
-    duration usual{};                   ///< median time of such exchanges when it was sent
+    time_point since;                           ///< of the phase
+    std::optional<duration> idle_limit;         ///< as the target last said
+    duration usual{};                           ///< median time of such exchanges when it was sent
+    std::vector<repeat_charge_pointer> charges; ///< that its exchange may be the last one of
+};
+
+/** An exchange whose connection was closed before any reply: its target may read it yet. */
+struct unread_exchange {
+    target_id target;
+    time_point until; ///< a target that reads nothing until then is taken for lost
+    std::vector<repeat_charge_pointer> charges;
 };
 
 /** What is due at a time. */
@@ -68,6 +76,7 @@
     std::map<service_id, std::shared_ptr<extra_budget>> budgets;   ///< also of services that left the routes
     std::unordered_map<std::string, known_target_pointer> targets; ///< by id
     std::unordered_map<target_connection, held_connection> connections;
+    std::vector<unread_exchange> unread; ///< of those with charges
     std::unordered_map<forward_number, std::unique_ptr<forwarding_run>> runs;
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
     std::map<std::string, exchange_timing> timings;     ///< by route
@@ -105,6 +114,10 @@
                std::string result = {}, std::size_t candidates = 0) const;
     /** @return the record of a service's extra load, a new one when there is none */
     std::shared_ptr<extra_budget> budget_of(const service_id& service);
+    /** An exchange ends without a reply, by a close from this side: its charges stay open. */
+    void keep_charges(held_connection& held);
+    /** A target has replied: it has read all that was sent to it before. */
+    void close_charges(const target_id& target);
     /** Forgets the records of services that left the routes a window ago. */
     void drop_idle_budgets();
     /** A repeat was charged or refused: the service's extra load is told when a window has passed. */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -243,6 +243,7 @@
     const std::size_t part = held.part;
     const duration taken = core.now - held.since;
     observe(held, reply);
+    core.close_charges(target->known.id);
     const bool keep = reply.keeps_connection && reply.verdict != target_verdict::malformed &&
                       reply.verdict != target_verdict::wrong_target;
     const bool wrong_target = reply.verdict == target_verdict::wrong_target;
@@ -271,6 +272,7 @@
         return;
     }
     const held_connection held = found->second;
+    core.keep_charges(found->second);
     dispatcher.close(connection);
     if (core.now - held.since > unanswered_factor * held.usual + unanswered_least) {
         on_failure(*held.target);
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -132,6 +132,14 @@
     held.part = part_index;
     held.since = m_core.now;
     held.usual = run.timing->median();
+    if (part.charge) {
+        part.charge->on_sent();
+        held.charges.push_back(part.charge);
+        for (const running_exchange& other : part.exchanges) {
+            m_core.connections.at(other.connection).charges.push_back(part.charge);
+        }
+        part.charge.reset();
+    }
     ++target->busy;
     ++target->sent_since_load;
     target->running_since.push_back(m_core.now);
@@ -207,6 +215,7 @@
     --target.busy;
     held.phase = connection_phase::idle;
     held.since = m_core.now;
+    held.charges.clear();
     target.idle.push_back(connection);
     const bool within = target.connections() <= m_core.connections_allowed(target);
     if (!keep || !target.usable || !within) {
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -249,6 +249,7 @@
     part.exchanges.clear();
     part.progress = part_progress::covered;
     part.queued = false;
+    part.charge.reset();
     part.hedge_at = time_point::max();
     if (!run.merges()) {
         answer_reply(run, std::move(reply));
@@ -258,10 +259,13 @@
     part.body = std::move(reply.body);
 }
 
-bool request_flow::take_extra(forwarding_run& run, const run_part& part) {
+bool request_flow::take_extra(forwarding_run& run, run_part& part) {
     m_core.note_extra_load();
-    if (!m_core.options.protections.limit_extra_load ||
-        part.service->budget->try_take(m_core.now, m_core.allowance_now())) {
+    if (!m_core.options.protections.limit_extra_load) {
+        return true;
+    }
+    if (part.service->budget->try_open(m_core.now, m_core.allowance_now())) {
+        part.charge = std::make_shared<repeat_charge>(part.service->budget, m_core.now);
         return true;
     }
     ++m_core.counted.refused_by_budget;
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -38,7 +38,7 @@
     void try_again(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
     void give_up(forwarding_run& run, run_part& part, const char* cause);
     void hedge(forwarding_run& run, std::size_t part);
-    bool take_extra(forwarding_run& run, const run_part& part);
+    bool take_extra(forwarding_run& run, run_part& part);
     /** Answers the request if it is time to. */
     void settle(forwarding_run& run);
     void answer_merged(forwarding_run& run);
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -28,6 +28,7 @@
 #include "admission/admission.h"
 #include "budget/allowance_share.h"
 #include "budget/extra_budget.h"
+#include "budget/repeat_charge.h"
 #include "placement/connection_share.h"
 #include "placement/placement.h"
 #include "timing/exchange_timing.h"
--- a/tests/forwarding/extra_load_test.cpp
+++ b/tests/forwarding/extra_load_test.cpp
@@ -135,6 +135,28 @@
     EXPECT_EQ(describe(world), "");
 }
 
+/** What was sent while the targets stood still arrives together with the repeats that follow. */
+TEST(extra_load, stays_within_its_bound_when_all_targets_stand_still_and_read_on) {
+    forwarding_world world{27, all_hosts, le_goff_options()};
+    add_failing_service(world, 0.0);
+    world.publish();
+    world.load("match", 40.0, 1s, 80s);
+    for (int round = 0; round < 3; ++round) {
+        world.at(20s + 20s * round, [&world] {
+            world.for_each_target([](const std::string&, world_target& target) { target.reads = false; });
+        });
+        world.at(29s + 20s * round, [&world] {
+            world.for_each_target([](const std::string&, world_target& target) { target.fail = 0.9; });
+            for (const char* id : {"s-0", "s-1", "s-2"}) {
+                world.read_on(id);
+            }
+        });
+    }
+    world.run_until(90s);
+    EXPECT_GT(world.extra_load("s"), 0U);
+    EXPECT_EQ(describe(world), "");
+}
+
 TEST(extra_load, stays_within_its_bound_when_load_comes_in_bursts) {
     forwarding_world world{25, all_hosts, le_goff_options()};
     add_failing_service(world, 0.9);
