Tell hosts that start which requests crash targets

Targets saw: a request that crashes each target that runs it comes again at a host that is killed and started in series; each life of the host retried it once and lost a second target: 8 retries in 8 starts with real processes, where the rule on such requests allows 3.

A host that found such a content told the hosts that it knew at that moment, and nobody told one that started later.

Change: each host keeps the notices that it found or heard, and sends them, with their age, to a host that it sees in a new life. The age keeps a notice from living longer by being told again. The log line crashing_request_told has the age.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -97,12 +97,13 @@
     return m_thread.try_post([this, ends_at] { m_engine.on_lease(steady_now(), ends_at); });
 }
 
-bool forwarding_duty::post_crash_told(digest content) {
-    return m_thread.try_post([this, content = std::move(content)] {
-        log_state_change(log_level::info, "crashing_request_told",
-                         m_picture.view ? m_picture.view->ticket : ticket_number{},
-                         {{"content", content.hex()}});
-        m_engine.on_crash_told(steady_now(), content);
+bool forwarding_duty::post_crash_told(digest content, time_point found_at) {
+    return m_thread.try_post([this, content = std::move(content), found_at] {
+        log_state_change(
+            log_level::info, "crashing_request_told",
+            m_picture.view ? m_picture.view->ticket : ticket_number{},
+            {{"content", content.hex()}, {"age_ms", std::to_string((steady_now() - found_at) / 1ms)}});
+        m_engine.on_crash_told(found_at, content);
     });
 }
 
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -49,7 +49,7 @@
     /** From any thread: this host is in touch with the control hosts until then. */
     bool post_lease(time_point ends_at);
     /** From any thread: another host found that requests of this content crash targets. */
-    bool post_crash_told(digest content);
+    bool post_crash_told(digest content, time_point found_at);
     /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
     bool post_leaving();
     /** From any thread. @return exchanges with targets that have begun since the start */
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -280,11 +280,11 @@
         return !m_serving || m_serving->post_suspicion(std::move(suspicion));
     };
     hooks.exchanges = [this] { return m_forwarding ? m_forwarding->exchanges() : 0; };
-    hooks.quarantine = [this](digest request) {
+    hooks.quarantine = [this](const crash_notice& notice) {
         if (m_forwarding) {
-            return m_forwarding->post_crash_told(std::move(request));
+            return m_forwarding->post_crash_told(notice.content, notice.found_at);
         }
-        return !m_serving || m_serving->post_quarantine(std::move(request));
+        return !m_serving || m_serving->post_quarantine(notice.content);
     };
     return hooks;
 }
--- a/apps/tamarackd/hosts/host_methods.cpp
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -1,18 +1,14 @@
 #include "host_methods.h"
 
+#include <tamarack_forwarding/tamarack_forwarding.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
 
 namespace {
 
-outcome<digest> decode_quarantine(const Json::Value& parameters) {
-    if (!parameters["digest"].isString()) {
-        return error{error_code::malformed, "a quarantine lacks its digest"};
-    }
-    return digest{parameters["digest"].asString()};
-}
-
 /** Registers one method: what its codec reads goes to the handler, what it can't read is reported. */
 template <typename Decode, typename Handler>
 void on(host_dispatcher& dispatcher, const std::string& method, const host_method_handlers& handlers,
@@ -67,6 +63,26 @@
                                  ticket_number{parameters["holds"].asUInt64()}};
 }
 
+Json::Value encode_quarantine(const quarantine_notice& value) {
+    Json::Value parameters;
+    parameters["digest"] = value.content.hex();
+    parameters["age_ms"] = Json::Int64{value.age / 1ms};
+    return parameters;
+}
+
+/** The release before sends no age. */
+outcome<quarantine_notice> decode_quarantine(const Json::Value& parameters) {
+    const Json::Value& age = parameters["age_ms"];
+    const bool readable = parameters["digest"].isString() && (age.isNull() || age.isUInt64());
+    if (!readable) {
+        return error{error_code::malformed, "a quarantine lacks its digest or has an age that is no number"};
+    }
+    constexpr std::int64_t longest = crash_evidence::remembered_for / 1ms;
+    const auto milliseconds = static_cast<std::int64_t>(
+        std::min<std::uint64_t>(age.isNull() ? 0 : age.asUInt64(), std::uint64_t{longest}));
+    return quarantine_notice{digest{parameters["digest"].asString()}, milliseconds * 1ms};
+}
+
 void register_host_methods(host_dispatcher& dispatcher, const host_method_handlers& handlers) {
     on(dispatcher, raft_method, handlers, decode_envelope, handlers.raft);
     on(dispatcher, control_method, handlers, decode_control_message, handlers.control);
--- a/apps/tamarackd/hosts/host_methods.h
+++ b/apps/tamarackd/hosts/host_methods.h
@@ -30,20 +30,28 @@
     ticket_number holds; ///< nothing is answered unless the other holds a later one
 };
 
+/** Requests of this content crash the targets that run them. */
+struct quarantine_notice {
+    digest content;
+    duration age{}; ///< since it was found
+};
+
 /** @return the parameters of the notification */
 Json::Value encode_identity(const host_identity& value);
 Json::Value encode_inquiry(const configuration_inquiry& value);
+Json::Value encode_quarantine(const quarantine_notice& value);
 
 /** @return the message, or malformed when a member is missing or of another type */
 outcome<host_identity> decode_identity(const Json::Value& parameters);
 outcome<configuration_inquiry> decode_inquiry(const Json::Value& parameters);
+outcome<quarantine_notice> decode_quarantine(const Json::Value& parameters);
 
 /** What is done with a notification of another host, once it is decoded. Every handler is set. */
 struct host_method_handlers {
     std::function<void(raft_envelope)> raft;
     std::function<void(control_message)> control;
     std::function<void(membership_message)> membership;
-    std::function<void(digest)> quarantine;
+    std::function<void(quarantine_notice)> quarantine;
     std::function<void(host_identity)> identity;
     std::function<void(configuration_inquiry)> inquiry;
     /** A notification can't be decoded; it is dropped, as if it were lost. */
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -93,7 +93,12 @@
     handlers.membership = [this](const membership_message& message) {
         carry_out(m_detector->on_message(steady_now(), message, *m_registry));
     };
-    handlers.quarantine = [this](digest request) { m_hooks.quarantine(std::move(request)); };
+    handlers.quarantine = [this](const quarantine_notice& told) {
+        const time_point now = steady_now();
+        const crash_notice notice{told.content, now - told.age};
+        m_crashes.add(now, notice);
+        m_hooks.quarantine(notice);
+    };
     handlers.identity = [this](const host_identity& told) {
         m_introductions.on_introduced(steady_now(), told.member, told.data_center);
     };
@@ -174,11 +179,11 @@
 
 bool hosts_duty::post_quarantine(spread_quarantine found) {
     return m_thread.try_post([this, found = std::move(found)] {
-        Json::Value parameters;
-        parameters["digest"] = found.request.hex();
+        const crash_notice notice{found.request, steady_now()};
+        m_crashes.add(steady_now(), notice);
         for (const host_record& host : m_detector->hosts()) {
             if (host.state == host_state::alive && host.host != m_settings.host) {
-                m_links.send(host.hosts_address, quarantine_method, parameters);
+                tell_crash(host, notice);
             }
         }
     });
@@ -379,16 +384,27 @@
     }
 }
 
+void hosts_duty::tell_crash(const host_record& host, const crash_notice& notice) {
+    const quarantine_notice told{notice.content, steady_now() - notice.found_at};
+    m_links.send(host.hosts_address, quarantine_method, encode_quarantine(told));
+}
+
 void hosts_duty::on_host_changed(const host_record& record) {
     const bool pictured = m_settings.edge.kind != edge_kind::platform;
     m_picture_stale = m_pictures->on_hosts(steady_now(), m_detector->hosts()) || pictured || m_picture_stale;
     const auto [seen, is_new] = m_seen_hosts.try_emplace(record.host, record);
     const bool only_load = !is_new && seen->second.life == record.life &&
                            seen->second.state == record.state && seen->second.draining == record.draining;
+    const bool newcomer = is_new || seen->second.life != record.life;
     seen->second = record;
     if (only_load) {
         return;
     }
+    if (newcomer && record.state == host_state::alive && record.host != m_settings.host) {
+        for (const crash_notice& notice : m_crashes.current(steady_now())) {
+            tell_crash(record, notice);
+        }
+    }
     if (m_settings.formation.automatic) {
         update_control_hosts();
     }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -3,6 +3,7 @@
 #include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
 #include "control_introductions.h"
+#include "crash_notices.h"
 #include "forwarding_pictures.h"
 #include "host_links.h"
 #include "host_methods.h"
@@ -36,7 +37,7 @@
     std::function<bool(request_number, claim_answer)> claim_answer_for;
     std::function<bool(request_number)> claim_failed_for;
     std::function<bool(spread_suspicion)> suspicion;
-    std::function<bool(digest)> quarantine;
+    std::function<bool(const crash_notice&)> quarantine;
     std::function<std::uint64_t()> exchanges; ///< with targets, since the start
     target_memory* memory = nullptr;          ///< where targets are kept over a start; none without a disk
 };
@@ -122,6 +123,7 @@
     void carry_out(control_client_actions actions);
     void carry_out(membership_actions actions);
     void on_host_changed(const host_record& record);
+    void tell_crash(const host_record& host, const crash_notice& notice);
     /** Brings timers and the serving duty's picture up to date; called after each event. */
     void settle();
     void send_picture(time_point now);
@@ -148,6 +150,7 @@
     host_links m_links;
     control_introductions m_introductions;
     suspicion_exchange m_suspicions;
+    crash_notices m_crashes;
     endpoint m_address;
     std::unique_ptr<control_client> m_control;
     std::unique_ptr<target_registry> m_registry;
--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -8,8 +8,6 @@
 
 /** A crashed process refuses connections from at once until it is started again. */
 constexpr duration crash_shows_within = 2s;
-/** A content is remembered for this long after the last loss; callers come back within seconds. */
-constexpr duration remembered_for = 60s;
 constexpr std::size_t targets_that_are_evidence = 2;
 constexpr std::size_t most_suspects = 1'000;
 constexpr std::size_t most_lost_of_a_target = 64;
@@ -47,12 +45,12 @@
     return found;
 }
 
-void crash_evidence::on_told(time_point now, const digest& content) {
-    forget(now);
+void crash_evidence::on_told(time_point found_at, const digest& content) {
+    forget(found_at);
     if (m_suspects.size() < most_suspects || m_suspects.contains(content.hex())) {
         suspect& suspected = m_suspects[content.hex()];
         suspected.told = true;
-        suspected.last = now;
+        suspected.last = std::max(suspected.last, found_at);
     }
 }
 
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -20,6 +20,9 @@
  */
 class crash_evidence {
 public:
+    /** A content is remembered for this long after the last loss; callers come back within seconds. */
+    static constexpr duration remembered_for = 60s;
+
     /** An exchange ended with its connection, without a reply. */
     void on_exchange_lost(time_point now, const target_id& target, const digest& content);
 
@@ -30,8 +33,8 @@
      */
     std::vector<digest> on_target_unreachable(time_point now, const target_id& target);
 
-    /** Another host has evidence against a content. */
-    void on_told(time_point now, const digest& content);
+    /** Another host has had evidence against a content since a time. */
+    void on_told(time_point found_at, const digest& content);
 
     /** @return whether there is evidence against a content; what was seen long ago does not count */
     bool crashes_targets(time_point now, const digest& content) const;
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -359,8 +359,8 @@
     return due.empty() ? time_point::max() : due.top().at;
 }
 
-void forwarding_engine::on_crash_told(time_point now, const digest& content) {
-    m_implementation->core.crashes.on_told(now, content);
+void forwarding_engine::on_crash_told(time_point found_at, const digest& content) {
+    m_implementation->core.crashes.on_told(found_at, content);
 }
 
 std::size_t forwarding_engine::unanswered() const {
--- a/tests/daemon/host_methods_test.cpp
+++ b/tests/daemon/host_methods_test.cpp
@@ -18,6 +18,10 @@
     ASSERT_TRUE(succeeded(inquiry));
     EXPECT_EQ(value_of(inquiry).reply_to, endpoint{"10.0.0.1:80"});
     EXPECT_EQ(value_of(inquiry).holds, ticket_number{7});
+    const auto quarantine = decode_quarantine(encode_quarantine({digest{"ab"}, 1500ms}));
+    ASSERT_TRUE(succeeded(quarantine));
+    EXPECT_EQ(value_of(quarantine).content.hex(), "ab");
+    EXPECT_EQ(value_of(quarantine).age, 1500ms);
 }
 
 TEST(host_methods, reports_what_it_can_not_read_and_hands_nothing_on) {
@@ -27,7 +31,7 @@
     handlers.raft = [](const raft_envelope&) { FAIL(); };
     handlers.control = [](const control_message&) { FAIL(); };
     handlers.membership = [](const membership_message&) { FAIL(); };
-    handlers.quarantine = [](const digest&) { FAIL(); };
+    handlers.quarantine = [](const quarantine_notice&) { FAIL(); };
     handlers.identity = [](const host_identity&) { FAIL(); };
     handlers.inquiry = [](const configuration_inquiry&) { FAIL(); };
     handlers.unreadable = [&](const std::string& method, const error&) { unreadable.push_back(method); };
--- a/tests/fault_proxy/proxy_route.cpp
+++ b/tests/fault_proxy/proxy_route.cpp
@@ -126,7 +126,7 @@
 struct proxy_route::implementation : std::enable_shared_from_this<implementation> {
     implementation(testing_support::event_loop& chosen, const std::string& listen, const std::string& to)
         : loop(&chosen), acceptor(chosen.internals().context, parse_endpoint(listen)),
-          server(parse_endpoint(to)) {}
+          server(parse_endpoint(to)), local(acceptor.local_endpoint()) {}
 
     void accept_next() {
         acceptor.async_accept([self = shared_from_this()](const error_code& failure, tcp::socket socket) {
@@ -153,6 +153,7 @@
     testing_support::event_loop* loop;
     tcp::acceptor acceptor;
     tcp::endpoint server;
+    tcp::endpoint local; ///< the port in use
     std::shared_ptr<proxy_faults> faults = std::make_shared<proxy_faults>();
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::weak_ptr<relay>> relays;
@@ -170,7 +171,7 @@
 }
 
 std::string proxy_route::address() const {
-    const auto local = m_implementation->acceptor.local_endpoint();
+    const tcp::endpoint& local = m_implementation->local;
     return local.address().to_string() + ":" + std::to_string(local.port());
 }
 
@@ -190,6 +191,24 @@
     }
 }
 
+void proxy_route::stop_listening() {
+    error_code ignored;
+    m_implementation->acceptor.close(ignored);
+    close_open_connections();
+}
+
+void proxy_route::listen_again() {
+    tcp::acceptor& acceptor = m_implementation->acceptor;
+    if (acceptor.is_open()) {
+        return;
+    }
+    acceptor.open(m_implementation->local.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address{true});
+    acceptor.bind(m_implementation->local);
+    acceptor.listen();
+    m_implementation->accept_next();
+}
+
 std::size_t proxy_route::open_connections() const {
     std::size_t open = 0;
     for (const auto& [number, known] : m_implementation->relays) {
--- a/tests/fault_proxy/proxy_route.h
+++ b/tests/fault_proxy/proxy_route.h
@@ -38,6 +38,12 @@
     /** Closes the connections that are open now. */
     void close_open_connections();
 
+    /** Closes the port and all connections, as a process that crashed: new connections are refused. */
+    void stop_listening();
+
+    /** Listens on the same port again. */
+    void listen_again();
+
     /** @return connections that are open now */
     std::size_t open_connections() const;
 
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -21,6 +21,8 @@
 /** A third of the shortest interval that the platform states: tests needn't wait for it. */
 constexpr std::chrono::milliseconds heartbeat_interval{400};
 constexpr std::size_t ports_of_a_host = 6;
+/** A replica that crashed refuses connections for this long. */
+constexpr std::chrono::milliseconds crash_time{500};
 /** The bound on repeats, as the platform's settings state it at Le Goff. */
 constexpr const char* extra_ratio = "0.2";
 constexpr const char* extra_allowance = "58";
@@ -206,6 +208,11 @@
     serve(replica, request, respond);
 }
 
+void platform_deployment::crash(stand_in_replica& replica) {
+    replica.proxy->stop_listening();
+    m_loop.run_after(crash_time, [&replica] { replica.proxy->listen_again(); });
+}
+
 void platform_deployment::serve(stand_in_replica& replica, const plain_request& request,
                                 const testing_support::plain_responder& respond) {
     {
@@ -227,6 +234,10 @@
         const std::lock_guard lock{m_records};
         ++m_runs[{replica.service, request.field("x-tamarackstand-request-id")}];
     }
+    if (replica.proxy && request.path == crashing_path) {
+        crash(replica);
+        return;
+    }
     response.status = replica.fails ? 500 : 200;
     response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
     response.body =
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -43,6 +43,9 @@
     std::vector<std::function<void()>> unread;       ///< requests that arrived while it stood still
 };
 
+/** A request for this path crashes each replica behind a proxy that runs it; it is back a moment later. */
+inline const std::string crashing_path = "/fetch/crash";
+
 /** How hosts reach the replicas. */
 enum class replica_path {
     direct,
@@ -130,6 +133,7 @@
     std::optional<plain_response> control_call(std::size_t first, const plain_request& request);
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
+    void crash(stand_in_replica& replica);
     void serve(stand_in_replica& replica, const plain_request& request,
                const testing_support::plain_responder& respond);
     void send_heartbeats(stand_in_replica& replica, std::size_t first_host);
