Let the soak's callers keep their connections, and name how requests ended

Callers use a connection until the host closes it or is gone, and leave shortly after their deadline.

--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr std::chrono::milliseconds call_limit{5'000};
+/** A caller on a connection of its own leaves this long after its deadline. */
+constexpr std::chrono::milliseconds callers_margin{100};
 /** A replica's heartbeat that is not answered in this time goes to another host. */
 constexpr std::chrono::milliseconds heartbeat_limit{1'000};
 /** A third of the shortest interval that the platform states: tests needn't wait for it. */
@@ -349,7 +351,8 @@
 }
 
 std::optional<plain_response> platform_deployment::request(std::size_t host, const std::string& authority,
-                                                           const std::string& path, int deadline_ms) {
+                                                           const std::string& path, int deadline_ms,
+                                                           testing_support::kept_connection* connection) {
     plain_request request;
     request.path = path;
     request.fields["host"] = authority;
@@ -361,7 +364,9 @@
             m_extra_load.on_request(elapsed(), service);
         }
     }
-    auto response = testing_support::call_and_wait(callers_address(host), request, call_limit);
+    auto response = connection != nullptr
+                        ? connection->call(request, std::chrono::milliseconds{deadline_ms} + callers_margin)
+                        : testing_support::call_and_wait(callers_address(host), request, call_limit);
     if (response && response->status == not_run) {
         const std::lock_guard lock{m_records};
         m_refused.insert(request.fields["x-tamarackstand-request-id"]);
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -4,6 +4,7 @@
 #include "support/checks/extra_load_check.h"
 #include "support/net/http_call.h"
 #include "support/net/http_listener.h"
+#include "support/net/kept_connection.h"
 #include "support/net/port_reservation.h"
 #include "support/process/process_group.h"
 
@@ -99,9 +100,14 @@
     unsigned submit(const std::string& document);
     std::optional<plain_response> describe();
 
-    /** A caller's request to one host. */
+    /**
+     * A caller's request to one host.
+     *
+     * @param connection  of the caller to that host; a new one, closed after the answer, when there is none
+     */
     std::optional<plain_response> request(std::size_t host, const std::string& authority,
-                                          const std::string& path, int deadline_ms = 2'000);
+                                          const std::string& path, int deadline_ms = 2'000,
+                                          testing_support::kept_connection* connection = nullptr);
     /** Names the services that a request for a path is counted for; set before the first request. */
     void count_requests_by(std::function<std::vector<std::string>(const std::string&)> services_of) {
         m_services_of = std::move(services_of);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::seconds apply_time{3};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_run = 503;
+constexpr unsigned status_replicas_failure = 500;
 constexpr std::size_t tolerated_losses = 1;
 
 /** @return the shards that a configuration of this version names */
@@ -30,6 +31,17 @@
     return version % 2 == 0 ? second_shards : first_shards;
 }
 
+/** @return path, status, and the reason that a host gives for an answer of its own */
+std::string describe_end(const std::string& path, const std::optional<plain_response>& response) {
+    const std::string kind = path.substr(0, path.rfind('/'));
+    if (!response) {
+        return kind + " unanswered";
+    }
+    const bool own = response->status > status_replicas_failure;
+    const std::string reason = own ? " " + response->body.substr(0, response->body.find('\n')) : "";
+    return kind + " " + std::to_string(response->status) + reason;
+}
+
 /** @return the end of a log */
 std::string last_lines(const std::string& log) {
     constexpr std::size_t most_bytes = 6'000;
@@ -355,15 +367,20 @@
 
 void soak_run::call(std::size_t caller) {
     std::mt19937_64 random{m_options.seed * 1'000 + caller};
+    std::vector<std::unique_ptr<testing_support::kept_connection>> connections;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        connections.push_back(
+            std::make_unique<testing_support::kept_connection>(m_deployment.callers_address(host)));
+    }
     while (!m_stopping) {
         const std::size_t host = static_cast<std::size_t>(random() % m_hosts.size());
         const std::string path = random() % 3 == 0 ? "/fetch/1" : "/match/1";
-        const auto response = m_deployment.request(host, "x.example", path, 700);
+        const auto response = m_deployment.request(host, "x.example", path, 700, connections[host].get());
         if (response) {
             check_answer(*response, path);
         }
         std::unique_lock lock{m_mutex};
-        ++m_result.by_status[response ? response->status : 0];
+        ++m_result.by_end[describe_end(path, response)];
         m_result.answered += response && response->status == status_ok ? 1 : 0;
         m_result.refused += response && response->status == status_not_run ? 1 : 0;
         m_result.failed +=
--- a/tests/support/net/http_call.cpp
+++ b/tests/support/net/http_call.cpp
@@ -1,14 +1,12 @@
 #include "http_call.h"
 
 #include "event_loop_internals.h"
+#include "plain_messages.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <algorithm>
-#include <cctype>
-
 namespace tamarack::testing_support {
 
 namespace asio = boost::asio;
@@ -26,7 +24,7 @@
     }
 
     void start(const std::string& address, const plain_request& request) {
-        fill(address, request);
+        m_request = to_beast(address, request, false);
         const std::size_t colon = address.rfind(':');
         beast::error_code failure;
         const auto ip = asio::ip::make_address(address.substr(0, colon), failure);
@@ -42,18 +40,6 @@
     }
 
 private:
-    void fill(const std::string& address, const plain_request& request) {
-        m_request.method_string(request.method);
-        m_request.target(request.path);
-        m_request.set(http::field::host, address);
-        for (const auto& [name, value] : request.fields) {
-            m_request.set(name, value);
-        }
-        m_request.body() = request.body;
-        m_request.keep_alive(false);
-        m_request.prepare_payload();
-    }
-
     void write() {
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](const beast::error_code& error, std::size_t) {
@@ -68,23 +54,12 @@
                          });
     }
 
-    void finish() {
-        plain_response response;
-        response.status = m_response.result_int();
-        for (const auto& field : m_response) {
-            std::string name{field.name_string()};
-            std::transform(name.begin(), name.end(), name.begin(),
-                           [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-            response.fields[name] = std::string{field.value()};
-        }
-        response.body = std::move(m_response.body());
-        m_handler(std::move(response));
-    }
+    void finish() { m_handler(from_beast(std::move(m_response))); }
 
     beast::tcp_stream m_stream;
     call_handler m_handler;
-    http::request<http::string_body> m_request;
-    http::response<http::string_body> m_response;
+    beast_request m_request;
+    beast_response m_response;
     beast::flat_buffer m_buffer;
 };
 
