--- a/modules/tamarack_forwarding/budget/allowance_share.cpp
+++ b/modules/tamarack_forwarding/budget/allowance_share.cpp
@@ -1,6 +1,5 @@
 #include "allowance_share.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -16,24 +15,24 @@
     : m_self(std::move(self)), m_span(window + news_time) {}
 
 void allowance_share::update(group& members, time_point now, const std::vector<host_id>& present) {
-    for (auto& [host, known] : members) {
-        const bool left =
-            known.last == time_point::max() && std::ranges::find(present, host) == present.end();
-        if (left) {
-            known.last = now;
+    ++m_round;
+    for (const host_id& host : present) {
+        membership& known = members.try_emplace(host, membership{now}).first->second;
+        if (!known.belongs()) {
+            known = membership{now};
         }
+        known.round = m_round;
     }
-    for (const host_id& host : present) {
-        const auto known = members.try_emplace(host, membership{now, time_point::max()}).first;
-        if (known->second.last != time_point::max()) {
-            known->second = {now, time_point::max()};
+    for (auto& [host, known] : members) {
+        if (known.belongs() && known.round != m_round) {
+            known.left_at = now;
         }
     }
 }
 
 void allowance_share::forget(group& members, time_point now) const {
     std::erase_if(members, [this, now](const auto& item) {
-        return item.second.last != time_point::max() && item.second.last + m_span < now;
+        return !item.second.belongs() && item.second.left_at + m_span < now;
     });
 }
 
@@ -47,7 +46,7 @@
     forget(m_standby, now);
     const auto belongs = [this](const group& members) {
         const auto own = members.find(m_self);
-        return own != members.end() && own->second.last == time_point::max();
+        return own != members.end() && own->second.belongs();
     };
     const bool active = belongs(m_active);
     if (!active && !belongs(m_standby)) {
--- a/modules/tamarack_forwarding/budget/allowance_share.h
+++ b/modules/tamarack_forwarding/budget/allowance_share.h
@@ -4,7 +4,9 @@
 
 #include <tamarack_base/tamarack_base.h>
 
+#include <cstdint>
 #include <map>
+#include <vector>
 
 namespace tamarack {
 
@@ -53,15 +55,19 @@
 private:
     struct membership {
         time_point since;
-        time_point last; ///< time_point::max() while it belongs to the group
+        time_point left_at = time_point::max();
+        std::uint64_t round = 0; ///< of the update that named it last
+
+        bool belongs() const { return left_at == time_point::max(); }
     };
     using group = std::map<host_id, membership>;
 
-    static void update(group& members, time_point now, const std::vector<host_id>& present);
+    void update(group& members, time_point now, const std::vector<host_id>& present);
     void forget(group& members, time_point now) const;
 
     host_id m_self;
     duration m_span; ///< the window and news_time
+    std::uint64_t m_round = 0;
     group m_active;
     group m_standby;
 };
--- a/tests/support/checks/extra_load_check.cpp
+++ b/tests/support/checks/extra_load_check.cpp
@@ -1,7 +1,7 @@
 #include "extra_load_check.h"
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace tamarack::testing_support {
 
@@ -20,6 +20,25 @@
     return moments;
 }
 
+/** @return what was received in the window that begins then, against what the bound allows for it */
+extra_load_breach count_window(const std::vector<moment>& requests, const std::vector<moment>& extra,
+                               moment begins, const extra_load_bound& bound) {
+    const moment ends = begins + bound.window;
+    const moment half = bound.window / 2;
+    const std::size_t most =
+        std::max({count_within(requests, begins, ends), count_within(requests, begins - bound.window, begins),
+                  count_within(requests, begins - half, ends - half)});
+    extra_load_breach window;
+    window.begins = begins;
+    window.extra = count_within(extra, begins, ends);
+    window.allowed = bound.ratio * static_cast<double>(most) + bound.allowance;
+    return window;
+}
+
+double beyond(const extra_load_breach& window) {
+    return static_cast<double>(window.extra) - window.allowed;
+}
+
 } // namespace
 
 void extra_load_check::on_request(moment at, const std::string& service) {
@@ -35,29 +54,21 @@
 
 std::vector<extra_load_breach> extra_load_check::breaches(const extra_load_bound& bound) const {
     std::vector<extra_load_breach> found;
-    for (const auto& [service, counts] : m_services) {
-        const std::vector<moment> requests = sorted_copy(counts.requests);
-        const std::vector<moment> extra = sorted_copy(counts.extra);
-        std::optional<extra_load_breach> worst;
-        const auto look_at = [&](moment begins) {
-            const moment ends = begins + bound.window;
-            const moment half = bound.window / 2;
-            const std::size_t most = std::max({count_within(requests, begins, ends),
-                                               count_within(requests, begins - bound.window, begins),
-                                               count_within(requests, begins - half, ends - half)});
-            const double allowed = bound.ratio * static_cast<double>(most) + bound.allowance;
-            const std::size_t got = count_within(extra, begins, ends);
-            const double beyond = static_cast<double>(got) - allowed;
-            if (beyond > 0.0 && (!worst || beyond > static_cast<double>(worst->extra) - worst->allowed)) {
-                worst = extra_load_breach{service, begins, got, allowed};
-            }
-        };
+    for (const auto& item : m_services) {
+        const std::vector<moment> requests = sorted_copy(item.second.requests);
+        const std::vector<moment> extra = sorted_copy(item.second.extra);
+        extra_load_breach worst;
         for (const moment at : extra) {
-            look_at(at);
-            look_at(at - bound.window + moment{1});
+            for (const moment begins : {at, at - bound.window + moment{1}}) {
+                extra_load_breach window = count_window(requests, extra, begins, bound);
+                if (beyond(window) > beyond(worst)) {
+                    worst = std::move(window);
+                }
+            }
         }
-        if (worst) {
-            found.push_back(*worst);
+        if (beyond(worst) > 0.0) {
+            worst.service = item.first;
+            found.push_back(std::move(worst));
         }
     }
     return found;
