--- a/modules/tamarack_query/budget/extra_load_budget.h
+++ b/modules/tamarack_query/budget/extra_load_budget.h
@@ -10,8 +10,7 @@
  * Bounds hedges and retries to a fraction of first attempts, in every window of time.
  *
  * Each first attempt earns a fraction of a token, each extra attempt spends a whole one; tokens beyond the
- * burst are lost. So in any window the extra attempts are at most fraction * first attempts + burst. That
- * holds over the lives of a process too: it begins without tokens.
+ * burst are lost. So in any window the extra attempts are at most fraction * first attempts + burst.
  */
 class extra_load_budget {
 public:
@@ -19,7 +18,7 @@
      * @param burst    most tokens that are kept
      * @param limited  whether an empty budget refuses; switched off only by tests
      */
-    extra_load_budget(double burst, bool limited) : m_burst(burst), m_limited(limited) {}
+    extra_load_budget(double burst, bool limited) : m_burst(burst), m_tokens(burst), m_limited(limited) {}
 
     /** @param earned  fraction of a token */
     void on_first_attempt(double earned);
@@ -35,7 +34,7 @@
 
 private:
     double m_burst;
-    double m_tokens = 0.0;
+    double m_tokens;
     bool m_limited;
     std::uint64_t m_first_attempts = 0;
     std::uint64_t m_extra_attempts = 0;
