--- a/apps/tamarackd/hosts/forwarding_pictures.cpp
+++ b/apps/tamarackd/hosts/forwarding_pictures.cpp
@@ -18,7 +18,9 @@
 } // namespace
 
 forwarding_pictures::forwarding_pictures(const settings& chosen, time_point started)
-    : m_settings(chosen), m_started(started), m_allowance(chosen.host, chosen.forwarding.extra_window) {}
+    : m_settings(chosen), m_started(started),
+      m_allowance(chosen.host, chosen.forwarding.extra_window,
+                  chosen.formation.first_start ? earlier_processes::none : earlier_processes::possible) {}
 
 bool forwarding_pictures::on_hosts(time_point now, const std::vector<host_record>& hosts) {
     std::vector<host_record> running;
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -154,7 +154,9 @@
         return exit_failed_start;
     }
     print_addresses(value_of(started));
-    log_state_change(log_level::info, "started", {}, {{"role", std::string{to_name(chosen.role)}}});
+    log_state_change(log_level::info, "started", {},
+                     {{"role", std::string{to_name(chosen.role)}},
+                      {"first_start", chosen.formation.first_start ? "true" : "false"}});
     wait_for_stop(signals, host, path);
     return shut_down(host, chosen, signals);
 }
--- a/modules/tamarack_forwarding/budget/allowance_share.cpp
+++ b/modules/tamarack_forwarding/budget/allowance_share.cpp
@@ -1,5 +1,6 @@
 #include "allowance_share.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -8,11 +9,13 @@
 
 /** Parts of the allowance that the active hosts get where others stand by. */
 constexpr double share_of_active = 0.8;
+/** Hosts of a system that starts, while some of them may not be known yet. */
+constexpr std::size_t fewest_at_first_start = 4;
 
 } // namespace
 
-allowance_share::allowance_share(host_id self, duration window)
-    : m_self(std::move(self)), m_span(window + news_time) {}
+allowance_share::allowance_share(host_id self, duration window, earlier_processes earlier)
+    : m_self(std::move(self)), m_span(window + news_time), m_earlier(earlier) {}
 
 void allowance_share::update(group& members, time_point now, const std::vector<host_id>& present) {
     ++m_round;
@@ -37,10 +40,16 @@
 }
 
 void allowance_share::on_sharers(time_point now, const connection_sharers& sharers) {
+    m_started = std::min(m_started, now);
     update(m_active, now, sharers.active);
     update(m_standby, now, sharers.standby);
 }
 
+time_point allowance_share::start_of(const membership& own) const {
+    const bool first_start = m_earlier == earlier_processes::none && own.since < m_started + m_span;
+    return first_start ? own.since : own.since + m_span;
+}
+
 allowance_part allowance_share::part(time_point now) {
     forget(m_active, now);
     forget(m_standby, now);
@@ -54,7 +63,9 @@
     }
     const group& members = active ? m_active : m_standby;
     const double of_group = m_standby.empty() ? 1.0 : active ? share_of_active : 1.0 - share_of_active;
-    return {of_group / static_cast<double>(members.size()), members.at(m_self).since + m_span};
+    const bool all_known = m_earlier == earlier_processes::possible || now >= m_started + m_span;
+    const std::size_t sharers = all_known ? members.size() : std::max(members.size(), fewest_at_first_start);
+    return {of_group / static_cast<double>(sharers), start_of(members.at(m_self))};
 }
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/budget/allowance_share.h
+++ b/modules/tamarack_forwarding/budget/allowance_share.h
@@ -21,6 +21,12 @@
     double at(time_point now) const { return now >= from ? fraction : 0.0; }
 };
 
+/** Whether processes of the same system may have spent of an allowance before this one started. */
+enum class earlier_processes {
+    possible,
+    none, ///< the system starts for the first time
+};
+
 /**
  * Divides an allowance over the hosts, such that their parts never add up to more than the whole in any
  * sliding window, without asking anybody.
@@ -29,7 +35,8 @@
  * targets fail most requests. A host spends its part only after it has belonged to its group for a whole
  * window, and divides by all that belonged to the group at any time in that window. So whoever spends in a
  * window belonged to the group when the window began, and is counted by all others that spend in it; a
- * process that starts has nothing to spend until what its predecessor spent has left the window.
+ * process that starts has nothing to spend until what its predecessor spent has left the window; only where
+ * there is no predecessor, at the first start of the whole system, it need not wait.
  *
  * Watch out: both spans are longer than the window by the time that news of a host takes (see news_time). A
  * host that is cut off from the others must not spend its part at all: its lease tells, see
@@ -40,8 +47,9 @@
     /**
      * @param self    this host
      * @param window  in which the allowance holds
+     * @param earlier  whether this process may have predecessors
      */
-    allowance_share(host_id self, duration window);
+    allowance_share(host_id self, duration window, earlier_processes earlier = earlier_processes::possible);
 
     /** The hosts that share the allowance, this one among them, as they are known now. */
     void on_sharers(time_point now, const connection_sharers& sharers);
@@ -62,11 +70,14 @@
     };
     using group = std::map<host_id, membership>;
 
+    time_point start_of(const membership& own) const;
     void update(group& members, time_point now, const std::vector<host_id>& present);
     void forget(group& members, time_point now) const;
 
     host_id m_self;
     duration m_span; ///< the window and news_time
+    earlier_processes m_earlier;
+    time_point m_started = time_point::max(); ///< when the hosts were told first
     std::uint64_t m_round = 0;
     group m_active;
     group m_standby;
--- a/tests/forwarding/allowance_share_test.cpp
+++ b/tests/forwarding/allowance_share_test.cpp
@@ -29,6 +29,16 @@
     EXPECT_EQ(share.part(start + span).at(start + span), 0.5);
 }
 
+TEST(allowance_share, nobody_waits_at_the_first_start_of_the_system) {
+    allowance_share share{host_id{"a"}, window, earlier_processes::none};
+    share.on_sharers(start, {named({"a", "b"}), {}});
+    EXPECT_EQ(share.part(start).at(start), 0.25) << "further hosts may start";
+    EXPECT_EQ(share.part(start + span).at(start + span), 0.5);
+    share.on_sharers(start + 1min, {named({"b"}), {}});
+    share.on_sharers(start + 2min, {named({"a", "b"}), {}});
+    EXPECT_EQ(share.part(start + 2min).at(start + 2min), 0.0) << "it was away since";
+}
+
 TEST(allowance_share, counts_a_host_that_left_until_what_it_spent_has_left_the_window) {
     allowance_share share{host_id{"a"}, window};
     share.on_sharers(start, {named({"a", "b"}), {}});
