Close the charges of lost exchanges without waiting for the next one

Found on reading the diff: charges of exchanges that nothing answers were closed only when another one ended so, and lowered the service's budget on that host until then. They are now looked at with each telling of extra load. The new test was not run against the code before.

--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -106,7 +106,6 @@
 }
 
 void forwarding_core::keep_charges(held_connection& held) {
-    std::erase_if(unread, [this](const unread_exchange& item) { return item.until <= now; });
     if (!held.charges.empty()) {
         const duration limit = windows_until_lost * options.extra.window;
         unread.push_back({held.target->known.id, now + limit, std::move(held.charges)});
@@ -135,6 +134,10 @@
 
 void forwarding_core::tell_extra_load() {
     extra_load_due = false;
+    std::erase_if(unread, [this](const unread_exchange& item) { return item.until <= now; });
+    if (!unread.empty()) {
+        note_extra_load();
+    }
     for (const auto& [id, service] : services) {
         const extra_load_counts counts = service->budget->within_window(now);
         const std::uint32_t refused = std::exchange(service->refused_repeats, 0);
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -120,8 +120,9 @@
     void close_charges(const target_id& target);
     /** Forgets the records of services that left the routes a window ago. */
     void drop_idle_budgets();
-    /** A repeat was charged or refused: the service's extra load is told when a window has passed. */
+    /** A repeat was charged or refused: the service's extra load is told after a while. */
     void note_extra_load();
+    /** Tells it, and closes the charges of exchanges that are taken for lost. */
     void tell_extra_load();
     void tell(target_change change, const known_target& target);
 };
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -372,6 +372,7 @@
     forwarding_statistics result = core.counted;
     result.running = core.runs.size();
     result.connections = core.connections.size();
+    result.unread = core.unread.size();
     for (const auto& [id, service] : core.services) {
         result.waiting += service->waiting.size();
     }
--- a/tests/forwarding/extra_load_test.cpp
+++ b/tests/forwarding/extra_load_test.cpp
@@ -157,6 +157,20 @@
     EXPECT_EQ(describe(world), "");
 }
 
+TEST(extra_load, charges_of_exchanges_that_nothing_answers_are_closed_after_a_while) {
+    forwarding_world world{28, 1, le_goff_options()};
+    add_failing_service(world, 0.0);
+    world.publish();
+    world.load("match", 40.0, 1s, 30s);
+    world.at(20s, [&world] {
+        world.for_each_target([](const std::string&, world_target& target) { target.reads = false; });
+    });
+    world.run_until(32s);
+    EXPECT_GT(world.statistics(0).unread, 0U);
+    world.run_until(80s);
+    EXPECT_EQ(world.statistics(0).unread, 0U);
+}
+
 TEST(extra_load, stays_within_its_bound_when_load_comes_in_bursts) {
     forwarding_world world{25, all_hosts, le_goff_options()};
     add_failing_service(world, 0.9);
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -98,6 +98,7 @@
     /** @return repeats that a service got in all */
     std::size_t extra_load(const std::string& service) const { return m_extra_load.extra(service); }
     std::size_t unanswered() const;
+    forwarding_statistics statistics(std::size_t host) const { return m_hosts[host].engine->statistics(); }
     time_point now() const { return m_now; }
 
 private:
