--- a/tests/platform_integration/extra_load_test.cpp
+++ b/tests/platform_integration/extra_load_test.cpp
@@ -14,6 +14,8 @@
 constexpr auto pause_of_callers = 400ms;
 constexpr std::size_t callers = 24;
 constexpr auto between_restarts = 100ms;
+constexpr auto between_kills_of_all = 3s;
+constexpr auto between_configurations = 300ms;
 constexpr std::size_t replicas_of_service = 3;
 
 std::string document(unsigned version, const std::string& service) {
@@ -110,7 +112,7 @@
             m_deployment.kill_host(host);
             m_deployment.start_host(host);
         }
-        std::this_thread::sleep_for(3s);
+        std::this_thread::sleep_for(between_kills_of_all);
     }
     expect_within_bound();
 }
@@ -119,7 +121,7 @@
     const auto ends = std::chrono::steady_clock::now() + load_length;
     for (unsigned version = 2; std::chrono::steady_clock::now() < ends; ++version) {
         m_deployment.submit(document(version, version % 2 == 0 ? "stocks" : "orders"));
-        std::this_thread::sleep_for(300ms);
+        std::this_thread::sleep_for(between_configurations);
     }
     expect_within_bound();
 }
