--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 forwarding_duty::forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics,
-                                 std::function<void(const digest&)> tell_crash)
+                                 forwarding_hooks hooks)
     : m_settings(chosen), m_edge(std::move(edge)), m_metrics(metrics), m_thread("forwarding", ring_capacity),
       m_engine(options_of(chosen), system_random()),
       m_connections(
@@ -53,7 +53,7 @@
                       on_directory(message, respond);
                       return std::function<void()>{};
                   }),
-      m_random(system_random()), m_tell_crash(std::move(tell_crash)) {}
+      m_random(system_random()), m_hooks(std::move(hooks)) {}
 
 outcome<endpoint> forwarding_duty::start() {
     if (auto readiness = m_readiness.listen(m_settings.edge.readiness); !succeeded(readiness)) {
@@ -171,16 +171,11 @@
                 [this](const crash_found& found) {
                     log_state_change(log_level::warning, "crashing_request_found", m_picture.view->ticket,
                                      {{"content", found.content.hex()}, {"target", found.target.value()}});
-                    m_tell_crash(found.content);
+                    m_hooks.tell_crash(found.content);
                 },
                 [this](const extra_load_told& told) { write_extra_load(told); },
-                [this](const target_changed& changed) {
-                    log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
-                                     {{"target", changed.target.value()},
-                                      {"service", changed.service.value()},
-                                      {"change", std::string{to_name(changed.change)}},
-                                      {"failures", std::to_string(changed.failures)}});
-                },
+                [this](const target_changed& changed) { write_target_change(changed); },
+                [this](const target_leaving& left) { m_hooks.tell_leaving(left.target, left.life); },
             },
             action);
     }
@@ -188,6 +183,16 @@
     check_drained();
 }
 
+void forwarding_duty::write_target_change(const target_changed& changed) {
+    m_metrics.count(counter_id::target_changes_total, to_name(changed.change));
+    log_state_change(log_level::info, "target_changed", m_picture.view->ticket,
+                     {{"target", changed.target.value()},
+                      {"service", changed.service.value()},
+                      {"change", std::string{to_name(changed.change)}},
+                      {"failures", std::to_string(changed.failures)},
+                      {"for_ms", std::to_string(changed.until / 1ms)}});
+}
+
 void forwarding_duty::write_extra_load(const extra_load_told& told) {
     m_metrics.count(counter_id::repeats_refused_total, {}, static_cast<double>(told.refused));
     log_state_change(log_level::info, "extra_load", m_picture.view->ticket,
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -24,6 +24,12 @@
     bool entered = false;                                    ///< whether this host is one of them
 };
 
+/** What the forwarding duty tells the other hosts; called on its thread. */
+struct forwarding_hooks {
+    std::function<void(const digest&)> tell_crash;                   ///< of a content that crashes targets
+    std::function<void(const target_id&, incarnation)> tell_leaving; ///< of a target that takes no new work
+};
+
 /**
  * The duty that serves callers at a foreign edge: their requests, readiness and directory, on one thread.
  *
@@ -35,10 +41,10 @@
      * @param chosen   the host's settings; must outlive the duty
      * @param edge     codecs of the edge
      * @param metrics  must outlive the duty
-     * @param tell_crash  tells the other hosts of a content that crashes targets
+     * @param hooks    the way to the other hosts
      */
     forwarding_duty(const settings& chosen, edge_protocol edge, metric_registry& metrics,
-                    std::function<void(const digest&)> tell_crash);
+                    forwarding_hooks hooks);
 
     /** Begins to listen and starts the thread. @return the callers' address in use */
     outcome<endpoint> start();
@@ -63,6 +69,7 @@
     void on_directory(const http_request& message, const http_responder& respond);
     void carry_out(forwarding_actions actions);
     void deliver(forward_answer answer);
+    void write_target_change(const target_changed& changed);
     void write_extra_load(const extra_load_told& told);
     void check_drained();
     void apply_limits();
@@ -85,7 +92,7 @@
     std::atomic<std::uint64_t> m_exchanges{0};
     std::map<forward_number, http_responder> m_waiting;
     std::function<void()> m_drained;
-    std::function<void(const digest&)> m_tell_crash;
+    forwarding_hooks m_hooks;
 };
 
 } // namespace tamarack
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -112,10 +112,12 @@
         m_serving = std::make_unique<serving_duty>(m_settings, m_life, m_metrics, hooks_of_serving());
         return m_serving->start();
     }
-    m_forwarding =
-        std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics, [this](const digest& content) {
-            m_hosts->post_quarantine({content});
-        });
+    forwarding_hooks hooks;
+    hooks.tell_crash = [this](const digest& content) { m_hosts->post_quarantine({content}); };
+    hooks.tell_leaving = [this](const target_id& target, incarnation life) {
+        m_hosts->post_target_leaving(target, life);
+    };
+    m_forwarding = std::make_unique<forwarding_duty>(m_settings, m_edge, m_metrics, std::move(hooks));
     m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
                                                     control_edge_hooks{m_hosts.get(), m_control.get()});
     return m_forwarding->start();
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -152,6 +152,13 @@
     });
 }
 
+bool hosts_duty::post_target_leaving(target_id target, incarnation life) {
+    return m_thread.try_post([this, target = std::move(target), life] {
+        m_registry->on_leaving(steady_now(), target, life);
+        settle();
+    });
+}
+
 bool hosts_duty::post_leader(std::function<void(host_id)> answer) {
     return m_thread.try_post([this, answer = std::move(answer)] { answer(m_control->leader()); });
 }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -95,6 +95,8 @@
     bool post_announcement(announcement value, std::function<void(outcome<announcement_receipt>)> answer);
     bool post_departure(target_id target, std::optional<incarnation> life,
                         std::function<void(outcome<done>)> answer);
+    /** A target said in an answer that it takes no new work in this life. */
+    bool post_target_leaving(target_id target, incarnation life);
     /** Names the leader of the control hosts, as this host knows it. */
     bool post_leader(std::function<void(host_id)> answer);
     bool post_commit(commit_claim wanted);
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -40,16 +40,22 @@
     replaced, ///< another target answered at its address
     ejected,  ///< failed several times in a row: used only when there is no other
     readmitted,
+    leaving,         ///< said in an answer that it takes no new work
+    resting,         ///< asked this host for a rest
+    rest_unreadable, ///< asked for a rest of a length that makes no sense; ignored
 };
 
 template <>
 struct name_table<target_change> {
-    static constexpr std::array<std::pair<target_change, std::string_view>, 5> entries{{
+    static constexpr std::array<std::pair<target_change, std::string_view>, 8> entries{{
         {target_change::added, "added"},
         {target_change::removed, "removed"},
         {target_change::replaced, "replaced"},
         {target_change::ejected, "ejected"},
         {target_change::readmitted, "readmitted"},
+        {target_change::leaving, "leaving"},
+        {target_change::resting, "resting"},
+        {target_change::rest_unreadable, "rest_unreadable"},
     }};
 };
 
@@ -59,7 +65,7 @@
     target_id target;
     service_id service;
     std::uint32_t failures = 0; ///< in a row
-    duration until{};           ///< how long it is ejected
+    duration until{};           ///< how long it is ejected, or rests
 };
 
 /** There is evidence that requests of this content crash the targets that run them: tell the other hosts. */
@@ -68,6 +74,12 @@
     target_id target; ///< lost last
 };
 
+/** A target said in an answer that it takes no new work in this life: tell the other hosts. */
+struct target_leaving {
+    target_id target;
+    incarnation life;
+};
+
 /** What this host knows of a service's extra load; told now and then while there is any, for the log. */
 struct extra_load_told {
     service_id service;
@@ -79,8 +91,9 @@
 };
 
 /** What the shell has to do after an event, in order. */
-using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
-                                       deliver_answer, target_changed, crash_found, extra_load_told>;
+using forwarding_action =
+    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
+                 target_changed, target_leaving, crash_found, extra_load_told>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -74,6 +74,11 @@
     return timings.try_emplace(taken.name, taken.objective).first->second;
 }
 
+known_service_pointer forwarding_core::service_of(const known_target& target) const {
+    const auto found = services.find(target.known.service);
+    return found == services.end() ? nullptr : found->second;
+}
+
 void forwarding_core::trace(forwarding_run& run, trace_step step, const service_id& service,
                             const known_target* target, std::string result, std::size_t candidates) const {
     if (run.trace.entries.size() >= most_trace_entries) {
@@ -149,7 +154,8 @@
 }
 
 void forwarding_core::tell(target_change change, const known_target& target) {
-    const duration until = std::max(target.ejected_until - now, duration{0});
+    const time_point kept_until = std::max(target.ejected_until, target.rest.ends_at());
+    const duration until = std::max(kept_until - now, duration{0});
     out.emplace_back(
         target_changed{change, target.known.id, target.known.service, target.failures_in_row, until});
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -3,6 +3,7 @@
 #include "../crashes/crash_evidence.h"
 #include "../routes/route_index.h"
 #include "../routes/split_choice.h"
+#include "../withheld/withheld_targets.h"
 #include "forwarding_actions.h"
 #include "forwarding_options.h"
 #include "forwarding_run.h"
@@ -81,6 +82,7 @@
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
     std::map<std::string, exchange_timing> timings;     ///< by route
     crash_evidence crashes;
+    withheld_targets withheld;
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     bool extra_load_due = false; ///< a due item for it is scheduled
     /** Until extra load is told; grows to a window, so that a process that soon ends has told some. */
@@ -110,6 +112,8 @@
     /** @return whether requests like this one are known to crash targets */
     bool crashes_targets(const forwarding_run& run) const;
     exchange_timing& timing_of(const route& taken);
+    /** @return the service that a usable target serves, or nullptr */
+    known_service_pointer service_of(const known_target& target) const;
     void trace(forwarding_run& run, trace_step step, const service_id& service, const known_target* target,
                std::string result = {}, std::size_t candidates = 0) const;
     /** @return the record of a service's extra load, a new one when there is none */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -43,6 +43,8 @@
     void on_connection_lost(target_connection connection);
     void on_reply(target_connection connection, target_reply reply);
     void observe(held_connection& held, const target_reply& reply);
+    void observe_rest(known_target& target, const target_reply& reply);
+    void on_leaving(const known_target_pointer& target);
     void on_failure(known_target& target);
     void on_due(const due_item& item);
     void on_unwanted_expired(target_connection connection);
@@ -98,6 +100,9 @@
         if (!core.services.contains(item.service)) {
             continue;
         }
+        if (core.withheld.has_left(item.id, item.life)) {
+            continue;
+        }
         listed.insert(item.id.value());
         const auto found = core.targets.find(item.id.value());
         if (found == core.targets.end()) {
@@ -131,6 +136,7 @@
     auto target = std::make_shared<known_target>();
     target->known = listed;
     target->far = listed.data_center != core.options.data_center;
+    target->rest = core.withheld.rest_of(listed.id, listed.life);
     known_service& service = *core.services.at(listed.service);
     target->service = &service;
     service.targets.push_back(target);
@@ -142,6 +148,9 @@
     if (target->usable) {
         core.tell(change, *target);
     }
+    if (target->rest.is_resting(core.now)) {
+        core.withheld.keep_rest(target->known.id, target->known.life, target->rest);
+    }
     target->usable = false;
     if (target->service != nullptr) {
         std::erase(target->service->targets, target);
@@ -215,10 +224,15 @@
     known_target& target = *held.target;
     observe_load(target, core.now, reply.load);
     held.idle_limit = reply.idle_limit;
+    observe_rest(target, reply);
+    if (reply.rest) {
+        return;
+    }
     if (reply.verdict != target_verdict::completed) {
         on_failure(target);
         return;
     }
+    target.rest.on_success();
     const bool before = target.ejected_until > time_point{};
     observe_success(target, core.now, core.now - held.since, held.usual);
     if (before) {
@@ -226,6 +240,28 @@
     }
 }
 
+/** A full target is no failing one: it is left alone for as long as it asks, and not ejected. */
+void forwarding_engine::implementation::observe_rest(known_target& target, const target_reply& reply) {
+    if (reply.rest_unreadable) {
+        core.tell(target_change::rest_unreadable, target);
+    }
+    if (!reply.rest || !core.options.protections.honour_rests) {
+        return;
+    }
+    const bool began = !target.rest.is_resting(core.now);
+    target.rest.on_asked(core.now, *reply.rest, core.random);
+    core.schedule(target.rest.ends_at(), due_kind::warming, 0);
+    if (began) {
+        core.tell(target_change::resting, target);
+    }
+}
+
+void forwarding_engine::implementation::on_leaving(const known_target_pointer& target) {
+    core.withheld.on_leaving(target->known.id, target->known.life);
+    core.out.emplace_back(target_leaving{target->known.id, target->known.life});
+    remove(target, target_change::leaving);
+}
+
 void forwarding_engine::implementation::on_reply(target_connection connection, target_reply reply) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end()) {
@@ -247,7 +283,12 @@
     const bool keep = reply.keeps_connection && reply.verdict != target_verdict::malformed &&
                       reply.verdict != target_verdict::wrong_target;
     const bool wrong_target = reply.verdict == target_verdict::wrong_target;
+    const known_service_pointer service = core.service_of(*target);
+    const bool withdrawn = target->usable && (reply.leaving || reply.rest);
     dispatcher.release(connection, held, keep);
+    if (reply.leaving && target->usable && !wrong_target && core.options.protections.honour_leaving) {
+        on_leaving(target);
+    }
     if (wrong_target && target->usable) {
         remove(target, target_change::replaced);
     }
@@ -258,6 +299,9 @@
         }
         flow.on_reply(*run, part, connection, std::move(reply));
     }
+    if (withdrawn && service) {
+        flow.give_up_unservable(*service);
+    }
     if (target->service != nullptr) {
         dispatcher.serve_waiting(*target->service);
     }
@@ -292,6 +336,9 @@
         break;
     case due_kind::warming:
         dispatcher.keep_warm();
+        for (auto& [id, service] : core.services) {
+            dispatcher.serve_waiting(*service);
+        }
         break;
     case due_kind::extra_load:
         core.tell_extra_load();
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -13,6 +13,8 @@
     bool limit_connections = true;
     bool single_run_of_crashing = true; ///< a request that crashes targets is sent to one only
     bool single_run_of_once = true;     ///< a request that must not repeat is sent once
+    bool honour_rests = true;           ///< a target that asked for a rest gets nothing while it lasts
+    bool honour_leaving = true;         ///< a target that said that it leaves gets no new work
 };
 
 /** Times and bounds of the engine. */
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -23,10 +23,27 @@
 
 } // namespace
 
-bool part_dispatcher::has_untried(const run_part& part) {
-    return std::any_of(
-        part.service->targets.begin(), part.service->targets.end(),
-        [&](const known_target_pointer& target) { return target->usable && !was_tried(part, target); });
+bool part_dispatcher::has_untried(const run_part& part) const {
+    return std::any_of(part.service->targets.begin(), part.service->targets.end(),
+                       [&](const known_target_pointer& target) {
+                           return target->is_available(m_core.now) && !was_tried(part, target);
+                       });
+}
+
+bool part_dispatcher::has_available(const known_service& service) const {
+    return std::any_of(service.targets.begin(), service.targets.end(),
+                       [&](const known_target_pointer& target) { return target->is_available(m_core.now); });
+}
+
+std::optional<time_point> part_dispatcher::available_at(const known_service& service) const {
+    std::optional<time_point> earliest;
+    for (const known_target_pointer& target : service.targets) {
+        if (target->usable) {
+            const time_point at = std::max(target->rest.ends_at(), m_core.now);
+            earliest = std::min(earliest.value_or(at), at);
+        }
+    }
+    return earliest;
 }
 
 placement_candidate part_dispatcher::describe(const known_target& target) const {
@@ -57,7 +74,7 @@
     std::size_t parallel = 0;
     for (const known_target_pointer& target : service.targets) {
         const placement_candidate candidate = describe(*target);
-        if (!target->usable || candidate.ejected || is_stalled(candidate, demand)) {
+        if (!target->is_available(m_core.now) || candidate.ejected || is_stalled(candidate, demand)) {
             continue;
         }
         parallel += m_core.connections_allowed(*target);
@@ -77,7 +94,8 @@
     m_eligible.clear();
     m_candidates.clear();
     for (const known_target_pointer& target : part.service->targets) {
-        const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target);
+        const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target) ||
+                           !target->rest.allows(m_core.now, target->busy);
         if (unfit || (!tried_too && was_tried(part, target))) {
             continue;
         }
@@ -257,7 +275,7 @@
 }
 
 bool part_dispatcher::may_open(const known_target& target) const {
-    return target.usable && target.service != nullptr && target.opening == 0 &&
+    return target.is_available(m_core.now) && target.service != nullptr && target.opening == 0 &&
            m_core.now >= target.open_after && m_core.opening < m_core.options.opening_at_once &&
            target.connections() < m_core.connections_allowed(target);
 }
@@ -295,7 +313,7 @@
         for (const known_target_pointer& target : service->targets) {
             const std::size_t warm = m_core.view->takes_callers ? m_core.options.warm_connections : 0;
             const std::size_t wanted = std::min(warm, m_core.connections_allowed(*target));
-            if (!target->usable || target->connections() >= wanted) {
+            if (!target->is_available(m_core.now) || target->connections() >= wanted) {
                 continue;
             }
             if (may_open(*target)) {
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -28,8 +28,12 @@
      * target is ejected or paused
      */
     std::optional<duration> expected_wait(const known_service& service, const placement_demand& demand) const;
-    /** @return whether a usable target is left that has not been tried for this part */
-    static bool has_untried(const run_part& part);
+    /** @return whether an available target is left that has not been tried for this part */
+    bool has_untried(const run_part& part) const;
+    /** @return whether a service has a target that may be sent exchanges, now or when a connection is free */
+    bool has_available(const known_service& service) const;
+    /** @return when a service has an available target: now, when a rest ends, or nothing when all are gone */
+    std::optional<time_point> available_at(const known_service& service) const;
 
     /** The exchange's reply is no longer wanted; it is awaited for a short time, so that the connection
      * stays. */
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -13,18 +13,14 @@
 
 /** Shares of counts are compared with room for rounding. */
 constexpr double rounding = 1e-9;
+/** A caller that comes back sooner meets the same targets in the same state. */
+constexpr duration least_retry_after = 20ms;
 
 void remove_exchange(run_part& part, target_connection connection) {
     std::erase_if(part.exchanges,
                   [connection](const running_exchange& running) { return running.connection == connection; });
 }
 
-std::size_t usable_targets(const known_service& service) {
-    return static_cast<std::size_t>(
-        std::count_if(service.targets.begin(), service.targets.end(),
-                      [](const known_target_pointer& target) { return target->usable; }));
-}
-
 } // namespace
 
 double request_flow::coverage(const forwarding_run& run) {
@@ -78,7 +74,8 @@
     make_parts(run);
     run.trace.shards = run.parts.size();
     if (!can_be_covered(run)) {
-        answer_failed(run, forward_reason::no_target);
+        answer_failed(run,
+                      until_coverable(run) ? forward_reason::targets_resting : forward_reason::no_target);
         return;
     }
     if (!is_admitted(run)) {
@@ -88,8 +85,12 @@
                  run.parts.size());
     leave_out_overloaded(run);
     for (std::size_t index = 0; index < run.parts.size(); ++index) {
-        run.parts[index].service->budget->on_request(m_core.now);
-        if (run.parts[index].progress != part_progress::missing) {
+        run_part& part = run.parts[index];
+        part.service->budget->on_request(m_core.now);
+        if (part.progress != part_progress::missing && !is_servable(run, part)) {
+            give_up(run, part, "no_target");
+        }
+        if (part.progress != part_progress::missing) {
             m_dispatcher.send_or_wait(run, index, trace_step::sent);
         }
     }
@@ -116,12 +117,33 @@
 }
 
 bool request_flow::can_be_covered(const forwarding_run& run) const {
-    const auto reachable = std::count_if(run.parts.begin(), run.parts.end(), [](const run_part& part) {
-        return usable_targets(*part.service) > 0;
-    });
+    const auto reachable = std::count_if(run.parts.begin(), run.parts.end(),
+                                         [&](const run_part& part) { return is_servable(run, part); });
     return covers_enough(run, static_cast<std::size_t>(reachable));
 }
 
+bool request_flow::is_servable(const forwarding_run& run, const run_part& part) const {
+    const std::optional<time_point> at = m_dispatcher.available_at(*part.service);
+    const bool hurries = run.times.objective_at > m_core.now;
+    return at && *at < (hurries ? run.times.objective_at : run.times.cut_off);
+}
+
+std::optional<duration> request_flow::until_coverable(const forwarding_run& run) const {
+    std::vector<time_point> moments;
+    for (const run_part& part : run.parts) {
+        if (const auto at = m_dispatcher.available_at(*part.service)) {
+            moments.push_back(*at);
+        }
+    }
+    std::sort(moments.begin(), moments.end());
+    for (std::size_t index = 0; index < moments.size(); ++index) {
+        if (covers_enough(run, index + 1)) {
+            return moments[index] - m_core.now;
+        }
+    }
+    return std::nullopt;
+}
+
 placement_demand request_flow::demand_of(const forwarding_run& run) const {
     return {run.timing->median(), run.timing->high(), run.taken->objective};
 }
@@ -285,7 +307,7 @@
         run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
     const bool may_repeat = did_not_run || (!once && !m_core.crashes_targets(run));
     const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
-    if (!may_repeat || !in_time || !part_dispatcher::has_untried(part)) {
+    if (!may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
         give_up(run, part, cause);
         return;
     }
@@ -308,7 +330,7 @@
     part.hedge_at = time_point::max();
     const bool once = run.taken->repeats == repeatability::once || m_core.crashes_targets(run);
     const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts && !once &&
-                        part_dispatcher::has_untried(part);
+                        m_dispatcher.has_untried(part);
     if (!wanted || !take_extra(run, part)) {
         return;
     }
@@ -322,6 +344,32 @@
     }
 }
 
+void request_flow::give_up_unservable(known_service& service) {
+    if (m_dispatcher.has_available(service)) {
+        return;
+    }
+    for (auto item = service.waiting.begin(); item != service.waiting.end();) {
+        forwarding_run* run = m_core.find_run(item->request);
+        const bool wanted = run != nullptr && !run->ended && run->parts[item->part].queued;
+        if (wanted && is_servable(*run, run->parts[item->part])) {
+            ++item;
+            continue;
+        }
+        const std::size_t part_index = item->part;
+        item = service.waiting.erase(item);
+        if (!wanted) {
+            continue;
+        }
+        run_part& part = run->parts[part_index];
+        part.queued = false;
+        part.charge.reset();
+        if (part.exchanges.empty()) {
+            give_up(*run, part, "no_target");
+        }
+        settle(*run);
+    }
+}
+
 void request_flow::on_wake(forwarding_run& run) {
     run.wake_at = time_point::max();
     time_point next = run.times.cut_off;
@@ -401,10 +449,10 @@
     answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
     answer.reason = reason;
     if (answer.outcome == forward_outcome::not_run) {
-        const duration wait = reason == forward_reason::no_target
-                                  ? m_core.options.no_target_retry
-                                  : std::max(run.timing->high(), duration{20ms});
-        answer.retry_after = spread_return(wait, m_core.random);
+        const duration usual = std::max(run.timing->high(), least_retry_after);
+        const std::optional<duration> rest = until_coverable(run);
+        answer.retry_after = spread_return(
+            rest ? std::max(*rest, usual) : std::max(m_core.options.no_target_retry, usual), m_core.random);
     }
     finish(run, std::move(answer));
 }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -16,6 +16,8 @@
     void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
     /** The connection of a request's exchange was lost. */
     void on_lost(forwarding_run& run, std::size_t part, target_connection connection);
+    /** Targets of a service were withdrawn: what waits for it is given up where none is left for it. */
+    void give_up_unservable(known_service& service);
     /** A time that the request asked for has come. */
     void on_wake(forwarding_run& run);
 
@@ -29,6 +31,10 @@
                          duration retry_after);
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
+    /** @return whether a part has an available target before its request becomes late */
+    bool is_servable(const forwarding_run& run, const run_part& part) const;
+    /** @return how long until enough services have an available target; nothing when they have none */
+    std::optional<duration> until_coverable(const forwarding_run& run) const;
     duration expected_queue(const forwarding_run& run) const;
     /** Leaves out shards that can't reply before the objective, as many as the least coverage allows. */
     void leave_out_overloaded(forwarding_run& run);
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -37,6 +37,7 @@
     no_target,  ///< too few services of the route have a usable target
     overloaded, ///< it would not be served in time
     timed_out,
+    targets_resting, ///< too few services have a target that has not asked for a rest
     targets_refused, ///< every target that was asked refused to run it
     targets_failed,
     connection_lost,
@@ -45,13 +46,14 @@
 
 template <>
 struct name_table<forward_reason> {
-    static constexpr std::array<std::pair<forward_reason, std::string_view>, 10> entries{{
+    static constexpr std::array<std::pair<forward_reason, std::string_view>, 11> entries{{
         {forward_reason::none, "none"},
         {forward_reason::no_configuration, "no_configuration"},
         {forward_reason::no_route, "no_route"},
         {forward_reason::no_target, "no_target"},
         {forward_reason::overloaded, "overloaded"},
         {forward_reason::timed_out, "timed_out"},
+        {forward_reason::targets_resting, "targets_resting"},
         {forward_reason::targets_refused, "targets_refused"},
         {forward_reason::targets_failed, "targets_failed"},
         {forward_reason::connection_lost, "connection_lost"},
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -33,6 +33,8 @@
 #include "placement/placement.h"
 #include "timing/exchange_timing.h"
 #include "timing/request_times.h"
+#include "withheld/target_rest.h"
+#include "withheld/withheld_targets.h"
 
 #include "engine/forwarding_actions.h"
 #include "engine/forwarding_engine.h"
--- a/modules/tamarack_forwarding/targets/known_target.h
+++ b/modules/tamarack_forwarding/targets/known_target.h
@@ -4,6 +4,7 @@
 #include "../explain/request_trace.h"
 #include "../payload/target_exchange.h"
 #include "../view/forwarding_view.h"
+#include "../withheld/target_rest.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,9 +37,12 @@
     time_point error_at{};
     std::uint32_t failures_in_row = 0;
     time_point ejected_until{};
+    target_rest rest;
     std::vector<time_point> running_since; ///< of own exchanges, oldest first
 
     std::size_t connections() const { return idle.size() + opening + busy; }
+    /** @return whether exchanges may be sent to it at all, now or when a connection is free */
+    bool is_available(time_point now) const { return usable && !rest.is_resting(now); }
 };
 
 using known_target_pointer = std::shared_ptr<known_target>;
--- /dev/null
+++ b/modules/tamarack_forwarding/withheld/withheld_targets.cpp
@@ -0,0 +1,44 @@
+#include "withheld_targets.h"
+
+namespace tamarack {
+
+void withheld_targets::on_leaving(const target_id& target, incarnation life) {
+    entry_of(target, life).left = true;
+}
+
+bool withheld_targets::has_left(const target_id& target, incarnation life) const {
+    const entry* known = find(target, life);
+    return known != nullptr && known->left;
+}
+
+void withheld_targets::keep_rest(const target_id& target, incarnation life, const target_rest& rest) {
+    entry_of(target, life).rest = rest;
+}
+
+target_rest withheld_targets::rest_of(const target_id& target, incarnation life) const {
+    const entry* known = find(target, life);
+    return known == nullptr ? target_rest{} : known->rest;
+}
+
+withheld_targets::entry& withheld_targets::entry_of(const target_id& target, incarnation life) {
+    const auto [found, is_new] = m_entries.try_emplace(target);
+    if (is_new) {
+        m_order.push_back(target);
+    }
+    if (is_new || found->second.life != life) {
+        found->second = entry{life, false, {}};
+    }
+    if (m_entries.size() > most_entries) {
+        m_entries.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return found->second;
+}
+
+const withheld_targets::entry* withheld_targets::find(const target_id& target, incarnation life) const {
+    const auto found = m_entries.find(target);
+    const bool same = found != m_entries.end() && found->second.life == life;
+    return same ? &found->second : nullptr;
+}
+
+} // namespace tamarack
--- a/modules/tamarack_membership/hosts/state_comparison.cpp
+++ b/modules/tamarack_membership/hosts/state_comparison.cpp
@@ -35,8 +35,9 @@
 
 std::uint32_t hash_of(const target_record& record) {
     const std::uint64_t keeper = stable_hash(record.keeper.value());
-    return fold(
-        mix(mix(mix(mix(key_of(record), record.lives), record.latest.life.value), record.version), keeper));
+    const std::uint64_t drains = record.latest.state == target_state::draining ? 1 : 0;
+    const std::uint64_t state = mix(mix(record.version, keeper), drains);
+    return fold(mix(mix(mix(key_of(record), record.lives), record.latest.life.value), state));
 }
 
 template <typename Record>
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -45,6 +45,7 @@
     }
     const outcome<done> fits = check_against_known(value);
     if (!succeeded(fits)) {
+        keep_drained(now, value);
         return error_of(fits);
     }
     if (m_options.lives_are_start_times) {
@@ -89,8 +90,7 @@
         if (std::find(known.ended.begin(), known.ended.end(), value.life) != known.ended.end()) {
             return error{error_code::stale, value.target.value() + " has said that it ends"};
         }
-        const bool left = known.record.latest.state == target_state::draining;
-        if (m_options.lives_are_start_times && left && value.state != target_state::draining) {
+        if (drains_for_good(known, value.life) && value.state != target_state::draining) {
             return error{error_code::stale, value.target.value() + " has said that it drains"};
         }
         announcement before = known.record.latest;
@@ -145,6 +145,44 @@
     known.record.version = version_of_end;
 }
 
+bool target_registry::drains_for_good(const entry& known, incarnation life) const {
+    return m_options.lives_are_start_times && known.record.latest.life == life &&
+           known.record.latest.state == target_state::draining;
+}
+
+/** A drained target that goes on announcing itself as ready must not be forgotten, or it would be taken up.
+ */
+void target_registry::keep_drained(time_point now, const announcement& value) {
+    const auto found = m_entries.find(value.target);
+    if (found != m_entries.end() && !found->second.record.alive &&
+        drains_for_good(found->second, value.life)) {
+        set_deadline(found->second, now + m_options.forget_after);
+    }
+}
+
+void target_registry::withdraw(time_point now, entry& known) {
+    known.record.latest.state = target_state::draining;
+    known.changed_at = now;
+    ++m_generation;
+}
+
+bool target_registry::on_leaving(time_point now, const target_id& target, incarnation life) {
+    const auto found = m_entries.find(target);
+    if (found == m_entries.end() || found->second.record.latest.life != life) {
+        return false;
+    }
+    entry& known = found->second;
+    if (known.record.latest.state == target_state::draining) {
+        return false;
+    }
+    withdraw(now, known);
+    if (known.record.keeper.empty()) {
+        known.record.keeper = m_self; // a record without keeper is no news to others
+    }
+    mark_due(target);
+    return true;
+}
+
 outcome<done> target_registry::on_departure(time_point now, const target_id& target,
                                             std::optional<incarnation> life) {
     const auto found = m_entries.find(target);
@@ -272,15 +310,21 @@
     if (change.latest.life == known.record.latest.life) {
         known.record.lives = std::max(known.record.lives, change.lives);
     }
+    const bool withdrawn =
+        m_options.lives_are_start_times && change.latest.life == known.record.latest.life &&
+        change.latest.state == target_state::draining && known.record.latest.state != target_state::draining;
+    if (withdrawn) {
+        withdraw(now, known);
+    }
     if (!is_newer(change, known.record)) {
-        return false;
+        return withdrawn;
     }
     const bool heard_later = known.kept_here && known.record.alive &&
                              change.latest.life == known.record.latest.life &&
                              change.version < version_of(known.heard_sequence, true);
     if (heard_later) {
         restate(now, known);
-        return false;
+        return withdrawn;
     }
     replace(now, known, change);
     return true;
@@ -296,8 +340,12 @@
     }
     const bool same_life = !is_new && known.record.latest.life == change.latest.life;
     const std::uint64_t lives = same_life ? std::max(known.record.lives, change.lives) : change.lives;
+    const bool drained = !is_new && drains_for_good(known, change.latest.life);
     known.record = change;
     known.record.lives = lives;
+    if (drained) {
+        known.record.latest.state = target_state::draining;
+    }
     known.heard_sequence = change.latest.sequence;
     known.record.latest.load = {};
     known.changed_at = now;
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -112,6 +112,14 @@
      */
     outcome<done> on_departure(time_point now, const target_id& target, std::optional<incarnation> life);
 
+    /**
+     * A target said in an answer that it takes no new work: it counts as draining in that life, here and, by
+     * the spread change, everywhere. It still announces itself until it ends.
+     *
+     * @return whether this was news here; a life that is not known has nothing to be withdrawn
+     */
+    bool on_leaving(time_point now, const target_id& target, incarnation life);
+
     /**
      * Takes records that were kept over a start of this host. They hold until the target announces itself,
      * and only for the grace after the start: by then a target that lives has been heard.
@@ -200,6 +208,9 @@
     outcome<done> check_address(const announcement& value) const;
     void end_others_at(time_point now, const announcement& value);
     void end(time_point now, entry& known);
+    bool drains_for_good(const entry& known, incarnation life) const;
+    void withdraw(time_point now, entry& known);
+    void keep_drained(time_point now, const announcement& value);
     announcement_receipt receipt_for(const announcement& value) const;
     void accept(time_point now, entry& kept, const announcement& value);
     bool merge(time_point now, const target_record& change);
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 13> counters{{
+constexpr std::array<metric_description, 14> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -16,6 +16,7 @@
     {"tamarack_refusals_total", "Callers' requests refused or failed, by reason.", "reason"},
     {"tamarack_connections_opened_total", "Connections opened to targets.", ""},
     {"tamarack_connections_closed_total", "Connections to targets closed, by reason.", "reason"},
+    {"tamarack_target_changes_total", "Changes of what this host believes of a target, by kind.", "change"},
     {"tamarack_announcements_total", "Announcements of targets received, by result.", "result"},
     {"tamarack_tickets_total", "Tickets received, by verdict.", "verdict"},
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -17,6 +17,7 @@
     refusals_total, ///< label: reason
     connections_opened_total,
     connections_closed_total, ///< label: reason
+    target_changes_total,     ///< label: change
     announcements_total,      ///< label: result
     tickets_total,            ///< label: verdict
     claims_total,             ///< label: verdict
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -10,6 +10,9 @@
 
 constexpr duration one_way = 500us;
 constexpr duration handshake = 6ms;
+/** An exchange that left before the answer arrived may still arrive for so long. */
+constexpr duration rest_slack = 500ms;
+constexpr duration leaving_slack = 10ms;
 constexpr double two_pi = 6.283185307179586;
 
 duration scaled(duration value, double factor) {
@@ -267,10 +270,13 @@
     ++target.arrivals;
     m_extra_load.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
                             work.id.value());
+    check_withheld(target, work.host);
     if (target.behaviour.dark) {
         return;
     }
-    if (target.running < target.behaviour.slots) {
+    if (target.behaviour.full) {
+        reply(work, id, target_verdict::not_run);
+    } else if (target.running < target.behaviour.slots) {
         start_work(target, work);
     } else if (target.waiting.size() < target.behaviour.queue) {
         target.waiting.push_back(work);
@@ -279,6 +285,29 @@
     }
 }
 
+void forwarding_world::check_withheld(simulated_target& target, std::size_t host) {
+    const auto rest = target.rests.find(host);
+    if (rest != target.rests.end() && m_now > rest->second.first + rest_slack &&
+        m_now < rest->second.second) {
+        ++target.got_in_rest[host];
+    }
+    const auto told = target.told_leaving.find(host);
+    if (told != target.told_leaving.end() && m_now > told->second + leaving_slack) {
+        ++target.after_leaving;
+    }
+}
+
+void forwarding_world::say_withheld(simulated_target& target, std::size_t host, target_reply& answer) {
+    if (answer.verdict == target_verdict::not_run && target.behaviour.asks_rest > duration{0}) {
+        answer.rest = target.behaviour.asks_rest;
+        target.rests[host] = {m_now, m_now + target.behaviour.asks_rest};
+    }
+    if (target.behaviour.leaves) {
+        answer.leaving = true;
+        target.told_leaving.try_emplace(host, m_now);
+    }
+}
+
 duration forwarding_world::pause_left(const simulated_target& target) const {
     if (target.behaviour.pause_every == duration{0}) {
         return duration{0};
@@ -332,7 +361,7 @@
         if (!holds(work.host, work.life, work.connection)) {
             return;
         }
-        const simulated_target& target = m_targets.at(id);
+        simulated_target& target = m_targets.at(id);
         target_reply answer;
         answer.verdict = verdict;
         answer.status = verdict == target_verdict::completed ? 200 : 500;
@@ -341,6 +370,7 @@
         answer.load = target_load{static_cast<std::uint32_t>(target.running),
                                   static_cast<std::uint32_t>(target.waiting.size()),
                                   static_cast<std::uint32_t>(target.behaviour.slots), 1.0};
+        say_withheld(target, work.host, answer);
         carry_out(work.host, m_hosts[work.host].engine->on_reply(m_now, work.connection, std::move(answer)));
     });
 }
@@ -413,6 +443,20 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::size_t forwarding_world::most_while_resting() const {
+    std::size_t most = 0;
+    for (const auto& [id, target] : m_targets) {
+        for (const auto& [host, got] : target.got_in_rest) {
+            most = std::max(most, got);
+        }
+    }
+    return most;
+}
+
+std::size_t forwarding_world::arrivals_after_leaving(const std::string& id) const {
+    return m_targets.at(target_id{id}).after_leaving;
+}
+
 std::size_t forwarding_world::unanswered() const {
     return m_open.size();
 }
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -30,6 +30,9 @@
     double fail = 0.0;       ///< share of exchanges that fail
     double lose_reply = 0.0; ///< share whose reply is lost: the connection breaks after the work
     bool dark = false;       ///< answers nothing at all
+    bool full = false;       ///< refuses all exchanges as not run
+    bool leaves = false;     ///< says in each answer that it takes no new work
+    duration asks_rest{0};   ///< with each refusal
     bool reads = true;       ///< takes what arrives; connections open in any case
 };
 
@@ -82,6 +85,7 @@
     world_target& target(const std::string& id) { return m_targets.at(target_id{id}).behaviour; }
     void for_each_target(const std::function<void(const std::string&, world_target&)>& visit);
     void hide(const std::string& id) { m_hidden.insert(target_id{id}); }
+    void show(const std::string& id) { m_hidden.erase(target_id{id}); }
 
     const std::vector<world_result>& results() const { return m_results; }
     /** @return share of the requests that arrived in a span and were answered within their objective */
@@ -93,6 +97,11 @@
     }
     std::size_t runs_of(const std::string& request, const std::string& service) const;
     const std::vector<std::string>& violations() const { return m_violations; }
+    /** @return most exchanges that a target got from one host between half a second after that host was asked
+     * for a rest and the rest's end */
+    std::size_t most_while_resting() const;
+    /** @return exchanges that a target got from hosts to which it had said long before that it leaves */
+    std::size_t arrivals_after_leaving(const std::string& id) const;
     /** @return services that got more repeats in some sliding window than the bound of the options allows */
     std::vector<testing_support::extra_load_breach> extra_load_breaches() const;
     /** @return repeats that a service got in all */
@@ -116,6 +125,10 @@
         std::size_t most_connections = 0;
         std::size_t arrivals = 0;
         std::vector<running_work> unread;
+        std::map<std::size_t, std::pair<time_point, time_point>> rests; ///< by host: asked at, until
+        std::map<std::size_t, std::size_t> got_in_rest;                 ///< by host
+        std::map<std::size_t, time_point> told_leaving;                 ///< by host
+        std::size_t after_leaving = 0;
     };
     struct event {
         time_point at;
@@ -146,6 +159,8 @@
     void arm(std::size_t host);
     void on_exchange(std::size_t host, const send_target_exchange& send);
     void receive(const target_id& id, const running_work& work);
+    void check_withheld(simulated_target& target, std::size_t host);
+    void say_withheld(simulated_target& target, std::size_t host, target_reply& answer);
     void start_work(simulated_target& target, const running_work& work);
     void end_work(const target_id& id, const running_work& work);
     void reply(const running_work& work, const target_id& id, target_verdict verdict);
--- /dev/null
+++ b/tests/forwarding/withheld_targets_test.cpp
@@ -0,0 +1,260 @@
+#include "forwarding_world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace tamarack {
+namespace {
+
+constexpr time_point start{1h};
+
+TEST(target_rest, withholds_a_target_for_as_long_as_it_asked) {
+    random_source random{1};
+    target_rest rest;
+    EXPECT_TRUE(rest.allows(start, 100));
+    rest.on_asked(start, 2s, random);
+    EXPECT_FALSE(rest.allows(start, 0));
+    EXPECT_FALSE(rest.allows(start + 2s - 1us, 0));
+    EXPECT_TRUE(rest.allows(rest.ends_at(), 0));
+    EXPECT_LE(rest.ends_at(), start + 2s + 400ms);
+}
+
+TEST(target_rest, is_not_shortened_by_a_shorter_one) {
+    random_source random{1};
+    target_rest rest;
+    rest.on_asked(start, 5s, random);
+    rest.on_asked(start + 100ms, 10ms, random);
+    EXPECT_TRUE(rest.is_resting(start + 5s - 1us));
+}
+
+TEST(target_rest, returns_with_one_exchange_and_widens_with_success) {
+    random_source random{1};
+    target_rest rest;
+    rest.on_asked(start, 1s, random);
+    const time_point back = rest.ends_at();
+    EXPECT_TRUE(rest.allows(back, 0));
+    EXPECT_FALSE(rest.allows(back, 1));
+    rest.on_success();
+    EXPECT_TRUE(rest.allows(back, 1));
+    EXPECT_FALSE(rest.allows(back, 2));
+    for (int success = 0; success < 20; ++success) {
+        rest.on_success();
+    }
+    EXPECT_TRUE(rest.allows(back, 1'000));
+}
+
+TEST(target_rest, ends_at_another_moment_on_each_host) {
+    std::set<time_point> ends;
+    for (std::uint64_t host = 1; host <= 20; ++host) {
+        random_source random{host};
+        target_rest rest;
+        rest.on_asked(start, 2s, random);
+        ends.insert(rest.ends_at());
+    }
+    EXPECT_GE(ends.size(), 18U);
+    EXPECT_GE(*ends.rbegin() - *ends.begin(), duration{200ms});
+}
+
+TEST(withheld_targets, remembers_one_life_of_a_target) {
+    withheld_targets withheld;
+    withheld.on_leaving(target_id{"t"}, incarnation{5});
+    EXPECT_TRUE(withheld.has_left(target_id{"t"}, incarnation{5}));
+    EXPECT_FALSE(withheld.has_left(target_id{"t"}, incarnation{6}));
+    EXPECT_FALSE(withheld.has_left(target_id{"u"}, incarnation{5}));
+}
+
+TEST(withheld_targets, forgets_the_oldest_beyond_its_bound) {
+    withheld_targets withheld;
+    for (std::size_t target = 0; target <= withheld_targets::most_entries; ++target) {
+        withheld.on_leaving(target_id{"t" + std::to_string(target)}, incarnation{1});
+    }
+    EXPECT_EQ(withheld.size(), withheld_targets::most_entries);
+    EXPECT_FALSE(withheld.has_left(target_id{"t0"}, incarnation{1}));
+    EXPECT_TRUE(withheld.has_left(target_id{"t1"}, incarnation{1}));
+}
+
+void add_lookup(forwarding_world& world, std::size_t replicas) {
+    world_target like;
+    like.queue = 4;
+    world.add_service("s", replicas, like);
+    route& lookup = world.add_route("lookup", {"s"});
+    lookup.timeout = 5s;
+    lookup.objective = 400ms;
+}
+
+void expect_promises(const forwarding_world& world) {
+    EXPECT_TRUE(world.violations().empty()) << world.violations().front();
+    EXPECT_EQ(world.unanswered(), 0U);
+}
+
+/** All replicas of a service are full for three seconds and ask for rest, while callers go on. */
+struct all_replicas_full : ::testing::Test {
+    void SetUp() override {
+        add_lookup(m_world, 3);
+        m_world.publish();
+        m_world.at(4s, [this] { set_full(true); });
+        m_world.at(7s, [this] { set_full(false); });
+        m_world.load("lookup", 120.0, 1s, 16s);
+        m_world.run_until(22s);
+    }
+
+    void set_full(bool full) {
+        m_world.for_each_target([full](const std::string&, world_target& target) {
+            target.full = full;
+            target.asks_rest = 2s;
+        });
+    }
+
+    forwarding_world m_world{21, 6};
+};
+
+TEST_F(all_replicas_full, sends_nothing_to_a_target_that_rests) {
+    expect_promises(m_world);
+    EXPECT_LE(m_world.most_while_resting(), 2U);
+}
+
+TEST_F(all_replicas_full, refuses_at_once_and_names_when_there_is_room) {
+    std::size_t refused = 0;
+    for (const world_result& result : m_world.results()) {
+        if (result.reason != forward_reason::targets_resting) {
+            continue;
+        }
+        ++refused;
+        EXPECT_EQ(result.outcome, forward_outcome::not_run);
+        EXPECT_EQ(result.taken, duration{0});
+        EXPECT_GT(result.retry_after, duration{0});
+        EXPECT_LE(result.retry_after, 3600ms) << "a rest of 2 s, its spread, and half as much again";
+    }
+    EXPECT_GE(refused, 100U);
+}
+
+TEST_F(all_replicas_full, serves_again_soon_after_the_cause_has_gone) {
+    EXPECT_GE(m_world.good_share(10s, 16s), 0.97);
+}
+
+TEST(load_pattern, without_honouring_rests_full_targets_are_asked_on) {
+    forwarding_options options;
+    options.protections.honour_rests = false;
+    forwarding_world world{21, 6, options};
+    add_lookup(world, 3);
+    world.publish();
+    world.at(4s, [&] {
+        world.for_each_target([](const std::string&, world_target& target) {
+            target.full = true;
+            target.asks_rest = 2s;
+        });
+    });
+    world.load("lookup", 120.0, 1s, 7s);
+    world.run_until(12s);
+    EXPECT_GT(world.most_while_resting(), 2U);
+}
+
+TEST(load_pattern, without_honouring_leaving_the_membership_names_the_target_on) {
+    forwarding_options options;
+    options.protections.honour_leaving = false;
+    forwarding_world world{24, 3, options};
+    add_lookup(world, 3);
+    world.publish();
+    world.at(3s, [&] { world.target("s-1").leaves = true; });
+    world.load("lookup", 60.0, 1s, 9s);
+    world.run_until(14s);
+    EXPECT_GT(world.arrivals_after_leaving("s-1"), 0U);
+}
+
+/** One replica of three is full: the others take its load, and nobody is refused. */
+TEST(load_pattern, a_replica_that_asks_for_rest_is_left_alone_while_the_others_serve) {
+    forwarding_world world{22, 4};
+    add_lookup(world, 3);
+    world.publish();
+    world.at(3s, [&] {
+        world.target("s-1").full = true;
+        world.target("s-1").asks_rest = 3s;
+    });
+    world.load("lookup", 80.0, 1s, 11s);
+    world.run_until(16s);
+    expect_promises(world);
+    EXPECT_LE(world.most_while_resting(), 2U);
+    EXPECT_GE(world.good_share(3s, 11s), 0.98);
+}
+
+TEST(load_pattern, a_rest_outlives_the_targets_way_out_of_the_view_and_back) {
+    forwarding_world world{23, 2};
+    add_lookup(world, 2);
+    world.publish();
+    world.at(3s, [&] {
+        world.target("s-1").full = true;
+        world.target("s-1").asks_rest = 4s;
+    });
+    world.at(4s, [&] {
+        world.hide("s-1");
+        world.publish();
+    });
+    world.at(4500ms, [&] {
+        world.show("s-1");
+        world.publish();
+    });
+    world.load("lookup", 60.0, 1s, 8s);
+    world.run_until(13s);
+    expect_promises(world);
+    EXPECT_LE(world.most_while_resting(), 2U);
+}
+
+/** A target says in its answers that it leaves, while the membership still names it as ready. */
+TEST(load_pattern, a_target_that_says_that_it_leaves_gets_nothing_more_in_that_life) {
+    forwarding_world world{24, 3};
+    add_lookup(world, 3);
+    world.publish();
+    world.at(3s, [&] { world.target("s-1").leaves = true; });
+    for (int second = 4; second < 9; ++second) {
+        world.at(std::chrono::seconds{second}, [&] { world.publish(); });
+    }
+    world.load("lookup", 60.0, 1s, 9s);
+    world.run_until(14s);
+    expect_promises(world);
+    EXPECT_GT(world.arrivals("s"), 0U);
+    EXPECT_EQ(world.arrivals_after_leaving("s-1"), 0U);
+    EXPECT_GE(world.good_share(3s, 9s), 0.98) << "work under way is not cut off";
+}
+
+TEST(load_pattern, the_next_life_of_a_target_that_left_is_used) {
+    forwarding_world world{25, 1};
+    add_lookup(world, 1);
+    world.publish();
+    world.at(2s, [&] { world.target("s-0").leaves = true; });
+    world.at(4s, [&] {
+        world.target("s-0").leaves = false;
+        world.target("s-0").known.life = incarnation{2};
+        world.publish();
+    });
+    world.load("lookup", 30.0, 1s, 8s);
+    world.run_until(12s);
+    EXPECT_GE(world.good_share(5s, 8s), 0.95);
+}
+
+/** A shard has no target left: the answer goes out as soon as the other shards are in. */
+TEST(load_pattern, an_answer_does_not_wait_for_a_shard_that_nobody_serves) {
+    forwarding_world world{26, 2};
+    std::vector<std::string> shards;
+    for (int shard = 0; shard < 10; ++shard) {
+        shards.push_back("s" + std::to_string(shard));
+        world.add_service(shards.back(), 2, {});
+    }
+    route& match = world.add_route("match", shards);
+    match.timeout = 2s;
+    match.objective = 1s;
+    match.least_coverage = 0.89;
+    world.hide("s4-0");
+    world.hide("s4-1");
+    world.publish();
+    world.load("match", 30.0, 1s, 4s);
+    world.run_until(8s);
+    ASSERT_FALSE(world.results().empty());
+    for (const world_result& result : world.results()) {
+        EXPECT_EQ(result.covered, 9U);
+        EXPECT_LT(result.taken, duration{500ms});
+    }
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/membership/start_time_lives_test.cpp
+++ b/tests/membership/start_time_lives_test.cpp
@@ -177,5 +177,69 @@
     EXPECT_EQ(usable(m_registry), 0U);
 }
 
+/** A host that passes requests on hears in an answer that a target leaves, before the target's keeper does.
+ */
+TEST_F(start_time_lives, a_target_that_says_in_an_answer_that_it_leaves_is_withdrawn_everywhere) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    tell(m_registry, m_other);
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 50)));
+    EXPECT_TRUE(m_other.on_leaving(start + 2s, target_id{"i-1"}, incarnation{100}));
+    EXPECT_EQ(usable(m_other), 0U);
+    tell(m_other, m_registry);
+    EXPECT_EQ(usable(m_registry), 0U) << "the keeper has heard later heartbeats that said ready";
+    EXPECT_FALSE(announce(m_registry, beat("i-1", 100, 51))) << "a late heartbeat that says ready";
+    EXPECT_FALSE(announce(m_other, beat("i-1", 100, 52))) << "one at another host";
+    EXPECT_EQ(usable(m_registry) + usable(m_other), 0U);
+}
+
+TEST_F(start_time_lives, a_leaving_target_may_announce_that_it_drains_and_is_acknowledged) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    m_registry.on_leaving(start + 1s, target_id{"i-1"}, incarnation{100});
+    announcement draining = beat("i-1", 100, 2);
+    draining.state = target_state::draining;
+    EXPECT_TRUE(announce(m_registry, draining));
+    EXPECT_TRUE(succeeded(m_registry.on_departure(start + 2s, target_id{"i-1"}, incarnation{100})));
+}
+
+TEST_F(start_time_lives, an_answer_of_a_former_life_withdraws_nothing) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 200, 1)));
+    EXPECT_FALSE(m_registry.on_leaving(start + 1s, target_id{"i-1"}, incarnation{100}));
+    EXPECT_EQ(usable(m_registry), 1U);
+}
+
+/** A host starts while others remember, and takes a late heartbeat before it has heard from them. */
+TEST_F(start_time_lives, a_host_that_starts_does_not_bring_a_leaving_target_back) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    m_registry.on_leaving(start + 1s, target_id{"i-1"}, incarnation{100});
+    target_registry started{host_id{"c"}, options(), start + 2s};
+    ASSERT_TRUE(succeeded(started.on_announcement(start + 2s, beat("i-1", 100, 7), {})));
+    tell(started, m_registry);
+    EXPECT_EQ(usable(m_registry), 0U) << "its record is newer, but a target that leaves does so for good";
+    started.on_changes(start + 3s, m_registry.all());
+    EXPECT_EQ(usable(started), 0U);
+}
+
+TEST_F(start_time_lives, a_restarted_host_recalls_no_leaving_target_that_others_know) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    const std::vector<target_record> kept = m_registry.all();
+    m_registry.on_leaving(start + 1s, target_id{"i-1"}, incarnation{100});
+    target_registry restarted{host_id{"c"}, options(), start + 2s};
+    restarted.recall(start + 2s, kept);
+    restarted.on_changes(start + 2s, m_registry.all());
+    EXPECT_EQ(usable(restarted), 0U);
+}
+
+/** A target says that it leaves and goes on for long with heartbeats that say ready. */
+TEST_F(start_time_lives, a_leaving_target_is_not_forgotten_while_it_announces_itself) {
+    ASSERT_TRUE(announce(m_registry, beat("i-1", 100, 1)));
+    m_registry.on_leaving(start + 1s, target_id{"i-1"}, incarnation{100});
+    std::uint64_t sequence = 2;
+    for (time_point now = start + 2s; now < start + 200s; now += 1200ms) {
+        m_registry.on_timer(now);
+        EXPECT_FALSE(succeeded(m_registry.on_announcement(now, beat("i-1", 100, sequence++), {})));
+    }
+    EXPECT_EQ(usable(m_registry), 0U);
+}
+
 } // namespace
 } // namespace tamarack
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -150,6 +150,46 @@
     EXPECT_EQ(reply.verdict, target_verdict::completed);
 }
 
+TEST(read_reply, reads_in_any_answer_that_a_target_leaves) {
+    for (const unsigned status : {200U, 500U, 503U, 421U}) {
+        http_response message = good_reply();
+        message.status = status;
+        EXPECT_FALSE(wire::read_reply(id, http_response{message}).leaving);
+        message.fields.emplace_back("server-leaving", " 1 ");
+        const target_reply reply = wire::read_reply(id, std::move(message));
+        EXPECT_TRUE(reply.leaving) << status;
+        EXPECT_EQ(field(reply.fields, "Server-Leaving"), "") << "it concerns this host, not the caller";
+    }
+    http_response message = good_reply();
+    message.fields.emplace_back("Server-Leaving", "0");
+    EXPECT_FALSE(wire::read_reply(id, std::move(message)).leaving);
+}
+
+TEST(read_reply, reads_the_rest_that_a_refusal_asks_for) {
+    http_response message = good_reply();
+    message.status = 503;
+    message.fields.emplace_back("X-Tamarackstand-Not-Executed", "1");
+    message.fields.emplace_back("Retry-After", "1.25");
+    const target_reply reply = wire::read_reply(id, http_response{message});
+    EXPECT_EQ(reply.rest, duration{1250ms});
+    EXPECT_FALSE(reply.rest_unreadable);
+    EXPECT_EQ(field(reply.fields, "Retry-After"), "") << "it says nothing about the system";
+    message.status = 500;
+    EXPECT_FALSE(wire::read_reply(id, std::move(message)).rest) << "only a refusal asks for a rest";
+}
+
+TEST(read_reply, takes_no_rest_of_a_length_that_makes_no_sense) {
+    for (const char* text :
+         {"-1", "nan", "inf", "1e9", "601", "Fri, 04 Dec 2026 10:00:00 GMT", "1s", "0x1"}) {
+        http_response message = good_reply();
+        message.status = 503;
+        message.fields.emplace_back("Retry-After", text);
+        const target_reply reply = wire::read_reply(id, std::move(message));
+        EXPECT_FALSE(reply.rest) << text;
+        EXPECT_TRUE(reply.rest_unreadable) << text;
+    }
+}
+
 TEST(write_answer, returns_a_targets_reply_unchanged) {
     forward_answer answer;
     answer.outcome = forward_outcome::replied;
