--- a/apps/tamarackd/hosts/forwarding_pictures.cpp
+++ b/apps/tamarackd/hosts/forwarding_pictures.cpp
@@ -48,6 +48,7 @@
     }
     m_allowance.on_sharers(now, sharers);
     m_sharers = std::move(sharers);
+    m_active = std::ranges::find(m_sharers.standby, m_settings.host) == m_sharers.standby.end();
     m_entries = std::move(entries);
     return !same;
 }
@@ -70,7 +71,7 @@
     view->routes = m_routes;
     m_pictured_allowance = m_allowance.part(now);
     view->allowance = m_pictured_allowance;
-    view->takes_callers = std::ranges::find(m_sharers.standby, m_settings.host) == m_sharers.standby.end();
+    view->takes_callers = m_active;
     view->targets = list_targets(now, registry);
     return {std::move(view), std::make_shared<const std::vector<host_record>>(m_entries), entered};
 }
@@ -91,8 +92,9 @@
             warm_at[latest.target] = {latest.life, warm};
             forwarding_target target{latest.target,      latest.life,  latest.service, latest.address,
                                      latest.data_center, latest.slots, warm,           0};
-            target.connections = connection_share(service.connections, m_sharers, m_settings.host,
-                                                  latest.target, now - m_started);
+            target.connections = m_active ? connection_share(service.connections, m_sharers, m_settings.host,
+                                                             latest.target, now - m_started)
+                                          : connections_on_standby;
             if (target.connections > 0) {
                 targets.push_back(std::move(target));
             }
--- a/apps/tamarackd/hosts/forwarding_pictures.h
+++ b/apps/tamarackd/hosts/forwarding_pictures.h
@@ -44,6 +44,7 @@
     time_point m_started;
     bool m_met_others = false; ///< enough time has passed since the start
     std::vector<host_record> m_entries;
+    bool m_active = true; ///< callers are sent to this host
     connection_sharers m_sharers;
     allowance_share m_allowance;
     allowance_part m_pictured_allowance; ///< as the last picture has it
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -15,6 +15,8 @@
 constexpr duration introduction_interval = 1s;
 constexpr duration introduction_without_leader = 200ms;
 constexpr duration picture_interval = 20ms;
+/** A picture costs the more the more hosts there are; a start of hundreds changes it with each message. */
+constexpr duration picture_interval_a_host = 500us;
 /** Of one exchange with a target, with its part of the request: processor seconds over exchanges of a day on
  * the bench (docs/CAPACITY.md). The process's own clock of processor time is not kept on every platform. */
 constexpr duration processor_time_of_exchange = 170us;
@@ -385,6 +387,12 @@
                            m_links.send(send.address, membership_method,
                                         encode_membership_message(send.message));
                        },
+                       [this](const spread_membership& spread) {
+                           const Json::Value message = encode_membership_message(spread.push);
+                           for (const spread_membership::receiver& receiver : spread.to) {
+                               m_links.send(receiver.address, membership_method, message);
+                           }
+                       },
                        [this](const host_changed& changed) { on_host_changed(changed.record); },
                    },
                    action);
@@ -397,8 +405,7 @@
 }
 
 void hosts_duty::on_host_changed(const host_record& record) {
-    const bool pictured = m_settings.edge.kind != edge_kind::platform;
-    m_picture_stale = m_pictures->on_hosts(steady_now(), m_detector->hosts()) || pictured || m_picture_stale;
+    m_hosts_stale = true;
     const auto [seen, is_new] = m_seen_hosts.try_emplace(record.host, record);
     const bool only_load = !is_new && seen->second.life == record.life &&
                            seen->second.state == record.state && seen->second.draining == record.draining;
@@ -434,7 +441,7 @@
     const auto exchanges = static_cast<duration::rep>(m_hooks.exchanges());
     if (const auto load = m_load.observe(now, exchanges * processor_time_of_exchange)) {
         carry_out(m_detector->set_load(now, *load));
-        m_picture_stale = m_pictures->on_hosts(now, m_detector->hosts()) || m_picture_stale;
+        m_hosts_stale = true;
     }
 }
 
@@ -451,8 +458,10 @@
     if (m_registry->generation() != m_pictured_generation) {
         m_picture_stale = true;
     }
-    if (m_picture_stale && m_next_picture == time_point::max()) {
-        m_next_picture = steady_now() + picture_interval;
+    const bool due = m_picture_stale || m_hosts_stale;
+    if (due && m_next_picture == time_point::max()) {
+        const auto known = static_cast<duration::rep>(m_detector->known_hosts());
+        m_next_picture = steady_now() + picture_interval + known * picture_interval_a_host;
     }
     m_timer->rearm();
 }
@@ -520,10 +529,15 @@
 
 void hosts_duty::send_picture(time_point now) {
     m_next_picture = time_point::max();
+    const bool stale = m_picture_stale || m_registry->generation() != m_pictured_generation;
     m_pictured_generation = m_registry->generation();
     m_picture_stale = false;
+    m_hosts_stale = false;
     if (m_settings.edge.kind == edge_kind::platform) {
-        m_pictures->on_hosts(now, m_detector->hosts());
+        const bool hosts_matter = m_pictures->on_hosts(now, m_detector->hosts());
+        if (!stale && !hosts_matter) {
+            return;
+        }
         m_picture_stale = !m_hooks.forwarding(
             m_pictures->build(now, m_control->current(), *m_registry, m_entered && !m_leaving));
         return;
@@ -571,10 +585,8 @@
             return seed.address;
         }
     }
-    for (const host_record& known : m_detector->hosts()) {
-        if (known.host == host) {
-            return known.hosts_address;
-        }
+    if (const host_record* known = m_detector->find(host)) {
+        return known->hosts_address;
     }
     if (m_settings.formation.automatic) {
         const std::string& own = m_settings.listen.hosts.value();
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -174,6 +174,7 @@
     std::uint64_t m_pictured_generation = 0;
     std::uint64_t m_remembered_generation = 0;
     bool m_picture_stale = true;
+    bool m_hosts_stale = false; ///< hosts changed since the last picture
     bool m_isolated = false;
     serving_view_pointer m_view;
     readiness_gate m_readiness;
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -66,6 +66,7 @@
         options.probe_timeout = probe_timeout_of_near_hosts;
         options.probe_limit = probe_limit_of_near_hosts;
         options.direct_push_hosts = hosts_told_directly;
+        options.relay_news = true;
     }
     return options;
 }
--- a/benchmarks/membership/membership_load.cpp
+++ b/benchmarks/membership/membership_load.cpp
@@ -17,7 +17,8 @@
  * messages are written and read as JSON text.
  *
  * Usage: bench_membership SCENARIO HOSTS TARGETS [SECONDS] [SEED]
- * Scenarios: steady, churn, rack, drain, silence, loss, sizes.
+ * Scenarios: steady, churn, rack, drain, silence, loss, sizes, and start, which is a start of all hosts at
+ * once with the times of the users' platform.
  */
 
 namespace tamarack::testing {
@@ -53,6 +54,7 @@
     std::array<std::uint64_t, kinds> bytes_of_kind{};
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
+    std::uint64_t bytes_between = 0;
     std::uint64_t receipts = 0;
     duration busy{};
 };
@@ -62,6 +64,7 @@
     for (const virtual_host& host : network.hosts()) {
         sum.messages += host.messages_sent;
         sum.bytes += host.bytes_sent;
+        sum.bytes_between += host.bytes_between;
         sum.busy += host.busy;
         for (std::size_t kind = 0; kind < kinds; ++kind) {
             sum.bytes_of_kind[kind] += host.bytes_of_kind[kind];
@@ -261,7 +264,94 @@
                 text_size(encode_configuration(full_configuration())));
 }
 
+/** The most that any host has sent or received, and the most processor time that one has used. */
+struct busiest {
+    std::uint64_t bytes = 0;
+    duration busy{};
+};
+
+busiest busiest_of(virtual_network& network) {
+    busiest most;
+    for (const virtual_host& host : network.hosts()) {
+        most.bytes = std::max(most.bytes, host.bytes_sent + host.bytes_received);
+        most.busy = std::max(most.busy, host.busy);
+    }
+    return most;
+}
+
+constexpr std::size_t platform_data_centers = 6;
+constexpr duration start_spread = 300ms; ///< within which the users' platform starts all hosts
+
+/** The times of the users' platform, as platform/host.ini.in and hosts_options name them. */
+void use_platform_times(virtual_network& network) {
+    network.detector.probe_interval = 300ms;
+    network.detector.probe_timeout = 120ms;
+    network.detector.probe_limit = 350ms;
+    network.detector.direct_push_hosts = 128;
+    network.detector.relay_news = true;
+    network.registry.target_lease = 6s;
+    network.registry.heartbeat = 1200ms;
+    network.registry.slowest_heartbeat = 1200ms;
+    network.registry.only_known_services = false;
+    network.registry.orphan_time = 8s;
+}
+
+void measure_start(const arguments& run) {
+    virtual_network network{run.seed, {}};
+    use_platform_times(network);
+    network.conditions.as_text = true;
+    for (std::size_t host = 0; host < run.hosts; ++host) {
+        network.add_host(data_center_name(host % platform_data_centers));
+        network.hosts()[host].record.control = host < platform_data_centers;
+        network.hosts()[host].record.draining = true;
+    }
+    for (std::size_t host = 0; host < run.hosts; ++host) {
+        network.start_host(host);
+        network.run_for(start_spread / static_cast<duration::rep>(run.hosts));
+    }
+    for (std::size_t target = 0; target < run.targets; ++target) {
+        network.add_target(data_center_name(target % platform_data_centers), "finder",
+                           "s" + std::to_string(target), 0);
+    }
+    std::vector<std::size_t> entering;
+    for (std::size_t host = 0; host < run.hosts; ++host) {
+        entering.push_back(host);
+    }
+    duration all_known{0};
+    const duration step = 100ms;
+    for (duration passed{0}; passed < run.length; passed += step) {
+        network.run_for(step);
+        const bool enters = passed >= 2s;
+        for (std::size_t host = 0; enters && host < 10 && !entering.empty(); ++host) {
+            network.drain_host(entering.back(), false);
+            entering.pop_back();
+        }
+        if (all_known == duration{0} && entering.empty() && network.views_agree()) {
+            all_known = passed + step;
+        }
+    }
+    const totals all = total_of(network);
+    const busiest most = busiest_of(network);
+    const auto hosts = static_cast<double>(run.hosts);
+    std::printf(
+        "start: %zu hosts, %zu targets, %.0f s: per host %.0f messages, %.0f KB of bodies sent, %.0f KB of "
+        "them to other data centres, %.0f ms of processor; busiest host %.0f KB both ways, %.0f ms; all "
+        "agree after %.1f s (0: not yet)\n",
+        run.hosts, run.targets, seconds(run.length), static_cast<double>(all.messages) / hosts,
+        static_cast<double>(all.bytes) / hosts / 1e3, static_cast<double>(all.bytes_between) / hosts / 1e3,
+        seconds(all.busy) * 1e3 / hosts, static_cast<double>(most.bytes) / 1e3, seconds(most.busy) * 1e3,
+        seconds(all_known));
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        std::printf("  %s %.0f KB a host\n", kind_names[kind],
+                    static_cast<double>(all.bytes_of_kind[kind]) / hosts / 1e3);
+    }
+}
+
 void run_scenario(const arguments& run) {
+    if (run.scenario == "start") {
+        measure_start(run);
+        return;
+    }
     if (run.scenario == "sizes") {
         print_sizes();
         return;
@@ -295,7 +385,8 @@
     const std::vector<std::string> given{values + 1, values + count};
     if (given.size() < 3) {
         std::printf("usage: bench_membership steady|churn|rack|drain|silence|loss|sizes HOSTS TARGETS "
-                    "[SECONDS] [SEED]\n");
+                    "[SECONDS] [SEED]\n"
+                    "scenarios also: start\n");
         return EXIT_FAILURE;
     }
     run.scenario = given[0];
--- a/modules/tamarack_control/messages/compressed_text.cpp
+++ b/modules/tamarack_base/encoding/compressed_text.cpp
@@ -1,5 +1,7 @@
 #include "compressed_text.h"
 
+#include "../errors/invariant.h"
+
 #include <openssl/evp.h>
 #include <zlib.h>
 
--- a/modules/tamarack_control/messages/compressed_text.h
+++ b/modules/tamarack_base/encoding/compressed_text.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <tamarack_base/tamarack_base.h>
+#include "../errors/outcome.h"
+#include "../units/sizes.h"
 
 #include <cstddef>
 #include <string>
--- a/modules/tamarack_base/tamarack_base.h
+++ b/modules/tamarack_base/tamarack_base.h
@@ -1,10 +1,10 @@
 /**
  * @file
  * Vocabulary shared by every module: results, errors, identifiers, time, seeded random numbers, hashes,
- * invariants and the bounded ring.
+ * compressed texts, invariants and the bounded ring.
  *
  * Purpose: one definition of each small value type, so that modules exchange typed values.
- * Dependencies: the standard library, Boost.Lockfree, OpenSSL (SHA-256), xxHash.
+ * Dependencies: the standard library, Boost.Lockfree, OpenSSL (SHA-256, Base64), xxHash, zlib.
  * Touches neither sockets nor files nor clocks.
  */
 #pragma once
@@ -23,6 +23,8 @@
 
 #include "identity/identifiers.h"
 
+#include "encoding/compressed_text.h"
+
 #include "hashing/digest.h"
 #include "hashing/stable_hash.h"
 
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -1,7 +1,5 @@
 #include "control_message_codec.h"
 
-#include "compressed_text.h"
-
 #include <string>
 #include <string_view>
 
--- a/modules/tamarack_control/tamarack_control.h
+++ b/modules/tamarack_control/tamarack_control.h
@@ -12,7 +12,6 @@
 #include "state/control_command.h"
 #include "state/control_state.h"
 
-#include "messages/compressed_text.h"
 #include "messages/control_message.h"
 #include "messages/control_message_codec.h"
 
--- a/modules/tamarack_forwarding/placement/connection_share.cpp
+++ b/modules/tamarack_forwarding/placement/connection_share.cpp
@@ -19,7 +19,7 @@
     const std::vector<host_id>& hosts = sharers.active;
     const bool stands_by = std::ranges::find(sharers.standby, self) != sharers.standby.end();
     if (stands_by) {
-        return 1;
+        return connections_on_standby;
     }
     const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
     const double part = sharers.standby.empty() ? 1.0 : share_of_active;
--- a/modules/tamarack_forwarding/placement/connection_share.h
+++ b/modules/tamarack_forwarding/placement/connection_share.h
@@ -16,6 +16,9 @@
     bool operator==(const connection_sharers&) const = default;
 };
 
+/** Connections to a target that a host on standby may have, for the few requests that come to it. */
+inline constexpr std::size_t connections_on_standby = 1;
+
 /**
  * Divides the connections that one target accepts over the hosts, without asking anybody.
  *
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -21,7 +21,8 @@
 
 failure_detector::failure_detector(host_record self, std::vector<host_record> seeds, detector_options options,
                                    random_source random, time_point now)
-    : m_state(std::move(self), options.news_copies, options.news_age, options.direct_push_hosts, now),
+    : m_state(std::move(self),
+              {options.news_copies, options.news_age, options.direct_push_hosts, options.relay_news}, now),
       m_seeds(std::move(seeds)), m_options(options), m_random(random), m_isolation(options.isolation),
       m_next_probe(now), m_next_exchange(now + sync_retry), m_exchange_wait(first_exchange_wait) {}
 
@@ -64,6 +65,10 @@
     return next;
 }
 
+const host_record* failure_detector::find(const host_id& host) const {
+    return host == m_state.self().host ? &m_state.self() : m_state.hosts().find(host);
+}
+
 membership_actions failure_detector::set_draining(time_point now, bool draining) {
     m_state.change_self(now, draining, host_state::alive);
     m_next_push = now;
@@ -86,7 +91,7 @@
 }
 
 void failure_detector::handle(time_point now, const probe_request& message, target_registry& registry) {
-    report(m_state.absorb(now, message.news, registry));
+    report(m_state.absorb(now, message.news, registry, {message.from, false}));
     const bool about_another = !message.subject.empty() && message.subject != m_state.self().host;
     if (about_another) {
         relay(now, message, registry);
@@ -117,7 +122,7 @@
 }
 
 void failure_detector::handle(time_point now, const probe_reply& message, target_registry& registry) {
-    report(m_state.absorb(now, message.news, registry));
+    report(m_state.absorb(now, message.news, registry, {message.from, false}));
     const auto relayed = m_relays.find(message.number);
     if (relayed != m_relays.end()) {
         const relayed_probe asked = relayed->second;
@@ -143,7 +148,7 @@
 }
 
 void failure_detector::handle(time_point now, const news_push& message, target_registry& registry) {
-    report(m_state.absorb(now, message.news, registry));
+    report(m_state.absorb(now, message.news, registry, {message.from, true}));
 }
 
 void failure_detector::handle(time_point now, const sync_request& message, target_registry& /*registry*/) {
@@ -162,7 +167,7 @@
     if (!differ.empty()) {
         send(message.from, news_push{m_state.self().host, state_comparison::records_of(own, differ)});
     }
-    report(m_state.absorb_compared(now, message.records, registry, m_joined));
+    report(m_state.absorb_compared(now, message.records, registry, message.from, m_joined));
     if (message.lists_kept) {
         registry.on_kept_list(now, message.from, message.kept);
     }
@@ -345,16 +350,73 @@
     if (!m_state.news().has_unpushed()) {
         return;
     }
-    const membership_news news = m_state.compose_for_push(registry, m_options.news_in_message);
-    const auto told = choose_hosts(m_state.hosts().running(), pushes(), {}, m_random);
-    for (const host_id& host : told) {
-        send(host, news_push{m_state.self().host, news});
+    if (m_state.spread() == news_spread::relayed) {
+        push_relayed(registry);
+        return;
+    }
+    pushed_news news = m_state.compose_for_push(registry, m_options.news_in_message);
+    spread(choose_hosts(m_state.hosts().running(), pushes(), {}, m_random), std::move(news.everyone));
+}
+
+void failure_detector::push_relayed(target_registry& registry) {
+    pushed_news news = m_state.compose_for_push(registry, m_options.relayed_in_message);
+    const news_relays& relays = m_state.relays();
+    if (!relays.relays()) {
+        spread(relays.receivers(news_scope::everyone, m_random), std::move(news.everyone));
+        return;
+    }
+    spread(relays.others(), news.everyone);
+    membership_news near = std::move(news.everyone);
+    near.hosts.insert(near.hosts.end(), news.own_data_center.hosts.begin(), news.own_data_center.hosts.end());
+    near.targets.insert(near.targets.end(), news.own_data_center.targets.begin(),
+                        news.own_data_center.targets.end());
+    spread(relays.members(), std::move(near));
+}
+
+void failure_detector::spread(const std::vector<host_id>& to, membership_news news) {
+    spread_membership action;
+    for (const host_id& host : to) {
+        const host_record* receiver = m_state.hosts().find(host);
+        if (receiver != nullptr) {
+            action.to.push_back({host, receiver->hosts_address});
+        }
+    }
+    if (action.to.empty() || news.empty()) {
+        return;
+    }
+    action.push = news_push{m_state.self().host, std::move(news)};
+    m_actions.emplace_back(std::move(action));
+}
+
+/** Bounds the size of each message: what a relay tells is read by small hosts between callers' requests. */
+void failure_detector::greet_as_relay(const std::vector<host_id>& newcomers,
+                                      const target_registry& registry) {
+    std::vector<host_id> greeted;
+    for (const host_id& newcomer : newcomers) {
+        const host_record* record = m_state.hosts().find(newcomer);
+        if (record != nullptr && m_state.relays().greets(*record)) {
+            greeted.push_back(newcomer);
+        }
+    }
+    if (greeted.empty()) {
+        return;
+    }
+    membership_news whole = m_state.whole_state(registry);
+    spread(greeted, {std::move(whole.hosts), {}});
+    for (std::size_t begin = 0; begin < whole.targets.size(); begin += m_options.relayed_in_message) {
+        const std::size_t end = std::min(begin + m_options.relayed_in_message, whole.targets.size());
+        spread(greeted, {{},
+                         {whole.targets.begin() + static_cast<std::ptrdiff_t>(begin),
+                          whole.targets.begin() + static_cast<std::ptrdiff_t>(end)}});
     }
 }
 
 void failure_detector::greet_newcomers(const target_registry& registry) {
     const std::vector<host_id> hosts = m_newcomers.take();
-    if (!m_state.pushes_directly()) {
+    if (m_state.spread() == news_spread::relayed) {
+        greet_as_relay(hosts, registry);
+    }
+    if (m_state.spread() != news_spread::direct) {
         return;
     }
     for (const host_id& newcomer : hosts) {
@@ -384,7 +446,7 @@
 }
 
 std::size_t failure_detector::pushes() const {
-    if (m_state.pushes_directly()) {
+    if (m_state.spread() == news_spread::direct) {
         return m_state.hosts().running().size();
     }
     const double hosts = static_cast<double>(m_state.hosts().running().size() + 1);
@@ -414,12 +476,28 @@
         return;
     }
     m_next_exchange = now + (m_joined ? m_options.full_exchange : sync_retry);
-    const auto chosen = choose_hosts(m_state.hosts().running(), 1, {}, m_random);
+    const auto chosen = choose_hosts(comparison_partners(), 1, {}, m_random);
     if (!chosen.empty() && !m_sync) {
         start_sync(now, chosen.front(), 0, registry);
     }
 }
 
+/** What relays pass on is compared with them; now and then with any host, in case the relay is lost. */
+std::vector<host_id> failure_detector::comparison_partners() {
+    constexpr double share_with_any = 0.125;
+    const bool any = m_state.spread() != news_spread::relayed || m_random.chance(share_with_any);
+    const news_relays& relays = m_state.relays();
+    if (any || (relays.relays() && relays.others().empty())) {
+        return m_state.hosts().running();
+    }
+    return relays.relays() ? relays.others() : std::vector<host_id>{relays.own_relay()};
+}
+
+duration failure_detector::push_delay() {
+    const bool gathers = m_state.spread() == news_spread::relayed && m_state.relays().relays();
+    return gathers ? m_options.relay_delay : m_options.push_delay;
+}
+
 void failure_detector::note_result(time_point now, bool answered, target_registry& registry) {
     const bool before = m_isolation.isolated();
     const bool alone = m_state.hosts().running().size() + m_state.hosts().dead().size() < 2;
@@ -467,7 +545,7 @@
     }
     const bool has_news = m_state.news().has_unpushed() || !m_newcomers.empty();
     if (has_news && m_next_push == time_point::max()) {
-        m_next_push = now + m_options.push_delay;
+        m_next_push = now + push_delay();
     }
     return std::exchange(m_actions, {});
 }
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -23,12 +23,22 @@
     membership_message message;
 };
 
+/** Send the same news to several hosts, written once; loss is allowed. */
+struct spread_membership {
+    struct receiver {
+        host_id host;
+        endpoint address;
+    };
+    std::vector<receiver> to;
+    news_push push;
+};
+
 /** A host's state changed here. */
 struct host_changed {
     host_record record;
 };
 
-using membership_action = std::variant<send_membership, host_changed>;
+using membership_action = std::variant<send_membership, spread_membership, host_changed>;
 using membership_actions = std::vector<membership_action>;
 
 /** Protections of the failure detector that tests switch off. Always on in the daemon. */
@@ -53,9 +63,13 @@
     duration news_age = 4s;   ///< how long news rides on probes at most
     std::size_t push_fanout = 3;       ///< and ln of the number of hosts: to how many hosts news is pushed
     std::size_t direct_push_hosts = 0; ///< up to so many hosts, news is pushed to all by whoever has it first
+    bool relay_news = false;           ///< above, it goes along the relays of the data centres
     duration push_delay = 20ms;        ///< news that comes within this is pushed together
-    duration full_exchange = 10s;      ///< states are compared with a random host this often
-    std::size_t sync_records = 100;    ///< records in one message of a comparison, about
+    duration relay_delay =
+        200ms; ///< the same at a relay, which sends to many: two of them stay below a second
+    std::size_t relayed_in_message = 400; ///< records in one message along the relays
+    duration full_exchange = 10s;         ///< states are compared with a random host this often
+    std::size_t sync_records = 100;       ///< records in one message of a comparison, about
     isolation_options isolation;
     duration forget_after = 10min;
     detector_protections protections;
@@ -70,7 +84,8 @@
  * News is pushed at once to a few hosts at random by each host that hears it first, rides on probes for a
  * while, and is compared by hashes of groups of records, which mends what both have missed. Where news is
  * pushed to all hosts by one, a host that it did not know then would miss it: whoever learns of a running
- * host tells it its own record and the targets that it keeps.
+ * host tells it its own record and the targets that it keeps. Among more hosts, news goes along the relays of
+ * the data centres, and a relay tells a host that has just started all that it knows.
  */
 class failure_detector {
 public:
@@ -110,6 +125,12 @@
     /** @return all known hosts, this one included */
     std::vector<host_record> hosts() const { return m_state.all_hosts(); }
 
+    /** @return how many hosts are known, this one included */
+    std::size_t known_hosts() const { return m_state.hosts().peers().size() + 1; }
+
+    /** @return the record of a known host, this one included, or nullptr */
+    const host_record* find(const host_id& host) const;
+
     /** @return a number that grows whenever hosts() may have changed */
     std::uint64_t generation() const { return m_state.hosts().generation() + m_state.self().version; }
 
@@ -157,7 +178,12 @@
     void end_suspicions(time_point now);
     void ask_suspects(time_point now, target_registry& registry);
     void push_news(time_point now, target_registry& registry);
+    void push_relayed(target_registry& registry);
     void greet_newcomers(const target_registry& registry);
+    void greet_as_relay(const std::vector<host_id>& newcomers, const target_registry& registry);
+    void spread(const std::vector<host_id>& to, membership_news news);
+    duration push_delay();
+    std::vector<host_id> comparison_partners();
     bool recalls_for(const host_id& newcomer) const;
     void start_sync(time_point now, const host_id& peer, std::size_t first_group, target_registry& registry);
     void compare_states(time_point now, target_registry& registry);
--- a/modules/tamarack_membership/hosts/membership_codec.cpp
+++ b/modules/tamarack_membership/hosts/membership_codec.cpp
@@ -1,6 +1,7 @@
 #include "membership_codec.h"
 
 #include "../encoding/json_reader.h"
+#include "../encoding/news_text.h"
 #include "../targets/announcement_codec.h"
 
 #include <limits>
@@ -13,6 +14,11 @@
 constexpr std::uint32_t highest_hash = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t most_capacity = 1'000'000; ///< a thousand cores
 constexpr std::size_t most_records = membership_message_bounds::records;
+/** From so many records on, news is packed: fewer don't repeat enough to become shorter. */
+constexpr std::size_t fewest_packed = 4;
+/** Of packed news: its records at most, with room for long names. */
+constexpr std::size_t most_packed_bytes = 4 * mebibyte;
+const char* const packed_member = "packed_news";
 
 template <typename Record, typename Encoder>
 void encode_list(Json::Value& json, const char* name, const std::vector<Record>& records, Encoder encode) {
@@ -40,11 +46,33 @@
 }
 
 void encode_news(Json::Value& json, const membership_news& news) {
+    if (news.size() >= fewest_packed) {
+        json[packed_member] = compress_text(write_news(news));
+        return;
+    }
     encode_list(json, "hosts", news.hosts, encode_host_record);
     encode_list(json, "targets", news.targets, encode_target_record);
 }
 
+membership_news decode_packed(json_reader& reader, const std::string& packed) {
+    const auto text = decompress_text(packed, most_packed_bytes);
+    if (!succeeded(text)) {
+        reader.fail_with(error_of(text));
+        return {};
+    }
+    auto news = read_news(value_of(text), most_records);
+    if (!succeeded(news)) {
+        reader.fail_with(error_of(news));
+        return {};
+    }
+    return value_of(std::move(news));
+}
+
 membership_news decode_news(json_reader& reader) {
+    const std::string packed = reader.optional_text(packed_member, most_packed_bytes);
+    if (!packed.empty()) {
+        return decode_packed(reader, packed);
+    }
     return {decode_list<host_record>(reader, "hosts", decode_host_record),
             decode_list<target_record>(reader, "targets", decode_target_record)};
 }
--- a/modules/tamarack_membership/hosts/membership_codec.h
+++ b/modules/tamarack_membership/hosts/membership_codec.h
@@ -7,7 +7,8 @@
 namespace tamarack {
 
 /**
- * @return the message as JSON: an object with "kind" and the message's members
+ * @return the message as JSON: an object with "kind" and the message's members; many records stand in it as
+ *         "packed_news", the compressed text of write_news
  * @see membership_message
  */
 Json::Value encode_membership_message(const membership_message& message);
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -11,39 +11,80 @@
 /** Of a target's record that its origin has pushed to all hosts: a host that missed it gets it with seven in
  * eight. Hosts' records keep all copies, since hosts that start together learn of each other by them. */
 constexpr std::size_t copies_of_pushed_news = 2;
+/** Of a host's record that is relayed: the comparison of states finds what a lost relay has not passed on. */
+constexpr std::size_t copies_of_relayed_news = 2;
 
 } // namespace
 
-membership_state::membership_state(host_record self, double news_copies, duration news_age,
-                                   std::size_t direct_hosts, time_point now)
-    : m_self(std::move(self)), m_news_copies(news_copies), m_news_age(news_age),
-      m_direct_hosts(direct_hosts) {
+membership_state::membership_state(host_record self, news_options options, time_point now)
+    : m_self(std::move(self)), m_options(options) {
     tell_self(now);
 }
 
+news_spread membership_state::spread() const {
+    if (m_hosts.running().size() + 1 <= m_options.direct_hosts) {
+        return news_spread::direct;
+    }
+    return m_options.relayed ? news_spread::relayed : news_spread::gossip;
+}
+
+const news_relays& membership_state::relays() {
+    m_relays.update(m_self, m_hosts);
+    return m_relays;
+}
+
+membership_state::push_scope membership_state::scope_of_heard(const news_source& source) {
+    switch (spread()) {
+    case news_spread::direct:
+        return std::nullopt;
+    case news_spread::gossip:
+        return news_scope::everyone;
+    case news_spread::relayed:
+        break;
+    }
+    if (!source.pushed || !relays().is_relay(source.from)) {
+        return news_scope::everyone;
+    }
+    if (m_relays.is_near(source.from)) {
+        return std::nullopt;
+    }
+    return m_relays.relays() ? news_scope::own_data_center : news_scope::everyone;
+}
+
 std::vector<host_record> membership_state::absorb(time_point now, const membership_news& news,
-                                                  target_registry& registry) {
-    return absorb_compared(now, news, registry, true);
+                                                  target_registry& registry, const news_source& source) {
+    return take(now, news, registry, true, scope_of_heard(source));
 }
 
 std::vector<host_record> membership_state::absorb_compared(time_point now, const membership_news& records,
-                                                           target_registry& registry, bool tell_others) {
+                                                           target_registry& registry, const host_id& peer,
+                                                           bool tell_others) {
+    return take(now, records, registry, tell_others, scope_of_heard({peer, true}));
+}
+
+std::vector<host_record> membership_state::take(time_point now, const membership_news& records,
+                                                target_registry& registry, bool tell_others,
+                                                push_scope pushed_on) {
     std::vector<host_record> changed;
     for (const host_record& record : records.hosts) {
-        if (absorb_host(now, record, tell_others)) {
-            changed.push_back(*m_hosts.find(record.host));
+        if (!take_host(now, record)) {
+            continue;
+        }
+        changed.push_back(*m_hosts.find(record.host));
+        if (tell_others) {
+            tell(now, changed.back(), pushed_on);
         }
     }
     for (const target_record& record : registry.on_changes(now, records.targets)) {
         if (tell_others) {
-            tell(now, record, news_origin::heard);
+            tell(now, record, news_origin::heard, pushed_on);
         }
     }
-    exchange_with(now, registry);
+    take_changes(now, registry);
     return changed;
 }
 
-bool membership_state::absorb_host(time_point now, const host_record& record, bool tell_others) {
+bool membership_state::take_host(time_point now, const host_record& record) {
     if (record.host == m_self.host) {
         refute(now, record);
         return false;
@@ -55,13 +96,7 @@
     if (surprising) {
         taken.state = host_state::suspect;
     }
-    if (!m_hosts.merge(now, taken)) {
-        return false;
-    }
-    if (tell_others) {
-        tell(now, taken, news_origin::heard);
-    }
-    return true;
+    return m_hosts.merge(now, taken);
 }
 
 void membership_state::refute(time_point now, const host_record& claim) {
@@ -87,7 +122,7 @@
     if (!changed) {
         return {};
     }
-    tell(now, *changed, news_origin::own);
+    tell(now, *changed, news_scope::everyone);
     return {*changed};
 }
 
@@ -104,10 +139,14 @@
     tell_self(now);
 }
 
-void membership_state::exchange_with(time_point now, target_registry& registry) {
+void membership_state::take_changes(time_point now, target_registry& registry) {
     for (const target_record& change : registry.take_changes()) {
-        tell(now, change, news_origin::own);
+        tell(now, change, news_origin::own, news_scope::everyone);
     }
+}
+
+void membership_state::exchange_with(time_point now, target_registry& registry) {
+    take_changes(now, registry);
     const bool told = m_told_generation == m_hosts.generation() && m_told_draining == m_self.draining;
     if (told) {
         return;
@@ -118,23 +157,37 @@
 }
 
 void membership_state::tell_self(time_point now) {
-    tell(now, m_self, news_origin::own);
+    tell(now, m_self, news_scope::everyone);
+}
+
+void membership_state::tell(time_point now, const host_record& record, push_scope scope) {
+    m_news.add({record.host, target_id{}}, copies(), now + m_options.age, scope);
 }
 
-void membership_state::tell(time_point now, const host_record& record, news_origin origin) {
-    m_news.add({record.host, target_id{}}, copies(), now + m_news_age, is_pushed(origin));
+void membership_state::tell(time_point now, const target_record& record, news_origin origin,
+                            push_scope scope) {
+    m_news.add({host_id{}, record.latest.target}, target_copies(origin), now + m_options.age, scope);
 }
 
-void membership_state::tell(time_point now, const target_record& record, news_origin origin) {
-    const bool pushed_to_all = origin == news_origin::heard && pushes_directly();
-    m_news.add({host_id{}, record.latest.target}, pushed_to_all ? copies_of_pushed_news : copies(),
-               now + m_news_age, is_pushed(origin));
+std::size_t membership_state::target_copies(news_origin origin) const {
+    switch (spread()) {
+    case news_spread::direct:
+        return origin == news_origin::heard ? copies_of_pushed_news : copies();
+    case news_spread::gossip:
+        return copies();
+    case news_spread::relayed:
+        break;
+    }
+    return 0;
 }
 
 std::size_t membership_state::copies() const {
+    if (spread() == news_spread::relayed) {
+        return copies_of_relayed_news;
+    }
     constexpr double smallest_group = 4.0;
     const double hosts = std::max(smallest_group, static_cast<double>(m_hosts.running().size() + 1));
-    return static_cast<std::size_t>(std::ceil(m_news_copies * std::log2(hosts)));
+    return static_cast<std::size_t>(std::ceil(m_options.copies * std::log2(hosts)));
 }
 
 membership_news membership_state::compose_for_probe(time_point now, const target_registry& registry,
@@ -151,8 +204,22 @@
     return news;
 }
 
-membership_news membership_state::compose_for_push(const target_registry& registry, std::size_t most) {
-    return records_of(m_news.take_for_push(most), registry);
+pushed_news membership_state::compose_for_push(const target_registry& registry, std::size_t most) {
+    std::vector<news_queue::topic> everyone;
+    std::vector<news_queue::topic> near;
+    for (news_queue::pushed_topic& pushed : m_news.take_for_push(most)) {
+        auto& topics = pushed.scope == news_scope::everyone ? everyone : near;
+        topics.push_back(std::move(pushed.about));
+    }
+    return {records_of(everyone, registry), records_of(near, registry)};
+}
+
+membership_news membership_state::whole_state(const target_registry& registry) const {
+    membership_news whole{all_hosts(), registry.all()};
+    for (target_record& record : whole.targets) {
+        record.latest.load = {};
+    }
+    return whole;
 }
 
 membership_news membership_state::records_of(const std::vector<news_queue::topic>& topics,
--- a/modules/tamarack_membership/hosts/membership_state.h
+++ b/modules/tamarack_membership/hosts/membership_state.h
@@ -3,12 +3,42 @@
 #include "host_table.h"
 #include "membership_message.h"
 #include "news_queue.h"
+#include "news_relays.h"
 
 #include <cstddef>
 #include <vector>
 
 namespace tamarack {
 
+/** How changes reach all hosts. */
+enum class news_spread {
+    direct,  ///< pushed to all hosts by the one that has it first
+    gossip,  ///< pushed to some hosts at random by each that hears it
+    relayed, ///< pushed along the relays of the data centres
+};
+
+/** How news is spread, and for how long it is told. */
+struct news_options {
+    double copies = 1.0;          ///< on probes, times log2 of the number of hosts
+    duration age = 4s;            ///< how long a piece of news rides on probes at most
+    std::size_t direct_hosts = 0; ///< up to so many hosts it is pushed directly
+    bool relayed = false;         ///< above, it is relayed rather than pushed at random
+};
+
+/** From where news came. */
+struct news_source {
+    host_id from;
+    bool pushed = false; ///< otherwise it was told with a probe
+};
+
+/** News that is to be pushed now. */
+struct pushed_news {
+    membership_news everyone;
+    membership_news own_data_center;
+
+    bool empty() const { return everyone.empty() && own_data_center.empty(); }
+};
+
 /**
  * This host's own record, the other hosts' records, and the news that is still to be told.
  *
@@ -20,28 +50,31 @@
 public:
     /**
      * @param self         this host's own record
-     * @param news_copies  copies of a piece of news on probes, times log2 of the number of hosts
-     * @param news_age     how long a piece of news rides on probes at most
-     * @param direct_hosts up to so many hosts, whoever has news pushes it to all, and nobody pushes it on
+     * @param options      how news is spread
      * @param now          time of the start
      */
-    membership_state(host_record self, double news_copies, duration news_age, std::size_t direct_hosts,
-                     time_point now);
+    membership_state(host_record self, news_options options, time_point now);
 
-    /** @return whether news is pushed to all hosts by the one that has it first */
-    bool pushes_directly() const { return m_hosts.running().size() + 1 <= m_direct_hosts; }
+    /** @return how news is spread among as many hosts as are known now */
+    news_spread spread() const;
+
+    /** @return the relays as chosen from what is known now */
+    const news_relays& relays();
 
     /** Applies news. @return the hosts whose record changed */
-    std::vector<host_record> absorb(time_point now, const membership_news& news, target_registry& registry);
+    std::vector<host_record> absorb(time_point now, const membership_news& news, target_registry& registry,
+                                    const news_source& source);
 
     /**
      * Applies records from a comparison of states.
      *
+     * @param peer         the host that it was compared with
      * @param tell_others  whether they are news for others too; not when this host merely catches up
      * @return the hosts whose record changed
      */
     std::vector<host_record> absorb_compared(time_point now, const membership_news& records,
-                                             target_registry& registry, bool tell_others);
+                                             target_registry& registry, const host_id& peer,
+                                             bool tell_others);
 
     /** Changes another host's state as observed here. @return the changed records */
     std::vector<host_record> observe(time_point now, const host_id& host, host_state state);
@@ -62,7 +95,10 @@
                                       const host_id& receiver, std::size_t most);
 
     /** @return news that has not been pushed yet */
-    membership_news compose_for_push(const target_registry& registry, std::size_t most);
+    pushed_news compose_for_push(const target_registry& registry, std::size_t most);
+
+    /** @return all that a host which has just started is told */
+    membership_news whole_state(const target_registry& registry) const;
 
     /** @return all known hosts, this one first */
     std::vector<host_record> all_hosts() const;
@@ -76,25 +112,30 @@
     const news_queue& news() const { return m_news; }
 
 private:
-    bool absorb_host(time_point now, const host_record& record, bool tell_others);
-    void refute(time_point now, const host_record& claim);
     /** Whether news was seen here first, or came from another host. */
     enum class news_origin {
         own,
         heard,
     };
-    void tell(time_point now, const host_record& record, news_origin origin);
-    void tell(time_point now, const target_record& record, news_origin origin);
-    bool is_pushed(news_origin origin) const { return origin == news_origin::own || !pushes_directly(); }
+    using push_scope = std::optional<news_scope>; ///< nothing: it is not pushed on
+
+    std::vector<host_record> take(time_point now, const membership_news& records, target_registry& registry,
+                                  bool tell_others, push_scope pushed_on);
+    bool take_host(time_point now, const host_record& record);
+    void take_changes(time_point now, target_registry& registry);
+    void refute(time_point now, const host_record& claim);
+    push_scope scope_of_heard(const news_source& source);
+    void tell(time_point now, const host_record& record, push_scope scope);
+    void tell(time_point now, const target_record& record, news_origin origin, push_scope scope);
     std::size_t copies() const;
+    std::size_t target_copies(news_origin origin) const;
     membership_news records_of(const std::vector<news_queue::topic>& topics,
                                const target_registry& registry) const;
 
     host_record m_self;
-    double m_news_copies;
-    duration m_news_age;
-    std::size_t m_direct_hosts;
+    news_options m_options;
     host_table m_hosts;
+    news_relays m_relays;
     news_queue m_news;
     std::uint64_t m_told_generation = 0;
     bool m_told_draining = false;
--- a/modules/tamarack_membership/hosts/news_queue.cpp
+++ b/modules/tamarack_membership/hosts/news_queue.cpp
@@ -4,9 +4,17 @@
 
 namespace tamarack {
 
-void news_queue::add(const topic& about, std::size_t copies, time_point ends_at, bool push) {
-    m_pending[about] = {copies, ends_at};
-    if (push && m_unpushed_set.insert(about).second) {
+void news_queue::add(const topic& about, std::size_t copies, time_point ends_at,
+                     std::optional<news_scope> push) {
+    if (copies > 0) {
+        m_pending[about] = {copies, ends_at};
+    }
+    if (!push) {
+        return;
+    }
+    const auto [scope, is_new] = m_scopes.try_emplace(about, *push);
+    scope->second = std::max(scope->second, *push);
+    if (is_new) {
         m_unpushed.push_back(about);
     }
 }
@@ -40,14 +48,15 @@
     }
 }
 
-std::vector<news_queue::topic> news_queue::take_for_push(std::size_t most) {
+std::vector<news_queue::pushed_topic> news_queue::take_for_push(std::size_t most) {
     const std::size_t taken = std::min(most, m_unpushed.size());
-    const auto end = m_unpushed.begin() + static_cast<std::ptrdiff_t>(taken);
-    std::vector<topic> topics{m_unpushed.begin(), end};
-    m_unpushed.erase(m_unpushed.begin(), end);
-    for (const topic& about : topics) {
-        m_unpushed_set.erase(about);
+    std::vector<pushed_topic> topics;
+    for (std::size_t index = 0; index < taken; ++index) {
+        const auto scope = m_scopes.find(m_unpushed[index]);
+        topics.push_back({m_unpushed[index], scope->second});
+        m_scopes.erase(scope);
     }
+    m_unpushed.erase(m_unpushed.begin(), m_unpushed.begin() + static_cast<std::ptrdiff_t>(taken));
     return topics;
 }
 
--- a/modules/tamarack_membership/hosts/news_queue.h
+++ b/modules/tamarack_membership/hosts/news_queue.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "membership_message.h"
+#include "news_relays.h"
 
 #include <cstddef>
 #include <map>
-#include <set>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -33,15 +34,22 @@
      *
      * @param copies   on probes, besides the pushes
      * @param ends_at  from then on it is left to the comparison of states
-     * @param push     whether it is pushed at once too
+     * @param push     to whom it is pushed at once too; nothing for nobody
      */
-    void add(const topic& about, std::size_t copies, time_point ends_at, bool push = true);
+    void add(const topic& about, std::size_t copies, time_point ends_at,
+             std::optional<news_scope> push = news_scope::everyone);
 
     /** @return up to `most` topics that have been told least, each counted as told once more */
     std::vector<topic> take_for_probe(time_point now, std::size_t most);
 
+    /** A topic that is to be pushed, and to whom. */
+    struct pushed_topic {
+        topic about;
+        news_scope scope = news_scope::everyone;
+    };
+
     /** @return up to `most` topics that have not been pushed yet; they are then pushed */
-    std::vector<topic> take_for_push(std::size_t most);
+    std::vector<pushed_topic> take_for_push(std::size_t most);
 
     bool has_unpushed() const { return !m_unpushed.empty(); }
     bool empty() const { return m_pending.empty(); }
@@ -56,7 +64,7 @@
 
     std::map<topic, pending_news> m_pending;
     std::vector<topic> m_unpushed;
-    std::set<topic> m_unpushed_set;
+    std::map<topic, news_scope> m_scopes; ///< of what is unpushed
 };
 
 } // namespace tamarack
--- a/modules/tamarack_membership/tamarack_membership.h
+++ b/modules/tamarack_membership/tamarack_membership.h
@@ -18,6 +18,9 @@
 #include "hosts/load_report.h"
 #include "hosts/membership_codec.h"
 #include "hosts/membership_message.h"
+#include "hosts/news_relays.h"
+
+#include "encoding/news_text.h"
 
 #include "shares/assignment.h"
 #include "shares/replica_share.h"
--- a/tests/control/compressed_text_test.cpp
+++ b/tests/base/compressed_text_test.cpp
@@ -1,4 +1,4 @@
-#include <tamarack_control/tamarack_control.h>
+#include <tamarack_base/tamarack_base.h>
 
 #include <gtest/gtest.h>
 
--- /dev/null
+++ b/tests/membership/news_relays_test.cpp
@@ -0,0 +1,231 @@
+#include "network_scenarios.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace tamarack::testing {
+namespace {
+
+constexpr std::size_t data_centers = 4;
+constexpr std::uint64_t last_seed = 5;
+
+host_record record_of(const std::string& name, const std::string& data_center, bool control) {
+    host_record record;
+    record.host = host_id{name};
+    record.data_center = data_center_id{data_center};
+    record.hosts_address = endpoint{name + ":1"};
+    record.control = control;
+    return record;
+}
+
+/** A table of twelve hosts in three data centres; the first of each is a control host. */
+struct relays_of_three_data_centers : ::testing::Test {
+    relays_of_three_data_centers() {
+        for (std::size_t host = 0; host < 12; ++host) {
+            m_records.push_back(
+                record_of("host-" + std::to_string(host), data_center_name(host % 3), host < 3));
+        }
+    }
+
+    news_relays seen_by(std::size_t self) const {
+        host_table hosts;
+        for (std::size_t host = 0; host < m_records.size(); ++host) {
+            if (host != self) {
+                hosts.merge(time_point{1h}, m_records[host]);
+            }
+        }
+        news_relays relays;
+        relays.update(m_records[self], hosts);
+        return relays;
+    }
+
+    std::vector<host_record> m_records;
+    random_source m_random{1};
+};
+
+TEST_F(relays_of_three_data_centers, are_the_control_hosts_and_all_hosts_agree) {
+    for (std::size_t self = 0; self < m_records.size(); ++self) {
+        const news_relays relays = seen_by(self);
+        EXPECT_EQ(relays.own_relay(), m_records[self % 3].host);
+        EXPECT_EQ(relays.relays(), self < 3);
+        EXPECT_EQ(relays.others().size(), 2U);
+    }
+}
+
+TEST_F(relays_of_three_data_centers, are_replaced_by_another_host_when_they_are_gone) {
+    m_records[1].state = host_state::suspect;
+    std::set<host_id> chosen;
+    for (const std::size_t self : {4U, 7U, 10U, 0U}) {
+        const news_relays relays = seen_by(self);
+        for (const host_record& record : m_records) {
+            if (record.data_center == data_center_id{"dc-1"} && relays.is_relay(record.host)) {
+                chosen.insert(record.host);
+            }
+        }
+    }
+    EXPECT_EQ(chosen.size(), 1U);
+    EXPECT_FALSE(chosen.contains(m_records[1].host));
+}
+
+TEST_F(relays_of_three_data_centers, send_news_once_to_each_host) {
+    const news_relays relay = seen_by(0);
+    std::vector<host_id> told = relay.receivers(news_scope::everyone, m_random);
+    for (const std::size_t other : {1U, 2U}) {
+        const auto further = seen_by(other).receivers(news_scope::own_data_center, m_random);
+        told.insert(told.end(), further.begin(), further.end());
+    }
+    const std::set<host_id> distinct{told.begin(), told.end()};
+    EXPECT_EQ(told.size(), 11U);
+    EXPECT_EQ(distinct.size(), 11U);
+}
+
+TEST_F(relays_of_three_data_centers, an_ordinary_host_tells_its_relay_and_one_more) {
+    const auto told = seen_by(5).receivers(news_scope::everyone, m_random);
+    ASSERT_EQ(told.size(), 2U);
+    EXPECT_EQ(told.front(), m_records[2].host);
+    EXPECT_TRUE(seen_by(5).receivers(news_scope::own_data_center, m_random).empty());
+}
+
+TEST_F(relays_of_three_data_centers, greet_only_hosts_that_have_just_started) {
+    host_record newcomer = m_records[3];
+    EXPECT_FALSE(seen_by(0).greets(newcomer)) << "it has entered the directory: it has heard all before";
+    newcomer.draining = true;
+    EXPECT_TRUE(seen_by(0).greets(newcomer));
+    EXPECT_FALSE(seen_by(1).greets(newcomer)) << "of another data centre";
+    EXPECT_FALSE(seen_by(6).greets(newcomer)) << "no relay";
+    host_record relay = m_records[1];
+    relay.draining = true;
+    EXPECT_NE(seen_by(0).greets(relay), seen_by(2).greets(relay)) << "one other relay greets a relay";
+}
+
+/** As the users' platform has it beyond hosts_told_directly, at a size that tests can play. */
+std::unique_ptr<virtual_network> make_relayed(std::uint64_t seed, std::size_t hosts, std::size_t targets) {
+    auto network = std::make_unique<virtual_network>(seed, network_conditions{});
+    network->detector.direct_push_hosts = 4;
+    network->detector.relay_news = true;
+    network->detector.probe_interval = 300ms;
+    network->detector.probe_timeout = 120ms;
+    network->detector.probe_limit = 350ms;
+    network->registry.only_known_services = false;
+    network->registry.lives_are_start_times = true;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        network->add_host(data_center_name(host % data_centers));
+        network->hosts()[host].record.control = host < data_centers;
+        network->hosts()[host].record.draining = true;
+    }
+    for (std::size_t host = 0; host < hosts; ++host) {
+        network->start_host(host);
+    }
+    for (std::size_t target = 0; target < targets; ++target) {
+        network->add_target(data_center_name(target % data_centers), "finder", "s" + std::to_string(target),
+                            0);
+    }
+    network->run_for(3s);
+    for (std::size_t host = 0; host < hosts; ++host) {
+        network->drain_host(host, false);
+    }
+    network->run_for(3s);
+    return network;
+}
+
+void for_each_seed(const std::function<void(virtual_network&)>& check) {
+    for (std::uint64_t seed = 1; seed <= last_seed; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        const auto network = make_relayed(seed, 40, 60);
+        check(*network);
+    }
+}
+
+/** Load pattern: all hosts start at once and know three seeds; targets announce themselves meanwhile. */
+TEST(relayed_network, hosts_that_start_together_know_all_within_six_seconds) {
+    for_each_seed([](virtual_network& network) { EXPECT_TRUE(network.views_agree()); });
+}
+
+TEST(relayed_network, a_draining_target_is_known_everywhere_within_a_second) {
+    for_each_seed([](virtual_network& network) {
+        network.set_target_state(3, target_state::draining);
+        network.announce(3, 17);
+        network.run_for(1s);
+        EXPECT_EQ(network.count_using(3), 0U);
+        EXPECT_EQ(network.count_using(4), 40U);
+    });
+}
+
+/** The relay of a data centre is killed, and a target drains before anybody knows. */
+TEST(relayed_network, a_lost_relay_delays_news_by_less_than_the_time_to_drain) {
+    for_each_seed([](virtual_network& network) {
+        network.kill_host(1);
+        network.set_target_state(3, target_state::draining);
+        network.announce(3, 17);
+        network.run_for(5s);
+        EXPECT_EQ(network.count_using(3), 0U);
+    });
+}
+
+TEST(relayed_network, a_rolling_restart_of_all_hosts_drops_no_target) {
+    for_each_seed([](virtual_network& network) {
+        for (std::size_t host = 0; host < 40; ++host) {
+            network.leave_host(host);
+            network.run_for(300ms);
+            network.hosts()[host].record.draining = true;
+            network.start_host(host);
+            network.run_for(300ms);
+            network.drain_host(host, false);
+        }
+        network.run_for(12s);
+        EXPECT_TRUE(network.views_agree());
+    });
+}
+
+TEST(relayed_network, views_agree_after_a_cut_of_a_data_center) {
+    for_each_seed([](virtual_network& network) {
+        const auto inside = [](std::size_t host) { return host % data_centers == 2; };
+        network.cut = [inside](std::size_t from, std::size_t to) { return inside(from) != inside(to); };
+        network.run_for(20s);
+        network.cut = nullptr;
+        network.run_for(10s);
+        EXPECT_TRUE(network.views_agree());
+    });
+}
+
+/** Three in a hundred messages are lost for long. */
+TEST(relayed_network, views_agree_though_messages_are_lost) {
+    for_each_seed([](virtual_network& network) {
+        network.conditions.loss = 0.03;
+        network.set_target_state(5, target_state::draining);
+        network.run_for(25s);
+        EXPECT_EQ(network.count_using(5), 0U);
+        network.conditions.loss = 0;
+        network.run_for(12s);
+        EXPECT_TRUE(network.views_agree());
+    });
+}
+
+/** One restart costs the others no whole state: only the host that starts is told all. */
+TEST(relayed_network, the_restart_of_a_relay_sends_no_whole_state_to_the_others) {
+    const auto network = make_relayed(1, 40, 60);
+    network->conditions.as_text = true;
+    network->leave_host(1);
+    network->run_for(1s);
+    std::uint64_t before = 0;
+    for (const virtual_host& host : network->hosts()) {
+        before = std::max(before, host.bytes_received);
+    }
+    network->hosts()[1].record.draining = true;
+    network->start_host(1);
+    network->run_for(3s);
+    const std::size_t whole =
+        encode_membership_message(news_push{host_id{"a"}, {{}, network->hosts()[0].registry->all()}})
+            .toStyledString()
+            .size();
+    std::size_t told_all = 0;
+    for (std::size_t host = 0; host < 40; ++host) {
+        told_all += network->hosts()[host].bytes_received > before + 4 * whole ? 1 : 0;
+    }
+    EXPECT_LE(told_all, 4U) << "the one that starts, and relays that compare states with it";
+}
+
+} // namespace
+} // namespace tamarack::testing
--- /dev/null
+++ b/tests/membership/news_text_test.cpp
@@ -0,0 +1,99 @@
+#include <tamarack_membership/tamarack_membership.h>
+
+#include <gtest/gtest.h>
+
+namespace tamarack {
+namespace {
+
+host_record example_host(std::size_t number) {
+    host_record record;
+    record.host = host_id{"host\t" + std::to_string(number) + "\\n"};
+    record.life = incarnation{0xffff'ffff'ffff'ffffULL};
+    record.version = 7;
+    record.state = host_state::suspect;
+    record.draining = number % 2 == 0;
+    record.data_center = data_center_id{"dc"};
+    record.hosts_address = endpoint{"10.0.0.1:7740"};
+    record.callers_address = endpoint{number % 3 == 0 ? "" : "10.0.0.1:80"};
+    record.control = number % 3 == 0;
+    record.capacity = 120;
+    record.load = 3;
+    return record;
+}
+
+target_record example_target(std::size_t number) {
+    target_record record;
+    record.latest.target = target_id{"t-" + std::to_string(number)};
+    record.latest.life = incarnation{number + 1};
+    record.latest.sequence = 12;
+    record.latest.address = endpoint{"10.1.0.1:80"};
+    record.latest.data_center = data_center_id{"dc\nx"};
+    record.latest.service = service_id{"finder"};
+    record.latest.shard = shard_id{number % 2 == 0 ? "" : "s1"};
+    record.latest.versions.resize(number % 3, {index_version{"v1"}, "map"});
+    record.latest.slots = 5;
+    record.latest.connections = 40;
+    record.latest.state = target_state::draining;
+    record.latest.warmup_left = 1500ms;
+    record.keeper = host_id{number % 2 == 0 ? "" : "host"};
+    record.alive = true;
+    record.version = 25;
+    record.lives = 2;
+    return record;
+}
+
+membership_news example_news(std::size_t records) {
+    membership_news news;
+    for (std::size_t number = 0; number < records; ++number) {
+        news.hosts.push_back(example_host(number));
+        news.targets.push_back(example_target(number));
+    }
+    return news;
+}
+
+TEST(news_text, comes_back_as_it_was) {
+    for (const std::size_t records : {0U, 1U, 7U}) {
+        const auto back = read_news(write_news(example_news(records)), 1'000);
+        ASSERT_TRUE(succeeded(back));
+        EXPECT_EQ(value_of(back), example_news(records));
+    }
+}
+
+TEST(news_text, many_records_are_packed_in_a_message_and_come_back) {
+    const membership_message message = news_push{host_id{"a"}, example_news(300)};
+    const Json::Value json = encode_membership_message(message);
+    EXPECT_TRUE(json.isMember("packed_news"));
+    EXPECT_LT(json["packed_news"].asString().size(), 12'000U);
+    const auto back = decode_membership_message(json);
+    ASSERT_TRUE(succeeded(back));
+    EXPECT_EQ(value_of(back), message);
+}
+
+/** Each cut of a text and each changed letter is refused or reads as some news; nothing else happens. */
+TEST(news_text, survives_damage_at_each_place) {
+    const std::string text = write_news(example_news(2));
+    for (std::size_t place = 0; place < text.size(); ++place) {
+        if (text[place] != '\n') {
+            EXPECT_FALSE(succeeded(read_news(text.substr(0, place + 1), 1'000))) << place;
+        }
+        for (const char changed : {'\t', '\n', '\\', 'x', '9', '\0'}) {
+            std::string damaged = text;
+            damaged[place] = changed;
+            (void)read_news(damaged, 1'000);
+        }
+    }
+}
+
+TEST(news_text, refuses_more_records_than_the_bound) {
+    EXPECT_FALSE(succeeded(read_news(write_news(example_news(11)), 10)));
+    EXPECT_TRUE(succeeded(read_news(write_news(example_news(10)), 10)));
+}
+
+TEST(news_text, a_damaged_packed_message_is_refused) {
+    Json::Value json = encode_membership_message(news_push{host_id{"a"}, example_news(10)});
+    json["packed_news"] = "AAAA" + json["packed_news"].asString();
+    EXPECT_FALSE(succeeded(decode_membership_message(json)));
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/membership/virtual_network.cpp
+++ b/tests/membership/virtual_network.cpp
@@ -120,6 +120,8 @@
     for (const membership_action& action : actions) {
         if (const auto* sent = std::get_if<send_membership>(&action)) {
             carry(index, *sent);
+        } else if (const auto* spread = std::get_if<spread_membership>(&action)) {
+            carry(index, *spread);
         } else if (on_host_changed) {
             on_host_changed(index, std::get<host_changed>(action).record);
         }
@@ -135,24 +137,41 @@
     }
 }
 
+std::string virtual_network::text_of(std::size_t from, const membership_message& message) {
+    if (!conditions.as_text) {
+        return {};
+    }
+    return timed(m_hosts[from], [&] { return write_json(encode_membership_message(message)); });
+}
+
 void virtual_network::carry(std::size_t from, const send_membership& sent) {
-    virtual_host& host = m_hosts[from];
-    std::string text;
-    if (conditions.as_text) {
-        text = timed(host, [&] { return write_json(encode_membership_message(sent.message)); });
+    carry(from, host_at(sent.address), text_of(from, sent.message), sent.message);
+}
+
+void virtual_network::carry(std::size_t from, const spread_membership& spread) {
+    const membership_message message = spread.push;
+    const std::string text = text_of(from, message);
+    for (const spread_membership::receiver& receiver : spread.to) {
+        carry(from, host_at(receiver.address), text, message);
     }
+}
+
+void virtual_network::carry(std::size_t from, std::size_t to, const std::string& text,
+                            const membership_message& sent) {
+    virtual_host& host = m_hosts[from];
     ++host.messages_sent;
     host.bytes_sent += text.size();
-    host.bytes_of_kind[sent.message.index()] += text.size();
-    const std::size_t to = host_at(sent.address);
+    host.bytes_of_kind[sent.index()] += text.size();
+    if (m_hosts[to].record.data_center != host.record.data_center) {
+        host.bytes_between += text.size();
+    }
     const bool lost = m_random.chance(conditions.loss) || (cut && cut(from, to));
     if (lost) {
         return;
     }
     const duration delay = m_random.between(conditions.shortest_delay, conditions.longest_delay);
-    membership_message message = conditions.as_text ? membership_message{} : sent.message;
-    at(m_now + delay,
-       [this, to, text = std::move(text), message = std::move(message)] { deliver(to, text, message); });
+    membership_message message = conditions.as_text ? membership_message{} : sent;
+    at(m_now + delay, [this, to, text, message = std::move(message)] { deliver(to, text, message); });
 }
 
 void virtual_network::deliver(std::size_t to, const std::string& text, const membership_message& message) {
--- a/tests/membership/virtual_network.h
+++ b/tests/membership/virtual_network.h
@@ -35,7 +35,8 @@
     std::array<std::uint64_t, std::variant_size_v<membership_message>> bytes_of_kind{};
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
-    duration busy{}; ///< processor time
+    std::uint64_t bytes_between = 0; ///< sent to other data centres
+    duration busy{};                 ///< processor time
 };
 
 /** A target that announces itself to hosts of the network. */
@@ -122,6 +123,9 @@
     void wake(std::size_t index);
     void after_event(std::size_t index, const membership_actions& actions);
     void carry(std::size_t from, const send_membership& sent);
+    void carry(std::size_t from, const spread_membership& spread);
+    void carry(std::size_t from, std::size_t to, const std::string& text, const membership_message& message);
+    std::string text_of(std::size_t from, const membership_message& message);
     void deliver(std::size_t to, const std::string& text, const membership_message& message);
     void announce_next(std::size_t index);
     std::size_t host_at(const endpoint& address) const;
