Bound what one reply of a target may hold in memory

Cause: the client's parser has no limit for a chunk's extensions and for a trailer, and went on reading a body that states a greater length than allowed; endless_response_test showed 32 MiB read in each of these three cases (the other six kinds were given up before).

The connection is closed and the failure counts against the target as a lost connection does.

Ruled out: reading the head first and its stated length (one more step for each reply).

Not measured: the daemon's memory while a target does so.

--- a/apps/tamarackd/forwarding/exchange_connections.cpp
+++ b/apps/tamarackd/forwarding/exchange_connections.cpp
@@ -4,15 +4,9 @@
 
 namespace tamarack {
 
-namespace {
-
-constexpr std::size_t reply_body_limit = 16 * mebibyte;
-
-} // namespace
-
 exchange_connections::exchange_connections(duty_thread& thread, const edge_protocol& edge,
-                                           exchange_connection_events events)
-    : m_thread(thread), m_edge(edge), m_events(std::move(events)) {}
+                                           std::size_t reply_bytes, exchange_connection_events events)
+    : m_thread(thread), m_edge(edge), m_reply_bytes(reply_bytes), m_events(std::move(events)) {}
 
 void exchange_connections::open(const open_target_connection& wanted) {
     const target_connection number = wanted.connection;
@@ -23,7 +17,7 @@
         m_events.lost(number);
     };
     m_connections[number] = std::make_unique<http_connection>(m_thread, wanted.address, wanted.limit,
-                                                              reply_body_limit, std::move(events));
+                                                              m_reply_bytes, std::move(events));
 }
 
 void exchange_connections::close(target_connection connection) {
--- a/apps/tamarackd/forwarding/exchange_connections.h
+++ b/apps/tamarackd/forwarding/exchange_connections.h
@@ -23,7 +23,9 @@
  */
 class exchange_connections {
 public:
-    exchange_connections(duty_thread& thread, const edge_protocol& edge, exchange_connection_events events);
+    /** @param reply_bytes  of one reply; a longer one is given up */
+    exchange_connections(duty_thread& thread, const edge_protocol& edge, std::size_t reply_bytes,
+                         exchange_connection_events events);
 
     void open(const open_target_connection& wanted);
     void close(target_connection connection);
@@ -32,6 +34,7 @@
 private:
     duty_thread& m_thread;
     const edge_protocol& m_edge;
+    std::size_t m_reply_bytes;
     exchange_connection_events m_events;
     std::unordered_map<target_connection, std::unique_ptr<http_connection>> m_connections;
 };
--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -29,7 +29,7 @@
     : m_settings(chosen), m_edge(std::move(edge)), m_metrics(metrics), m_thread("forwarding", ring_capacity),
       m_engine(options_of(chosen), system_random()),
       m_connections(
-          m_thread, m_edge,
+          m_thread, m_edge, chosen.limits.reply_bytes,
           {[this](target_connection number) { carry_out(m_engine.on_connected(steady_now(), number)); },
            [this](target_connection number) { carry_out(m_engine.on_connection_lost(steady_now(), number)); },
            [this](target_connection number, target_reply reply) {
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -54,6 +54,7 @@
 struct host_limits {
     std::size_t header_bytes = 16'384;
     std::size_t body_bytes = 1'048'576;
+    std::size_t reply_bytes = 16'777'216; ///< of one reply of a target; a longer one is given up
     std::size_t caller_connections = 2'000;
     std::size_t queued_requests = 1'000;
     duration idle_connection = 60s; ///< an idle caller connection is closed after this
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -56,9 +56,10 @@
     std::size_t high;
 };
 
-constexpr std::array<number_key, 2> size_keys{{
+constexpr std::array<number_key, 3> size_keys{{
     {"header_bytes", &host_limits::header_bytes, 1'024, 1'048'576},
     {"body_bytes", &host_limits::body_bytes, 1'024, 67'108'864},
+    {"reply_bytes", &host_limits::reply_bytes, 1'024, 67'108'864},
 }};
 
 constexpr std::array<number_key, 2> count_keys{{
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -23,6 +23,12 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/** Of a response's head; the users' platform lets callers send as much. */
+constexpr std::uint32_t most_head_bytes = 16 * kibibyte;
+/** Bytes read and not yet parsed: a head, or what Beast reads at once of a body. A chunk's extensions and a
+ * trailer have no limit of their own in the parser, and end here. */
+constexpr std::size_t most_unparsed_bytes = 128 * kibibyte;
+
 } // namespace
 
 struct http_connection::implementation : std::enable_shared_from_this<implementation> {
@@ -64,11 +70,27 @@
     /** A read always runs, so that a close by the peer is seen while the connection is idle. */
     void read_next() {
         parser.emplace();
+        parser->header_limit(most_head_bytes);
         parser->body_limit(body_limit);
-        http::async_read(stream, buffer, *parser,
-                         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
-                             self->on_read(failure);
-                         });
+        parser->eager(true);
+        received = 0;
+        read_some();
+    }
+
+    /** Counts what was read itself: the parser's limit is not kept for a body that states a greater length.
+     */
+    void read_some() {
+        http::async_read_some(
+            stream, buffer, *parser,
+            [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
+                self->received += bytes;
+                const bool fits = self->received <= self->body_limit + most_head_bytes;
+                if (!failure && !self->closed && fits && !self->parser->is_done()) {
+                    self->read_some();
+                    return;
+                }
+                self->on_read(fits ? failure : make_error_code(http::error::body_limit));
+            });
     }
 
     void on_read(const boost::system::error_code& failure) {
@@ -122,8 +144,9 @@
     boost::beast::tcp_stream stream;
     std::string host_field;
     std::size_t body_limit;
+    std::size_t received = 0; ///< of the response that is being read
     http_connection_events events;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{most_unparsed_bytes};
     std::optional<http::response_parser<http::string_body>> parser;
     std::optional<beast_request> outgoing;
     http_response_handler handler;
--- /dev/null
+++ b/tests/transport/endless_response_test.cpp
@@ -0,0 +1,127 @@
+#include <utility>
+
+#include <tamarack_transport/tamarack_transport.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+
+namespace tamarack {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t body_limit = 64 * kibibyte;
+constexpr std::size_t gives_up_after = 32 * mebibyte;
+/** What the kernel's buffers of both ends may hold beyond what was read. */
+constexpr std::size_t in_flight = 16 * mebibyte;
+
+/** Accepts one connection and writes a beginning, then one piece over and over, until the peer closes. */
+class endless_server {
+public:
+    endless_server(std::string beginning, std::string piece)
+        : m_acceptor(m_context, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}),
+          m_thread([this, beginning = std::move(beginning), piece = std::move(piece)] {
+              serve(beginning, piece);
+          }) {}
+
+    ~endless_server() { m_thread.join(); }
+    endless_server(const endless_server&) = delete;
+    endless_server& operator=(const endless_server&) = delete;
+    endless_server(endless_server&&) = delete;
+    endless_server& operator=(endless_server&&) = delete;
+
+    endpoint address() const {
+        return endpoint{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
+    }
+    /** @return bytes written until the peer closed, or until this gave up */
+    std::size_t written() const { return m_written; }
+
+private:
+    void serve(const std::string& beginning, const std::string& piece) {
+        tcp::socket socket{m_context};
+        m_acceptor.accept(socket);
+        boost::system::error_code failure;
+        m_written = boost::asio::write(socket, boost::asio::buffer(beginning), failure);
+        while (!failure && m_written < gives_up_after) {
+            m_written += boost::asio::write(socket, boost::asio::buffer(piece), failure);
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::atomic<std::size_t> m_written{0};
+    std::thread m_thread;
+};
+
+/** Sends a request and waits until the connection is given up or answered. @return whether it was answered */
+bool is_answered(const endpoint& address) {
+    std::promise<bool> ended;
+    duty_thread thread{"client", 8};
+    std::unique_ptr<http_connection> connection;
+    http_connection_events events;
+    events.opened = [&] {
+        http_request request;
+        request.target = "/";
+        connection->send(request, [&](const http_response&) { ended.set_value(true); });
+    };
+    events.lost = [&] { ended.set_value(false); };
+    connection = std::make_unique<http_connection>(thread, address, 10s, body_limit, std::move(events));
+    thread.start();
+    const bool answered = ended.get_future().get();
+    thread.stop();
+    return answered;
+}
+
+struct endless_case {
+    const char* name;
+    std::string beginning;
+    std::string piece;
+};
+
+class endless_response : public ::testing::TestWithParam<endless_case> {};
+
+/** Bytes that are no answer come without end: the connection is given up, and few of them are kept. */
+TEST_P(endless_response, is_given_up_within_the_bound) {
+    std::size_t written = 0;
+    bool answered = true;
+    {
+        endless_server server{GetParam().beginning, GetParam().piece};
+        answered = is_answered(server.address());
+        written = 0;
+        while (written != server.written()) {
+            written = server.written();
+            std::this_thread::yield();
+        }
+    }
+    EXPECT_FALSE(answered);
+    EXPECT_LT(written, in_flight);
+}
+
+const std::string kilobyte(1'024, 'x');
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, endless_response,
+    ::testing::Values(endless_case{"head_line", "HTTP/1.1 200 ", kilobyte},
+                      endless_case{"head_field", "HTTP/1.1 200 OK\r\nX-Long: ", kilobyte},
+                      endless_case{"head_fields", "HTTP/1.1 200 OK\r\n", "X-More: " + kilobyte + "\r\n"},
+                      endless_case{"body_until_close", "HTTP/1.1 200 OK\r\n\r\n", kilobyte},
+                      endless_case{"body_with_length",
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", kilobyte},
+                      endless_case{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "400\r\n" + kilobyte + "\r\n"},
+                      endless_case{"chunk_extensions",
+                                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", kilobyte},
+                      endless_case{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                                   "X-More: " + kilobyte + "\r\n"},
+                      endless_case{"no_http", "", kilobyte}),
+    [](const auto& information) { return std::string{information.param.name}; });
+
+} // namespace
+} // namespace tamarack
