--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -10,8 +10,7 @@
 /** Callers wait a second for a host that does not answer, so that it has to leave the directory soon. */
 constexpr duration probe_timeout_of_near_hosts = 120ms;
 constexpr duration probe_limit_of_near_hosts = 350ms;
-/** Relayed news costs each host several copies of it; up to this size one copy each is sent by whoever has
- * it. */
+/** Up to this size whoever has news tells it to all: one message for each host, no waiting at a relay. */
 constexpr std::size_t hosts_told_directly = 128;
 constexpr int heartbeats_in_lease = 4;
 /** Foreign targets look for another keeper only with their next heartbeat, and try each host for a second. */
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -494,8 +494,11 @@
 }
 
 duration failure_detector::push_delay() {
-    const bool gathers = m_state.spread() == news_spread::relayed && m_state.relays().relays();
-    return gathers ? m_options.relay_delay : m_options.push_delay;
+    if (m_state.spread() != news_spread::relayed || !m_state.relays().relays()) {
+        return m_options.push_delay;
+    }
+    const auto receivers = static_cast<duration::rep>(m_state.relays().members().size());
+    return std::max(m_options.push_delay, receivers * m_options.relay_delay_a_host);
 }
 
 void failure_detector::note_result(time_point now, bool answered, target_registry& registry) {
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -65,8 +65,8 @@
     std::size_t direct_push_hosts = 0; ///< up to so many hosts, news is pushed to all by whoever has it first
     bool relay_news = false;           ///< above, it goes along the relays of the data centres
     duration push_delay = 20ms;        ///< news that comes within this is pushed together
-    duration relay_delay =
-        200ms; ///< the same at a relay, which sends to many: two of them stay below a second
+    /** The same at a relay, for each host that it tells: bounds its messages a second. */
+    duration relay_delay_a_host = 4ms;
     std::size_t relayed_in_message = 400; ///< records in one message along the relays
     duration full_exchange = 10s;         ///< states are compared with a random host this often
     std::size_t sync_records = 100;       ///< records in one message of a comparison, about
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -274,11 +274,10 @@
     if (target.behaviour.dark) {
         return;
     }
-    if (target.behaviour.full) {
-        reply(work, id, target_verdict::not_run);
-    } else if (target.running < target.behaviour.slots) {
+    const bool full = target.behaviour.full;
+    if (!full && target.running < target.behaviour.slots) {
         start_work(target, work);
-    } else if (target.waiting.size() < target.behaviour.queue) {
+    } else if (!full && target.waiting.size() < target.behaviour.queue) {
         target.waiting.push_back(work);
     } else {
         reply(work, id, target_verdict::not_run);
