Log each step of the evidence that a request crashes its targets

The log had one line for evidence that was found and none for what leads there. Whether a loss was never confirmed, was seen by another host, came after the retry had left or was forgotten could not be told apart.

New line crash_evidence (lost, confirmed, withheld) with content, request, target and the targets lost so far, at most 10 a second and 100 at once on a host; counter tamarack_crash_evidence_total by step counts all. A part that is given up because of the evidence says crashes_targets in its trace. The rate limit of request_sampling became a class of its own, rate_allowance. No decision is changed.

crash_evidence::on_target_unreachable returns every loss that it confirms, not only those that complete the evidence; the test that looked for an empty list looks at the ones that are found, as strictly as before.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t ring_capacity = 4'096;
 /** Hosts named in one directory reply. */
 constexpr std::size_t most_entries = 64;
+/** Log lines of evidence against contents: a crash of many targets makes a burst of them. Metrics count all.
+ */
+constexpr double crash_lines_per_second = 10.0;
+constexpr double crash_lines_burst = 100.0;
 
 forwarding_options options_of(const settings& chosen) {
     forwarding_options options;
@@ -53,7 +57,8 @@
                       on_directory(message, respond);
                       return std::function<void()>{};
                   }),
-      m_random(system_random()), m_hooks(std::move(hooks)) {}
+      m_crash_lines(crash_lines_per_second, crash_lines_burst), m_random(system_random()),
+      m_hooks(std::move(hooks)) {}
 
 outcome<endpoint> forwarding_duty::start() {
     if (auto readiness = m_readiness.listen(m_settings.edge.readiness); !succeeded(readiness)) {
@@ -173,6 +178,7 @@
                                      {{"content", found.content.hex()}, {"target", found.target.value()}});
                     m_hooks.tell_crash(found.content);
                 },
+                [this](const crash_evidence_told& told) { write_crash_evidence(told); },
                 [this](const extra_load_told& told) { write_extra_load(told); },
                 [this](const target_changed& changed) { write_target_change(changed); },
                 [this](const target_leaving& left) { m_hooks.tell_leaving(left.target, left.life); },
@@ -193,6 +199,19 @@
                       {"for_ms", std::to_string(changed.until / 1ms)}});
 }
 
+void forwarding_duty::write_crash_evidence(const crash_evidence_told& told) {
+    m_metrics.count(counter_id::crash_evidence_total, to_name(told.step));
+    if (!m_crash_lines.take(steady_now())) {
+        return;
+    }
+    log_state_change(log_level::info, "crash_evidence", m_picture.view->ticket,
+                     {{"step", std::string{to_name(told.step)}},
+                      {"content", told.content.hex()},
+                      {"request", told.request.value()},
+                      {"target", told.target.value()},
+                      {"targets", std::to_string(told.targets)}});
+}
+
 void forwarding_duty::write_extra_load(const extra_load_told& told) {
     m_metrics.count(counter_id::repeats_refused_total, {}, static_cast<double>(told.refused));
     log_state_change(log_level::info, "extra_load", m_picture.view->ticket,
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -70,6 +70,7 @@
     void carry_out(forwarding_actions actions);
     void deliver(forward_answer answer);
     void write_target_change(const target_changed& changed);
+    void write_crash_evidence(const crash_evidence_told& told);
     void write_extra_load(const extra_load_told& told);
     void check_drained();
     void apply_limits();
@@ -86,6 +87,7 @@
     http_server m_directory;
     forwarding_picture m_picture;
     request_log m_log;
+    rate_allowance m_crash_lines;
     random_source m_random;
     bool m_leaving = false;
     forward_number m_next_request = 1;
--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -22,8 +22,9 @@
     }
 }
 
-std::vector<digest> crash_evidence::on_target_unreachable(time_point now, const target_id& target) {
-    std::vector<digest> found;
+std::vector<crash_evidence::confirmed_loss> crash_evidence::on_target_unreachable(time_point now,
+                                                                                  const target_id& target) {
+    std::vector<confirmed_loss> found;
     const auto lost = m_lost.find(target);
     if (lost == m_lost.end()) {
         return found;
@@ -37,9 +38,8 @@
         suspect& suspected = m_suspects[item.content.hex()];
         suspected.lost_targets.insert(target);
         suspected.last = now;
-        if (!before && crashes_targets(now, item.content)) {
-            found.push_back(item.content);
-        }
+        found.push_back(
+            {item.content, suspected.lost_targets.size(), !before && crashes_targets(now, item.content)});
     }
     m_lost.erase(lost);
     return found;
@@ -62,6 +62,11 @@
     return found->second.told || found->second.lost_targets.size() >= targets_that_are_evidence;
 }
 
+std::size_t crash_evidence::targets_lost_to(const digest& content) const {
+    const auto found = m_suspects.find(content.hex());
+    return found == m_suspects.end() ? 0 : found->second.lost_targets.size();
+}
+
 void crash_evidence::forget(time_point now) {
     std::erase_if(m_suspects, [now](const auto& item) { return item.second.last + remembered_for < now; });
     for (auto item = m_lost.begin(); item != m_lost.end();) {
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -23,15 +23,22 @@
     /** A content is remembered for this long after the last loss; callers come back within seconds. */
     static constexpr duration remembered_for = 60s;
 
+    /** A target could not be reached right after it was lost to a content. */
+    struct confirmed_loss {
+        digest content;
+        std::size_t targets = 0; ///< lost to the content so far
+        bool found = false;      ///< there is evidence now, and was none before: other hosts are to be told
+    };
+
     /** An exchange ended with its connection, without a reply. */
     void on_exchange_lost(time_point now, const target_id& target, const digest& content);
 
     /**
      * A connection to a target could not be opened.
      *
-     * @return contents for which there is evidence now, and was none before: other hosts are to be told
+     * @return the losses that this confirms
      */
-    std::vector<digest> on_target_unreachable(time_point now, const target_id& target);
+    std::vector<confirmed_loss> on_target_unreachable(time_point now, const target_id& target);
 
     /** Another host has had evidence against a content since a time. */
     void on_told(time_point found_at, const digest& content);
@@ -39,6 +46,9 @@
     /** @return whether there is evidence against a content; what was seen long ago does not count */
     bool crashes_targets(time_point now, const digest& content) const;
 
+    /** @return targets that were lost to a content, as far as this host knows */
+    std::size_t targets_lost_to(const digest& content) const;
+
     /** @return whether anything is suspected at all: otherwise no digest need be computed */
     bool empty() const { return m_suspects.empty(); }
 
--- /dev/null
+++ b/modules/tamarack_forwarding/crashes/crash_step.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+#include <utility>
+
+namespace tamarack {
+
+/** A step in the evidence that requests of one content crash their targets. */
+enum class crash_step {
+    lost,      ///< an exchange lost its connection
+    confirmed, ///< its target could not be reached right after
+    withheld,  ///< a request is not repeated because of the evidence
+};
+
+template <>
+struct name_table<crash_step> {
+    static constexpr std::array<std::pair<crash_step, std::string_view>, 3> entries{{
+        {crash_step::lost, "lost"},
+        {crash_step::confirmed, "confirmed"},
+        {crash_step::withheld, "withheld"},
+    }};
+};
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../crashes/crash_step.h"
 #include "../payload/forward_answer.h"
 #include "../payload/target_exchange.h"
 
@@ -74,6 +75,15 @@
     target_id target; ///< lost last
 };
 
+/** A step in the evidence against a content; for the log. */
+struct crash_evidence_told {
+    crash_step step = crash_step::lost;
+    digest content;
+    request_id request;      ///< empty when the step is of no single request
+    target_id target;        ///< empty when the step is of no single target
+    std::size_t targets = 0; ///< lost to the content and out of reach right after, as this host knows
+};
+
 /** A target said in an answer that it takes no new work in this life: tell the other hosts. */
 struct target_leaving {
     target_id target;
@@ -93,7 +103,7 @@
 /** What the shell has to do after an event, in order. */
 using forwarding_action =
     std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
-                 target_changed, target_leaving, crash_found, extra_load_told>;
+                 target_changed, target_leaving, crash_found, crash_evidence_told, extra_load_told>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -70,6 +70,12 @@
            crashes.crashes_targets(now, content_of(*run.request.payload));
 }
 
+void forwarding_core::tell_withheld(const forwarding_run& run) {
+    const digest content = content_of(*run.request.payload);
+    out.emplace_back(crash_evidence_told{crash_step::withheld, content, run.request.id, target_id{},
+                                         crashes.targets_lost_to(content)});
+}
+
 exchange_timing& forwarding_core::timing_of(const route& taken) {
     return timings.try_emplace(taken.name, taken.objective).first->second;
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -111,6 +111,8 @@
     std::size_t connections_allowed(const known_target& target) const;
     /** @return whether requests like this one are known to crash targets */
     bool crashes_targets(const forwarding_run& run) const;
+    /** A request is not repeated because of the evidence against its content. */
+    void tell_withheld(const forwarding_run& run);
     exchange_timing& timing_of(const route& taken);
     /** @return the service that a usable target serves, or nullptr */
     known_service_pointer service_of(const known_target& target) const;
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -45,6 +45,7 @@
     void observe(held_connection& held, const target_reply& reply);
     void observe_rest(known_target& target, const target_reply& reply);
     void on_leaving(const known_target_pointer& target);
+    void on_unreachable(const target_id& target);
     void on_failure(known_target& target);
     void on_due(const due_item& item);
     void on_unwanted_expired(target_connection connection);
@@ -200,11 +201,13 @@
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (held.phase == connection_phase::opening) {
-        for (const digest& content : core.crashes.on_target_unreachable(core.now, held.target->known.id)) {
-            core.out.emplace_back(crash_found{content, held.target->known.id});
-        }
+        on_unreachable(held.target->known.id);
     } else if (run != nullptr) {
-        core.crashes.on_exchange_lost(core.now, held.target->known.id, content_of(*run->request.payload));
+        const digest content = content_of(*run->request.payload);
+        core.crashes.on_exchange_lost(core.now, held.target->known.id, content);
+        core.out.emplace_back(crash_evidence_told{crash_step::lost, content, run->request.id,
+                                                  held.target->known.id,
+                                                  core.crashes.targets_lost_to(content)});
     }
     if (run != nullptr) {
         flow.on_lost(*run, held.part, connection);
@@ -212,6 +215,18 @@
     dispatcher.keep_warm();
 }
 
+/** A connection to a target could not be opened: exchanges that were lost there count against their contents.
+ */
+void forwarding_engine::implementation::on_unreachable(const target_id& target) {
+    for (const auto& [content, targets, found] : core.crashes.on_target_unreachable(core.now, target)) {
+        core.out.emplace_back(
+            crash_evidence_told{crash_step::confirmed, content, request_id{}, target, targets});
+        if (found) {
+            core.out.emplace_back(crash_found{content, target});
+        }
+    }
+}
+
 void forwarding_engine::implementation::on_failure(known_target& target) {
     const bool before = core.now < target.ejected_until;
     observe_failure(target, core.now);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -305,10 +305,14 @@
     part.hedge_at = time_point::max();
     const bool once =
         run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
-    const bool may_repeat = did_not_run || (!once && !m_core.crashes_targets(run));
+    const bool crashes = !did_not_run && m_core.crashes_targets(run);
+    const bool may_repeat = did_not_run || (!once && !crashes);
     const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
     if (!may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
-        give_up(run, part, cause);
+        if (crashes) {
+            m_core.tell_withheld(run);
+        }
+        give_up(run, part, crashes ? "crashes_targets" : cause);
         return;
     }
     if (!take_extra(run, part)) {
@@ -328,9 +332,12 @@
 void request_flow::hedge(forwarding_run& run, std::size_t part_index) {
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
-    const bool once = run.taken->repeats == repeatability::once || m_core.crashes_targets(run);
-    const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts && !once &&
-                        m_dispatcher.has_untried(part);
+    const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts &&
+                        run.taken->repeats != repeatability::once && m_dispatcher.has_untried(part);
+    if (wanted && m_core.crashes_targets(run)) {
+        m_core.tell_withheld(run);
+        return;
+    }
     if (!wanted || !take_extra(run, part)) {
         return;
     }
--- a/modules/tamarack_forwarding/explain/request_sampling.cpp
+++ b/modules/tamarack_forwarding/explain/request_sampling.cpp
@@ -1,7 +1,5 @@
 #include "request_sampling.h"
 
-#include <algorithm>
-
 namespace tamarack {
 
 namespace {
@@ -33,15 +31,7 @@
 }
 
 bool request_sampling::take_whole(time_point now, forward_reason reason) {
-    allowance& kept = m_whole[reason];
-    const double passed = std::chrono::duration<double>(now - kept.filled_at).count();
-    kept.left = std::min(whole_burst, kept.left + passed * whole_per_second);
-    kept.filled_at = now;
-    if (kept.left < 1.0) {
-        return false;
-    }
-    kept.left -= 1.0;
-    return true;
+    return m_whole.try_emplace(reason, whole_per_second, whole_burst).first->second.take(now);
 }
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/explain/request_sampling.h
+++ b/modules/tamarack_forwarding/explain/request_sampling.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../payload/forward_answer.h"
+#include "rate_allowance.h"
 
 #include <cstdint>
 #include <map>
@@ -27,14 +28,9 @@
     told_detail on_end(time_point now, const forward_answer& answer);
 
 private:
-    struct allowance {
-        double left = 0.0;
-        time_point filled_at{};
-    };
-
     bool take_whole(time_point now, forward_reason reason);
 
-    std::map<forward_reason, allowance> m_whole;
+    std::map<forward_reason, rate_allowance> m_whole;
     std::uint64_t m_good = 0;
 };
 
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -14,7 +14,9 @@
 #include "payload/target_exchange.h"
 
 #include "crashes/crash_evidence.h"
+#include "crashes/crash_step.h"
 
+#include "explain/rate_allowance.h"
 #include "explain/request_sampling.h"
 #include "explain/request_trace.h"
 
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -14,7 +14,8 @@
     hedges_total,
     retries_total,
     repeats_refused_total,
-    refusals_total, ///< label: reason
+    crash_evidence_total, ///< label: step
+    refusals_total,       ///< label: reason
     connections_opened_total,
     connections_closed_total, ///< label: reason
     target_changes_total,     ///< label: change
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -17,13 +17,24 @@
     return target_id{"i-" + std::to_string(number)};
 }
 
+/** @return contents that a target's being out of reach makes evident */
+std::vector<digest> found_at(crash_evidence& evidence, time_point now, int number) {
+    std::vector<digest> found;
+    for (const auto& loss : evidence.on_target_unreachable(now, target(number))) {
+        if (loss.found) {
+            found.push_back(loss.content);
+        }
+    }
+    return found;
+}
+
 TEST(crash_evidence, two_targets_lost_to_one_content_are_evidence) {
     crash_evidence evidence;
     evidence.on_exchange_lost(start, target(1), poison);
-    EXPECT_TRUE(evidence.on_target_unreachable(start + 5ms, target(1)).empty());
+    EXPECT_TRUE(found_at(evidence, start + 5ms, 1).empty());
     EXPECT_FALSE(evidence.crashes_targets(start + 5ms, poison));
     evidence.on_exchange_lost(start + 10ms, target(2), poison);
-    EXPECT_EQ(evidence.on_target_unreachable(start + 15ms, target(2)), std::vector<digest>{poison});
+    EXPECT_EQ(found_at(evidence, start + 15ms, 2), std::vector<digest>{poison});
     EXPECT_TRUE(evidence.crashes_targets(start + 15ms, poison));
     EXPECT_FALSE(evidence.crashes_targets(start + 15ms, innocent));
 }
