--- /dev/null
+++ b/tests/forwarding/crashing_request_test.cpp
@@ -0,0 +1,142 @@
+#include "forwarding_world.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarack {
+namespace {
+
+constexpr std::size_t all_hosts = 9;
+constexpr int comings = 12;
+constexpr duration between_comings = 1500ms;
+/** Hosts that have just started have no part of the allowance for repeats. */
+constexpr duration first_coming = 20s;
+
+/** A request that crashes its targets comes again and again, beside others that crash nothing. */
+struct crashing_request : ::testing::Test {
+    forwarding_options options() const {
+        forwarding_options wanted;
+        wanted.extra = {0.2, 58.0, 10s};
+        return wanted;
+    }
+
+    world_target like_orders() const {
+        world_target like;
+        like.work = 60ms;
+        like.slots = 4;
+        like.connections = 45;
+        return like;
+    }
+
+    void add_orders(forwarding_world& world, const world_target& like) const {
+        world.add_service("orders", 30, like);
+        route& fetch = world.add_route("fetch", {"orders"});
+        fetch.timeout = 2500ms;
+        fetch.objective = 250ms;
+    }
+
+    void add_shards(forwarding_world& world, duration crash_time) const {
+        world_target like;
+        like.connections = 26;
+        like.crash_time = crash_time;
+        std::vector<std::string> shards;
+        for (int shard = 0; shard < 10; ++shard) {
+            shards.push_back("s" + std::to_string(shard));
+            world.add_service(shards.back(), 5, like);
+        }
+        route& match = world.add_route("match", shards);
+        match.timeout = 800ms;
+        match.objective = 80ms;
+        match.least_coverage = 0.89;
+    }
+
+    /** Lets the request come at each host in turn, from one of them on, and runs the world to the end. */
+    void run(forwarding_world& world, const std::string& route_name, std::size_t first_host = 0) {
+        world.publish();
+        world.load(route_name, 60.0, 1s, 42s);
+        for (int coming = 0; coming < comings; ++coming) {
+            const std::size_t host = first_host + static_cast<std::size_t>(coming) % (all_hosts - first_host);
+            world.at(first_coming + coming * between_comings,
+                     [&world, route_name, host] { world.send_crashing(route_name, host); });
+        }
+        world.run_until(44s);
+    }
+
+    void expect_few_retries(const forwarding_world& world) {
+        EXPECT_LE(world.crashing_request().late_retries(),
+                  testing_support::crashing_request_check::tolerated_retries)
+            << world.crashing_request().crashes() << " targets ended";
+        EXPECT_EQ(world.violations(), std::vector<std::string>{});
+        EXPECT_EQ(world.extra_load_breaches().size(), 0U);
+    }
+};
+
+TEST_F(crashing_request, is_found_where_callers_are_sent) {
+    forwarding_world world{41, all_hosts, options()};
+    add_orders(world, like_orders());
+    run(world, "fetch");
+    expect_few_retries(world);
+}
+
+TEST_F(crashing_request, is_found_by_hosts_on_standby) {
+    forwarding_world world{42, all_hosts, options()};
+    world_target like = like_orders();
+    like.crash_time = 500ms;
+    add_orders(world, like);
+    for (std::size_t host = 1; host < all_hosts; ++host) {
+        world.put_on_standby(host);
+    }
+    run(world, "fetch", 1);
+    expect_few_retries(world);
+}
+
+TEST_F(crashing_request, is_found_when_crashed_targets_fall_silent) {
+    forwarding_world world{44, all_hosts, options()};
+    world_target like = like_orders();
+    like.crashes_silently = true;
+    add_orders(world, like);
+    run(world, "fetch");
+    expect_few_retries(world);
+}
+
+TEST_F(crashing_request, is_found_by_hosts_that_missed_the_news) {
+    forwarding_world world{47, all_hosts, options()};
+    add_orders(world, like_orders());
+    world.publish();
+    world.lose_crash_news(first_coming + 500ms);
+    run(world, "fetch");
+    expect_few_retries(world);
+}
+
+TEST_F(crashing_request, to_all_shards_is_found_by_hosts_on_standby) {
+    forwarding_world world{45, all_hosts, options()};
+    add_shards(world, 500ms);
+    for (std::size_t host = 1; host < all_hosts; ++host) {
+        world.put_on_standby(host);
+    }
+    run(world, "match", 1);
+    expect_few_retries(world);
+}
+
+TEST_F(crashing_request, to_all_shards_costs_few_repeats_at_its_first_coming) {
+    forwarding_world world{46, all_hosts, options()};
+    add_shards(world, 2s);
+    world.publish();
+    world.load("match", 60.0, 1s, 24s);
+    world.at(first_coming, [&world] { world.send_crashing("match", 0); });
+    world.run_until(26s);
+    EXPECT_LE(world.crashing_request().crashes(),
+              10 + testing_support::crashing_request_check::tolerated_retries)
+        << "one target of each shard, and few more";
+}
+
+TEST_F(crashing_request, to_all_shards_is_not_repeated_much_after_all_hosts_were_killed) {
+    forwarding_world world{48, all_hosts, options()};
+    add_shards(world, 2s);
+    world.publish();
+    world.at(first_coming + 5 * between_comings + 500ms, [&world] { world.restart_all(); });
+    run(world, "match");
+    expect_few_retries(world);
+}
+
+} // namespace
+} // namespace tamarack
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -13,6 +13,8 @@
 /** An exchange that left before the answer arrived may still arrive for so long. */
 constexpr duration rest_slack = 500ms;
 constexpr duration leaving_slack = 10ms;
+/** A started host is known to the others after this. */
+constexpr duration time_to_meet = 500ms;
 constexpr double two_pi = 6.283185307179586;
 
 duration scaled(duration value, double factor) {
@@ -41,11 +43,21 @@
         --m_targets.at(id).open_connections;
     }
     std::erase_if(m_open, [host](const auto& item) { return item.second.host == host; });
-    const std::size_t life = m_hosts[host].life + 1;
-    m_hosts[host] = {};
-    m_hosts[host].life = life;
+    simulated_host next;
+    next.life = m_hosts[host].life + 1;
+    next.on_standby = m_hosts[host].on_standby;
+    m_hosts[host] = std::move(next);
     start_host(host);
     publish();
+    for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+        schedule(m_now + time_to_meet, [this, other, host] { tell_crash_news(other, host); });
+    }
+}
+
+void forwarding_world::restart_all() {
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        restart_host(host);
+    }
 }
 
 void forwarding_world::cut_hosts_apart(duration lease_left) {
@@ -125,6 +137,7 @@
         auto own = std::make_shared<forwarding_view>(*view);
         m_hosts[host].allowance->on_sharers(m_now, {m_cut_apart ? std::vector{names[host]} : names, {}});
         own->allowance = m_hosts[host].allowance->part(m_now);
+        own->takes_callers = !m_hosts[host].on_standby;
         for (const auto& [id, target] : m_targets) {
             forwarding_target listed = target.behaviour.known;
             listed.connections = connection_share(static_cast<std::uint32_t>(target.behaviour.connections),
@@ -178,13 +191,35 @@
     if (taken == m_published->routes.end()) {
         return;
     }
-    const std::size_t host = m_random.below(m_hosts.size());
+    std::vector<std::size_t> active;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (!m_hosts[host].on_standby) {
+            active.push_back(host);
+        }
+    }
+    if (!active.empty()) {
+        arrive_at(active[m_random.below(active.size())], route_name, false);
+    }
+}
+
+void forwarding_world::send_crashing(const std::string& route_name, std::size_t host) {
+    arrive_at(host, route_name, true);
+}
+
+void forwarding_world::arrive_at(std::size_t host, const std::string& route_name, bool crashes) {
+    const auto taken = std::find_if(m_published->routes.begin(), m_published->routes.end(),
+                                    [&](const route& item) { return item.name == route_name; });
     forward_request request;
     request.number = m_next_request++;
     request.id = request_id{"r" + std::to_string(request.number)};
     request.authority = "example";
-    request.path = "/" + route_name + "/x";
-    request.payload = std::make_shared<message_payload>();
+    request.path = "/" + route_name + (crashes ? "/crash" : "/" + std::to_string(request.number));
+    auto payload = std::make_shared<message_payload>();
+    payload->target = request.path;
+    request.payload = std::move(payload);
+    if (crashes) {
+        m_crashing_requests.insert(request.id.value());
+    }
     m_open[request.number] = {host, m_now, &*taken, request.id};
     for (const route_service& service : taken->services) {
         ++m_requests_for[service.service.value()];
@@ -213,30 +248,9 @@
 }
 
 void forwarding_world::carry_out(std::size_t host, forwarding_actions actions) {
-    const std::size_t life = m_hosts[host].life;
     for (forwarding_action& action : actions) {
         if (const auto* open = std::get_if<open_target_connection>(&action)) {
-            const target_connection connection = open->connection;
-            m_hosts[host].connections[connection] = open->target;
-            simulated_target& target = m_targets.at(open->target);
-            ++target.open_connections;
-            target.most_connections = std::max(target.most_connections, target.open_connections);
-            if (!target.behaviour.dark) {
-                schedule(m_now + 2 * one_way + handshake, [this, host, connection, life] {
-                    if (holds(host, life, connection)) {
-                        carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
-                    }
-                });
-            } else {
-                schedule(m_now + 1s, [this, host, connection, life] {
-                    const auto found = m_hosts[host].connections.find(connection);
-                    if (holds(host, life, connection)) {
-                        --m_targets.at(found->second).open_connections;
-                        m_hosts[host].connections.erase(found);
-                        carry_out(host, m_hosts[host].engine->on_connection_lost(m_now, connection));
-                    }
-                });
-            }
+            open_connection(host, *open);
         } else if (const auto* close = std::get_if<close_target_connection>(&action)) {
             const auto found = m_hosts[host].connections.find(close->connection);
             if (found != m_hosts[host].connections.end()) {
@@ -247,14 +261,91 @@
             on_exchange(host, *send);
         } else if (const auto* delivered = std::get_if<deliver_answer>(&action)) {
             on_answer(delivered->answer);
+        } else if (const auto* found = std::get_if<crash_found>(&action)) {
+            tell_crash(host, *found);
         }
     }
     arm(host);
 }
 
+void forwarding_world::open_connection(std::size_t host, const open_target_connection& open) {
+    const std::size_t life = m_hosts[host].life;
+    const target_connection connection = open.connection;
+    m_hosts[host].connections[connection] = open.target;
+    simulated_target& target = m_targets.at(open.target);
+    ++target.open_connections;
+    target.most_connections = std::max(target.most_connections, target.open_connections);
+    const bool down = m_now < target.down_until;
+    if (target.behaviour.dark || (down && target.behaviour.crashes_silently)) {
+        lose_connection(host, life, connection, open.limit);
+    } else if (down) {
+        lose_connection(host, life, connection, 2 * one_way);
+    } else {
+        schedule(m_now + 2 * one_way + handshake, [this, host, connection, life] {
+            if (holds(host, life, connection)) {
+                carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
+            }
+        });
+    }
+}
+
+void forwarding_world::lose_connection(std::size_t host, std::size_t life, target_connection connection,
+                                       duration after) {
+    schedule(m_now + after, [this, host, life, connection] {
+        if (holds(host, life, connection)) {
+            const auto found = m_hosts[host].connections.find(connection);
+            --m_targets.at(found->second).open_connections;
+            m_hosts[host].connections.erase(found);
+            carry_out(host, m_hosts[host].engine->on_connection_lost(m_now, connection));
+        }
+    });
+}
+
+void forwarding_world::tell_crash(std::size_t host, const crash_found& found) {
+    m_hosts[host].crash_news.emplace_back(m_now, found.content);
+    for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+        tell_crash_news(host, other);
+    }
+}
+
+/** A host tells another one all that it knows. */
+void forwarding_world::tell_crash_news(std::size_t from, std::size_t to) {
+    if (from == to || m_cut_apart || m_now < m_crash_news_lost_until) {
+        return;
+    }
+    schedule(m_now + one_way, [this, to, news = m_hosts[from].crash_news] {
+        for (const auto& [at, content] : news) {
+            m_hosts[to].engine->on_crash_told(at, content);
+            m_hosts[to].crash_news.emplace_back(at, content);
+        }
+    });
+}
+
+/** Connections of a target that crashes silently stay open for its callers, and nothing comes back on them.
+ */
+void forwarding_world::crash_target(const target_id& id) {
+    simulated_target& target = m_targets.at(id);
+    ++target.life;
+    target.running = 0;
+    target.waiting.clear();
+    target.unread.clear();
+    target.down_until = m_now + target.behaviour.crash_time;
+    if (target.behaviour.crashes_silently) {
+        return;
+    }
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        for (const auto& [connection, at] : m_hosts[host].connections) {
+            if (at == id) {
+                lose_connection(host, m_hosts[host].life, connection, one_way);
+            }
+        }
+    }
+}
+
 void forwarding_world::on_exchange(std::size_t host, const send_target_exchange& send) {
     const target_id id = send.exchange.target;
-    const running_work work{host, send.connection, send.exchange.id, m_hosts[host].life};
+    const bool crashes = m_crashing_requests.contains(send.exchange.id.value());
+    const running_work work{host, send.connection, send.exchange.id, m_hosts[host].life, crashes};
     schedule(m_now + one_way, [this, id, work] {
         simulated_target& target = m_targets.at(id);
         if (target.behaviour.reads) {
@@ -270,8 +361,12 @@
     ++target.arrivals;
     m_extra_load.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
                             work.id.value());
+    if (work.crashes) {
+        m_crashing.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
+                              work.id.value());
+    }
     check_withheld(target, work.host);
-    if (target.behaviour.dark) {
+    if (target.behaviour.dark || m_now < target.down_until) {
         return;
     }
     const bool full = target.behaviour.full;
@@ -321,12 +416,21 @@
         m_violations.push_back("request " + work.id.value() + " ran after it was said not to run");
     }
     ++m_runs[{work.id.value(), target.behaviour.known.service.value()}];
+    if (work.crashes) {
+        m_crashing.on_crash(m_now.time_since_epoch());
+        crash_target(target.behaviour.known.id);
+        return;
+    }
     const double normal =
         std::sqrt(-2.0 * std::log(1.0 - m_random.unit())) * std::cos(two_pi * m_random.unit());
     const duration needed =
         scaled(target.behaviour.work, target.behaviour.slow * std::exp(target.behaviour.spread * normal));
     const target_id id = target.behaviour.known.id;
-    schedule(m_now + pause_left(target) + needed, [this, id, work] { end_work(id, work); });
+    schedule(m_now + pause_left(target) + needed, [this, id, work, life = target.life] {
+        if (m_targets.at(id).life == life) {
+            end_work(id, work);
+        }
+    });
 }
 
 void forwarding_world::end_work(const target_id& id, const running_work& work) {
@@ -341,14 +445,7 @@
         return;
     }
     if (m_random.chance(target.behaviour.lose_reply)) {
-        schedule(m_now + one_way, [this, work] {
-            const auto found = m_hosts[work.host].connections.find(work.connection);
-            if (holds(work.host, work.life, work.connection)) {
-                --m_targets.at(found->second).open_connections;
-                m_hosts[work.host].connections.erase(found);
-                carry_out(work.host, m_hosts[work.host].engine->on_connection_lost(m_now, work.connection));
-            }
-        });
+        lose_connection(work.host, work.life, work.connection, one_way);
         return;
     }
     reply(work, id,
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "support/checks/crashing_request_check.h"
 #include "support/checks/extra_load_check.h"
 
 #include <tamarack_forwarding/tamarack_forwarding.h>
@@ -26,14 +27,16 @@
     duration pause{0};       ///< how long it stops
     duration pause_every{0}; ///< how often
     duration pause_phase{0};
-    double slow = 1.0;       ///< work takes this many times as long
-    double fail = 0.0;       ///< share of exchanges that fail
-    double lose_reply = 0.0; ///< share whose reply is lost: the connection breaks after the work
-    bool dark = false;       ///< answers nothing at all
-    bool full = false;       ///< refuses all exchanges as not run
-    bool leaves = false;     ///< says in each answer that it takes no new work
-    duration asks_rest{0};   ///< with each refusal
-    bool reads = true;       ///< takes what arrives; connections open in any case
+    double slow = 1.0;             ///< work takes this many times as long
+    double fail = 0.0;             ///< share of exchanges that fail
+    double lose_reply = 0.0;       ///< share whose reply is lost: the connection breaks after the work
+    bool dark = false;             ///< answers nothing at all
+    bool full = false;             ///< refuses all exchanges as not run
+    bool leaves = false;           ///< says in each answer that it takes no new work
+    duration asks_rest{0};         ///< with each refusal
+    bool reads = true;             ///< takes what arrives; connections open in any case
+    duration crash_time = 2s;      ///< a target that crashed is back after this
+    bool crashes_silently = false; ///< connections to a crashed target hang in place of being reset
 };
 
 /** What became of one request. */
@@ -78,6 +81,16 @@
     void load(const std::string& route_name, double per_second, duration from, duration until);
     /** Calls a function at a time. */
     void at(duration when, std::function<void()> action);
+    /** A caller sends a request that crashes each target that runs it, to one host. */
+    void send_crashing(const std::string& route_name, std::size_t host);
+    /** Callers are not sent to a host from the next publish on; it serves those that come all the same. */
+    void put_on_standby(std::size_t host) { m_hosts[host].on_standby = true; }
+    /** What hosts tell each other of crashing requests is lost until a time. */
+    void lose_crash_news(duration until) { m_crash_news_lost_until = m_start + until; }
+    /** All hosts are killed and started again at once. */
+    void restart_all();
+    /** A target's process ends; it is back after its crash time. */
+    void crash(const std::string& id) { crash_target(target_id{id}); }
     /** All hosts stand still for a while: what happens meanwhile reaches them at its end. */
     void pause_hosts(duration from, duration until);
     void run_until(duration end);
@@ -102,6 +115,8 @@
     std::size_t most_while_resting() const;
     /** @return exchanges that a target got from hosts to which it had said long before that it leaves */
     std::size_t arrivals_after_leaving(const std::string& id) const;
+    /** @return what the crashing request cost */
+    const testing_support::crashing_request_check& crashing_request() const { return m_crashing; }
     /** @return services that got more repeats in some sliding window than the bound of the options allows */
     std::vector<testing_support::extra_load_breach> extra_load_breaches() const;
     /** @return repeats that a service got in all */
@@ -116,6 +131,7 @@
         target_connection connection = 0;
         request_id id;
         std::size_t life = 0; ///< of the host that sent it
+        bool crashes = false; ///< the target that runs it
     };
     struct simulated_target {
         world_target behaviour;
@@ -129,6 +145,8 @@
         std::map<std::size_t, std::size_t> got_in_rest;                 ///< by host
         std::map<std::size_t, time_point> told_leaving;                 ///< by host
         std::size_t after_leaving = 0;
+        std::size_t life = 0; ///< grows with each crash
+        time_point down_until{};
     };
     struct event {
         time_point at;
@@ -144,6 +162,8 @@
         std::map<target_connection, target_id> connections;
         time_point timer_at = time_point::max();
         std::size_t life = 0; ///< grows with each restart
+        bool on_standby = false;
+        std::vector<std::pair<time_point, digest>> crash_news; ///< what it found or was told
     };
     struct open_request {
         std::size_t host = 0;
@@ -155,6 +175,12 @@
     void start_host(std::size_t host);
     void schedule(time_point when, std::function<void()> action);
     void arrive(const std::string& route_name);
+    void arrive_at(std::size_t host, const std::string& route_name, bool crashes);
+    void crash_target(const target_id& id);
+    void lose_connection(std::size_t host, std::size_t life, target_connection connection, duration after);
+    void open_connection(std::size_t host, const open_target_connection& open);
+    void tell_crash(std::size_t host, const crash_found& found);
+    void tell_crash_news(std::size_t from, std::size_t to);
     void carry_out(std::size_t host, forwarding_actions actions);
     void arm(std::size_t host);
     void on_exchange(std::size_t host, const send_target_exchange& send);
@@ -174,6 +200,9 @@
     random_source m_random;
     std::vector<simulated_host> m_hosts;
     testing_support::extra_load_check m_extra_load;
+    testing_support::crashing_request_check m_crashing;
+    std::set<std::string> m_crashing_requests; ///< by id
+    time_point m_crash_news_lost_until{};
     std::map<target_id, simulated_target> m_targets;
     std::set<target_id> m_hidden;
     route_table m_table;
