Check each target that an exchange was lost at

Cause: a loss counted only when the next opening to its target failed within 2 s, and nothing opened one where none was needed otherwise: on standby, after a hedge or a caller had ended the request. An exchange that a crashed target leaves silent was no loss at all.

Each exchange without a reply calls for a check now: a connection is opened to the target, within the target's limit, whether or not one is needed. Exchanges keep what they carry, so that a loss is counted after the request has ended. An exchange given up after long silence counts once another process announces itself at its target's address. A content that some target completes is cleared, as the check finds more losses of innocent requests too.

Ruled out: taking every lost connection for a crash (reset connections would stop repeats of innocent requests); waiting for heartbeats to stay away (the target is back before).

The tests of crash_evidence name targets with their lives and addresses. One of them used empty() for 'no content is suspected'; open losses are on record now, so it asks for that directly.

--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <tamarack_tickets/tamarack_tickets.h>
+#include "target_life.h"
 
 #include <cstddef>
 #include <map>
@@ -10,36 +10,53 @@
 
 namespace tamarack {
 
+/** How an exchange ended that got no reply. */
+enum class exchange_end {
+    connection_lost, ///< from the target's side
+    unanswered,      ///< from this side, after the target was silent for long
+};
+
 /**
  * Finds requests that crash the targets that run them.
  *
  * Load pattern: a request that crashes each target that runs it comes again and again, at any host, while
- * other exchanges lose their connections for other reasons. An exchange that is lost counts against its
- * content only when its target can't be reached right after, and only once for each target. Two targets lost
- * to one content are evidence: it is not sent to a second target any more.
+ * other exchanges lose their connections for other reasons. Each exchange without a reply calls for a check
+ * whether its target is still there: a connection is opened for it, whether or not one is needed otherwise.
+ * The loss counts against the content when the target can't be reached, or when another process announces
+ * itself at its address; only once for each target. Two targets lost to one content are evidence: it is not
+ * sent to a second target any more. A target that completes a request of the content clears it.
  */
 class crash_evidence {
 public:
     /** A content is remembered for this long after the last loss; callers come back within seconds. */
     static constexpr duration remembered_for = 60s;
 
-    /** A target could not be reached right after it was lost to a content. */
+    /** A target is found to be gone after it was lost to a content. */
     struct confirmed_loss {
         digest content;
+        target_life lost;
         std::size_t targets = 0; ///< lost to the content so far
         bool found = false;      ///< there is evidence now, and was none before: other hosts are to be told
     };
 
-    /** An exchange ended with its connection, without a reply. */
-    void on_exchange_lost(time_point now, const target_id& target, const digest& content);
+    /** An exchange ended without a reply; its target, at this address, is to be checked. */
+    void on_exchange_lost(time_point now, const target_life& target, const endpoint& address,
+                          const digest& content, exchange_end how);
 
-    /**
-     * A connection to a target could not be opened.
-     *
-     * @return the losses that this confirms
-     */
-    std::vector<confirmed_loss> on_target_unreachable(time_point now, const target_id& target);
+    /** @return whether a connection is to be opened to a target to see whether it is still there */
+    bool awaits_check(const target_life& target) const;
+    /** Such a connection is being opened. */
+    void on_check_started(const target_life& target);
+    /** A connection to a target could not be opened. @return the losses that this confirms */
+    std::vector<confirmed_loss> on_target_unreachable(time_point now, const target_life& target);
+    /** A connection to a target is open whose opening began at some time: it did not crash before. */
+    void on_target_reachable(const target_life& target, time_point opening_began);
+    /** A process announced itself at an address. @return the losses of earlier ones that this confirms */
+    std::vector<confirmed_loss> on_address_taken(time_point now, const endpoint& address,
+                                                 const target_life& target);
 
+    /** A target completed a request of this content. */
+    void on_completed(const digest& content);
     /** Another host has had evidence against a content since a time. */
     void on_told(time_point found_at, const digest& content);
 
@@ -49,23 +66,32 @@
     /** @return targets that were lost to a content, as far as this host knows */
     std::size_t targets_lost_to(const digest& content) const;
 
-    /** @return whether anything is suspected at all: otherwise no digest need be computed */
-    bool empty() const { return m_suspects.empty(); }
+    /** @return whether any loss is on record: otherwise no digest need be computed */
+    bool empty() const { return m_suspects.empty() && m_losses.empty(); }
 
 private:
     struct lost_exchange {
         digest content;
+        exchange_end how = exchange_end::connection_lost;
         time_point at{};
     };
+    /** Losses of one target that are neither confirmed nor refuted. */
+    struct open_losses {
+        endpoint address;
+        bool checked = false; ///< a connection is being opened, or was, since the last loss
+        std::vector<lost_exchange> exchanges;
+    };
     struct suspect {
-        std::set<target_id> lost_targets;
+        std::set<target_life> lost_targets;
         bool told = false; ///< by another host
         time_point last{};
     };
 
+    void confirm(time_point now, const target_life& target, const open_losses& losses, duration within,
+                 std::vector<confirmed_loss>& found);
     void forget(time_point now);
 
-    std::map<target_id, std::vector<lost_exchange>> m_lost;
+    std::map<target_life, open_losses> m_losses;
     std::map<std::string, suspect> m_suspects; ///< by the hexadecimal text of the content's digest
 };
 
--- a/modules/tamarack_forwarding/crashes/crash_step.h
+++ b/modules/tamarack_forwarding/crashes/crash_step.h
@@ -11,15 +11,17 @@
 
 /** A step in the evidence that requests of one content crash their targets. */
 enum class crash_step {
-    lost,      ///< an exchange lost its connection
-    confirmed, ///< its target could not be reached right after
-    withheld,  ///< a request is not repeated because of the evidence
+    lost,       ///< an exchange lost its connection
+    unanswered, ///< an exchange was given up after its target had been silent for long
+    confirmed,  ///< its target could not be reached right after, or another process took its place
+    withheld,   ///< a request is not repeated because of the evidence
 };
 
 template <>
 struct name_table<crash_step> {
-    static constexpr std::array<std::pair<crash_step, std::string_view>, 3> entries{{
+    static constexpr std::array<std::pair<crash_step, std::string_view>, 4> entries{{
         {crash_step::lost, "lost"},
+        {crash_step::unanswered, "unanswered"},
         {crash_step::confirmed, "confirmed"},
         {crash_step::withheld, "withheld"},
     }};
--- /dev/null
+++ b/modules/tamarack_forwarding/crashes/target_life.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <tamarack_base/tamarack_base.h>
+
+#include <compare>
+
+namespace tamarack {
+
+/** A target in one life: under another life it is another process. */
+struct target_life {
+    target_id target;
+    incarnation life;
+
+    friend bool operator==(const target_life&, const target_life&) = default;
+    friend std::strong_ordering operator<=>(const target_life& left, const target_life& right) = default;
+};
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -67,11 +67,11 @@
 
 bool forwarding_core::crashes_targets(const forwarding_run& run) const {
     return options.protections.single_run_of_crashing && !crashes.empty() &&
-           crashes.crashes_targets(now, content_of(*run.request.payload));
+           crashes.crashes_targets(now, run.content->name());
 }
 
 void forwarding_core::tell_withheld(const forwarding_run& run) {
-    const digest content = content_of(*run.request.payload);
+    const digest& content = run.content->name();
     out.emplace_back(crash_evidence_told{crash_step::withheld, content, run.request.id, target_id{},
                                          crashes.targets_lost_to(content)});
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -36,6 +36,7 @@
     std::optional<duration> idle_limit;         ///< as the target last said
     duration usual{};                           ///< median time of such exchanges when it was sent
     std::vector<repeat_charge_pointer> charges; ///< that its exchange may be the last one of
+    sent_content_pointer content;               ///< of its exchange
 };
 
 /** An exchange whose connection was closed before any reply: its target may read it yet. */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -45,7 +45,10 @@
     void observe(held_connection& held, const target_reply& reply);
     void observe_rest(known_target& target, const target_reply& reply);
     void on_leaving(const known_target_pointer& target);
-    void on_unreachable(const target_id& target);
+    void on_exchange_lost(const held_connection& held, exchange_end how);
+    void on_address_taken(const forwarding_target& listed);
+    void tell_confirmed(const std::vector<crash_evidence::confirmed_loss>& losses);
+    void on_completed(sent_content& content);
     void on_failure(known_target& target);
     void on_due(const due_item& item);
     void on_unwanted_expired(target_connection connection);
@@ -143,6 +146,7 @@
     service.targets.push_back(target);
     core.targets[listed.id.value()] = target;
     core.tell(target_change::added, *target);
+    on_address_taken(listed);
 }
 
 void forwarding_engine::implementation::remove(const known_target_pointer& target, target_change change) {
@@ -176,6 +180,7 @@
     --target->opening;
     --core.opening;
     target->failed_opens = 0;
+    core.crashes.on_target_reachable(life_of(target->known), held.since);
     held.phase = connection_phase::idle;
     held.since = core.now;
     target->idle.push_back(connection);
@@ -199,32 +204,56 @@
     } else if (held.phase != connection_phase::idle) {
         on_failure(*held.target);
     }
-    forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (held.phase == connection_phase::opening) {
-        on_unreachable(held.target->known.id);
-    } else if (run != nullptr) {
-        const digest content = content_of(*run->request.payload);
-        core.crashes.on_exchange_lost(core.now, held.target->known.id, content);
-        core.out.emplace_back(crash_evidence_told{crash_step::lost, content, run->request.id,
-                                                  held.target->known.id,
-                                                  core.crashes.targets_lost_to(content)});
+        tell_confirmed(core.crashes.on_target_unreachable(core.now, life_of(held.target->known)));
+    } else if (held.content) {
+        on_exchange_lost(held, exchange_end::connection_lost);
     }
+    forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (run != nullptr) {
         flow.on_lost(*run, held.part, connection);
     }
     dispatcher.keep_warm();
 }
 
-/** A connection to a target could not be opened: exchanges that were lost there count against their contents.
+/** Has the target checked, unless another one has completed the request. */
+void forwarding_engine::implementation::on_exchange_lost(const held_connection& held, exchange_end how) {
+    sent_content& content = *held.content;
+    if (content.completed) {
+        return;
+    }
+    const forwarding_target& target = held.target->known;
+    core.crashes.on_exchange_lost(core.now, life_of(target), target.address, content.name(), how);
+    const crash_step step = how == exchange_end::connection_lost ? crash_step::lost : crash_step::unanswered;
+    core.out.emplace_back(crash_evidence_told{step, content.name(), content.request, target.id,
+                                              core.crashes.targets_lost_to(content.name())});
+}
+
+void forwarding_engine::implementation::tell_confirmed(
+    const std::vector<crash_evidence::confirmed_loss>& losses) {
+    for (const crash_evidence::confirmed_loss& loss : losses) {
+        core.out.emplace_back(crash_evidence_told{crash_step::confirmed, loss.content, request_id{},
+                                                  loss.lost.target, loss.targets});
+        if (loss.found) {
+            core.out.emplace_back(crash_found{loss.content, loss.lost.target});
+        }
+    }
+}
+
+/**
+ * A target came under an address: earlier processes there have ended, with all that still runs at them.
+ *
+ * Load pattern: a target that crashed leaves its connections open and silent, as one on a host without power
+ * does, and is back before anybody has given it up.
  */
-void forwarding_engine::implementation::on_unreachable(const target_id& target) {
-    for (const auto& [content, targets, found] : core.crashes.on_target_unreachable(core.now, target)) {
-        core.out.emplace_back(
-            crash_evidence_told{crash_step::confirmed, content, request_id{}, target, targets});
-        if (found) {
-            core.out.emplace_back(crash_found{content, target});
+void forwarding_engine::implementation::on_address_taken(const forwarding_target& listed) {
+    for (const auto& [number, held] : core.connections) {
+        const forwarding_target& former = held.target->known;
+        if (held.content && former.address == listed.address && life_of(former) != life_of(listed)) {
+            on_exchange_lost(held, exchange_end::unanswered);
         }
     }
+    tell_confirmed(core.crashes.on_address_taken(core.now, listed.address, life_of(listed)));
 }
 
 void forwarding_engine::implementation::on_failure(known_target& target) {
@@ -293,6 +322,9 @@
     const forward_number request = held.request;
     const std::size_t part = held.part;
     const duration taken = core.now - held.since;
+    if (reply.verdict == target_verdict::completed) {
+        on_completed(*held.content);
+    }
     observe(held, reply);
     core.close_charges(target->known.id);
     const bool keep = reply.keeps_connection && reply.verdict != target_verdict::malformed &&
@@ -325,6 +357,13 @@
     }
 }
 
+void forwarding_engine::implementation::on_completed(sent_content& content) {
+    content.completed = true;
+    if (!core.crashes.empty()) {
+        core.crashes.on_completed(content.name());
+    }
+}
+
 void forwarding_engine::implementation::on_unwanted_expired(target_connection connection) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end() || found->second.phase != connection_phase::unwanted) {
@@ -335,6 +374,7 @@
     dispatcher.close(connection);
     if (core.now - held.since > unanswered_factor * held.usual + unanswered_least) {
         on_failure(*held.target);
+        on_exchange_lost(held, exchange_end::unanswered);
     }
     dispatcher.keep_warm();
 }
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -2,6 +2,7 @@
 
 #include "../budget/repeat_charge.h"
 #include "../payload/forward_answer.h"
+#include "../payload/sent_content.h"
 #include "../targets/known_target.h"
 #include "../timing/exchange_timing.h"
 #include "../timing/request_times.h"
@@ -44,6 +45,7 @@
 /** One request on its way. Internal to the module. */
 struct forwarding_run {
     forward_request request;
+    sent_content_pointer content;
     std::shared_ptr<const route_table> table; ///< keeps the route alive
     const route* taken = nullptr;
     time_point arrived;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -150,6 +150,7 @@
     held.part = part_index;
     held.since = m_core.now;
     held.usual = run.timing->median();
+    held.content = run.content;
     if (part.charge) {
         part.charge->on_sent();
         held.charges.push_back(part.charge);
@@ -234,6 +235,7 @@
     held.phase = connection_phase::idle;
     held.since = m_core.now;
     held.charges.clear();
+    held.content.reset();
     target.idle.push_back(connection);
     const bool within = target.connections() <= m_core.connections_allowed(target);
     if (!keep || !target.usable || !within) {
@@ -289,6 +291,7 @@
     ++target->opening;
     ++m_core.opening;
     ++m_core.counted.connections_opened;
+    m_core.crashes.on_check_started(life_of(target->known));
     m_core.out.emplace_back(open_target_connection{connection, target->known.id, target->known.address,
                                                    m_core.options.connect_limit});
 }
@@ -312,7 +315,9 @@
     for (auto& [id, service] : m_core.services) {
         for (const known_target_pointer& target : service->targets) {
             const std::size_t warm = m_core.view->takes_callers ? m_core.options.warm_connections : 0;
-            const std::size_t wanted = std::min(warm, m_core.connections_allowed(*target));
+            const bool check = m_core.crashes.awaits_check(life_of(target->known));
+            const std::size_t wanted =
+                std::min(check ? target->connections() + 1 : warm, m_core.connections_allowed(*target));
             if (!target->is_available(m_core.now) || target->connections() >= wanted) {
                 continue;
             }
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -63,6 +63,9 @@
     require_invariant(!m_core.runs.contains(number), "a request's number is used once");
     forwarding_run& run = *(m_core.runs[number] = std::make_unique<forwarding_run>());
     run.request = std::move(request);
+    run.content = std::make_shared<sent_content>();
+    run.content->request = run.request.id;
+    run.content->payload = run.request.payload;
     run.table = m_core.index->table();
     run.taken = taken;
     run.arrived = m_core.now;
--- /dev/null
+++ b/modules/tamarack_forwarding/payload/sent_content.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "forward_request.h"
+
+#include <memory>
+
+namespace tamarack {
+
+/** What targets are sent for one request; its exchanges share it and may outlive the request. */
+struct sent_content {
+    request_id request;
+    std::shared_ptr<const message_payload> payload;
+    bool completed = false; ///< by some target: it does not crash what runs it
+
+    /** @return the digest of the content; computed when first asked for */
+    const digest& name() {
+        if (m_name.empty()) {
+            m_name = content_of(*payload);
+        }
+        return m_name;
+    }
+
+private:
+    digest m_name;
+};
+
+using sent_content_pointer = std::shared_ptr<sent_content>;
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -11,10 +11,12 @@
 
 #include "payload/forward_answer.h"
 #include "payload/forward_request.h"
+#include "payload/sent_content.h"
 #include "payload/target_exchange.h"
 
 #include "crashes/crash_evidence.h"
 #include "crashes/crash_step.h"
+#include "crashes/target_life.h"
 
 #include "explain/rate_allowance.h"
 #include "explain/request_sampling.h"
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../budget/allowance_share.h"
+#include "../crashes/target_life.h"
 
 #include <tamarack_tickets/tamarack_tickets.h>
 
@@ -22,6 +23,10 @@
     std::size_t connections = 1; ///< that this host may have to it; see connection_share
 };
 
+inline target_life life_of(const forwarding_target& target) {
+    return {target.id, target.life};
+}
+
 /** Everything from outside that the engine's decisions rest on; immutable, replaced as a whole. */
 struct forwarding_view {
     ticket_number ticket;
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -13,8 +13,17 @@
 const digest poison = digest_of("poison");
 const digest innocent = digest_of("innocent");
 
-target_id target(int number) {
-    return target_id{"i-" + std::to_string(number)};
+target_life target(int number, std::uint64_t life = 1) {
+    return {target_id{"i-" + std::to_string(number)}, incarnation{life}};
+}
+
+endpoint address_of(int number) {
+    return endpoint{"10.0.0.1:" + std::to_string(number)};
+}
+
+void lose(crash_evidence& evidence, time_point now, int number, const digest& content,
+          exchange_end how = exchange_end::connection_lost) {
+    evidence.on_exchange_lost(now, target(number), address_of(number), content, how);
 }
 
 /** @return contents that a target's being out of reach makes evident */
@@ -30,10 +39,10 @@
 
 TEST(crash_evidence, two_targets_lost_to_one_content_are_evidence) {
     crash_evidence evidence;
-    evidence.on_exchange_lost(start, target(1), poison);
+    lose(evidence, start, 1, poison);
     EXPECT_TRUE(found_at(evidence, start + 5ms, 1).empty());
     EXPECT_FALSE(evidence.crashes_targets(start + 5ms, poison));
-    evidence.on_exchange_lost(start + 10ms, target(2), poison);
+    lose(evidence, start + 10ms, 2, poison);
     EXPECT_EQ(found_at(evidence, start + 15ms, 2), std::vector<digest>{poison});
     EXPECT_TRUE(evidence.crashes_targets(start + 15ms, poison));
     EXPECT_FALSE(evidence.crashes_targets(start + 15ms, innocent));
@@ -43,17 +52,59 @@
 TEST(crash_evidence, lost_connections_alone_are_none) {
     crash_evidence evidence;
     for (int number = 0; number < 100; ++number) {
-        evidence.on_exchange_lost(start + number * 1ms, target(number), poison);
+        lose(evidence, start + number * 1ms, number, poison);
     }
-    EXPECT_TRUE(evidence.empty());
+    EXPECT_FALSE(evidence.crashes_targets(start + 100ms, poison));
+    EXPECT_EQ(evidence.targets_lost_to(poison), 0U);
     EXPECT_TRUE(evidence.on_target_unreachable(start + 1h, target(1)).empty()) << "long after the loss";
 }
 
+TEST(crash_evidence, a_target_that_opens_a_connection_right_after_did_not_crash) {
+    crash_evidence evidence;
+    lose(evidence, start, 1, poison);
+    EXPECT_TRUE(evidence.awaits_check(target(1)));
+    evidence.on_check_started(target(1));
+    EXPECT_FALSE(evidence.awaits_check(target(1)));
+    evidence.on_target_reachable(target(1), start + 1ms);
+    EXPECT_TRUE(evidence.empty());
+}
+
+TEST(crash_evidence, a_connection_that_was_opening_before_the_loss_shows_nothing) {
+    crash_evidence evidence;
+    lose(evidence, start, 1, poison);
+    evidence.on_target_reachable(target(1), start - 1ms);
+    EXPECT_EQ(evidence.on_target_unreachable(start + 5ms, target(1)).size(), 1U);
+}
+
+/** Load pattern: a target that crashed left its connection silent, and was back before anybody noticed. */
+TEST(crash_evidence, another_process_at_the_address_of_an_unanswered_exchange_confirms_the_loss) {
+    crash_evidence evidence;
+    lose(evidence, start, 1, poison, exchange_end::unanswered);
+    evidence.on_target_reachable(target(1), start + 3s);
+    EXPECT_TRUE(evidence.on_address_taken(start + 3s, address_of(2), target(2, 2)).empty());
+    EXPECT_TRUE(evidence.on_address_taken(start + 3s, address_of(1), target(1)).empty())
+        << "the same process";
+    EXPECT_EQ(evidence.on_address_taken(start + 3s, address_of(1), target(7, 2)).size(), 1U);
+    EXPECT_EQ(evidence.targets_lost_to(poison), 1U);
+}
+
+TEST(crash_evidence, is_dropped_once_a_target_completes_the_content) {
+    crash_evidence evidence;
+    for (int number = 1; number <= 3; ++number) {
+        lose(evidence, start, number, innocent);
+        evidence.on_target_unreachable(start + 5ms, target(number));
+    }
+    lose(evidence, start, 4, innocent);
+    EXPECT_TRUE(evidence.crashes_targets(start + 10ms, innocent));
+    evidence.on_completed(innocent);
+    EXPECT_TRUE(evidence.empty());
+}
+
 TEST(crash_evidence, the_same_target_counts_once) {
     crash_evidence evidence;
     for (int crash = 0; crash < 3; ++crash) {
         const time_point now = start + crash * 5s;
-        evidence.on_exchange_lost(now, target(1), poison);
+        lose(evidence, now, 1, poison);
         evidence.on_target_unreachable(now + 5ms, target(1));
     }
     EXPECT_FALSE(evidence.crashes_targets(start + 15s, poison));
@@ -61,10 +112,10 @@
 
 TEST(crash_evidence, an_exchange_beside_the_crashing_one_stays_innocent) {
     crash_evidence evidence;
-    evidence.on_exchange_lost(start, target(1), poison);
-    evidence.on_exchange_lost(start, target(1), innocent);
+    lose(evidence, start, 1, poison);
+    lose(evidence, start, 1, innocent);
     evidence.on_target_unreachable(start + 5ms, target(1));
-    evidence.on_exchange_lost(start + 1s, target(2), poison);
+    lose(evidence, start + 1s, 2, poison);
     evidence.on_target_unreachable(start + 1005ms, target(2));
     EXPECT_TRUE(evidence.crashes_targets(start + 2s, poison));
     EXPECT_FALSE(evidence.crashes_targets(start + 2s, innocent));
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -330,6 +330,10 @@
     target.waiting.clear();
     target.unread.clear();
     target.down_until = m_now + target.behaviour.crash_time;
+    schedule(target.down_until, [this, &target] {
+        ++target.behaviour.known.life.value;
+        publish();
+    });
     if (target.behaviour.crashes_silently) {
         return;
     }
