Let a repeat wait while two losses of its request are not explained

Cause: a retry left with the loss, milliseconds before the check of the target could speak against the request; a request to many shards decides as often as it has shards, at the same moment.

A loss that is not checked yet counts now. Once two targets may have been lost to a content, further repeats of it wait: until some target completes it or the checks clear it (then they leave), or until the losses are confirmed and nothing of the request is under way (then they are given up, and the request is answered at once). Repeats that wait for a connection are taken back as well.

Ruled out: giving such repeats up at once, which costs innocent requests their shards in a crash of many targets.

--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/** A crashed process refuses connections from at once; one on a host without power leaves an opening to its
- * limit. */
-constexpr duration crash_shows_within = 2s;
 /** A target that crashed is started again and announces itself within some seconds. */
 constexpr duration restart_shows_within = 15s;
 constexpr std::size_t targets_that_are_evidence = 2;
@@ -113,6 +110,22 @@
     }
 }
 
+crash_verdict crash_evidence::judge(time_point now, const digest& content) const {
+    if (crashes_targets(now, content)) {
+        return crash_verdict::crashes_targets;
+    }
+    const auto is_unchecked = [&](const lost_exchange& lost) {
+        return lost.content == content && lost.how == exchange_end::connection_lost &&
+               lost.at + crash_shows_within >= now;
+    };
+    const auto unchecked = std::count_if(m_losses.begin(), m_losses.end(), [&](const auto& item) {
+        return std::any_of(item.second.exchanges.begin(), item.second.exchanges.end(), is_unchecked);
+    });
+    const bool unexplained =
+        targets_lost_to(content) + static_cast<std::size_t>(unchecked) >= targets_that_are_evidence;
+    return unexplained ? crash_verdict::unexplained : crash_verdict::clear;
+}
+
 bool crash_evidence::crashes_targets(time_point now, const digest& content) const {
     const auto found = m_suspects.find(content.hex());
     if (found == m_suspects.end() || found->second.last + remembered_for < now) {
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -16,6 +16,13 @@
     unanswered,      ///< from this side, after the target was silent for long
 };
 
+/** What is known of a content. */
+enum class crash_verdict {
+    clear,
+    unexplained,     ///< two targets may have been lost to it; checks of them are under way
+    crashes_targets, ///< there is evidence
+};
+
 /**
  * Finds requests that crash the targets that run them.
  *
@@ -30,6 +37,11 @@
 public:
     /** A content is remembered for this long after the last loss; callers come back within seconds. */
     static constexpr duration remembered_for = 60s;
+    /**
+     * A check ends within this: a crashed process refuses connections from at once, and an opening to a host
+     * without power ends at its limit.
+     */
+    static constexpr duration crash_shows_within = 2s;
 
     /** A target is found to be gone after it was lost to a content. */
     struct confirmed_loss {
@@ -60,6 +72,9 @@
     /** Another host has had evidence against a content since a time. */
     void on_told(time_point found_at, const digest& content);
 
+    /** @return what is known of a content; what was seen long ago does not count */
+    crash_verdict judge(time_point now, const digest& content) const;
+
     /** @return whether there is evidence against a content; what was seen long ago does not count */
     bool crashes_targets(time_point now, const digest& content) const;
 
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -26,6 +26,11 @@
         parts.begin(), parts.end(), [progress](const run_part& part) { return part.progress == progress; }));
 }
 
+bool forwarding_run::is_under_way() const {
+    return std::any_of(parts.begin(), parts.end(),
+                       [](const run_part& part) { return part.queued || !part.exchanges.empty(); });
+}
+
 forwarding_core::forwarding_core(forwarding_options wanted, random_source source)
     : options(std::move(wanted)), random(source) {}
 
@@ -65,9 +70,11 @@
     return options.protections.limit_connections ? target.known.connections : unlimited_connections;
 }
 
-bool forwarding_core::crashes_targets(const forwarding_run& run) const {
-    return options.protections.single_run_of_crashing && !crashes.empty() &&
-           crashes.crashes_targets(now, run.content->name());
+crash_verdict forwarding_core::judge(const forwarding_run& run) const {
+    if (!options.protections.single_run_of_crashing || crashes.empty()) {
+        return crash_verdict::clear;
+    }
+    return crashes.judge(now, run.content->name());
 }
 
 void forwarding_core::tell_withheld(const forwarding_run& run) {
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -83,6 +84,7 @@
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
     std::map<std::string, exchange_timing> timings;     ///< by route
     crash_evidence crashes;
+    std::set<forward_number> deferring; ///< requests with deferred parts
     withheld_targets withheld;
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     bool extra_load_due = false; ///< a due item for it is scheduled
@@ -110,8 +112,8 @@
     double allowance_now() const;
     /** @return connections that this host may have to a target */
     std::size_t connections_allowed(const known_target& target) const;
-    /** @return whether requests like this one are known to crash targets */
-    bool crashes_targets(const forwarding_run& run) const;
+    /** @return what is known of requests like this one: whether they crash targets */
+    crash_verdict judge(const forwarding_run& run) const;
     /** A request is not repeated because of the evidence against its content. */
     void tell_withheld(const forwarding_run& run);
     exchange_timing& timing_of(const route& taken);
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -30,6 +30,9 @@
         core.now = std::max(core.now, now);
         core.out.clear();
         handler();
+        if (!core.deferring.empty()) {
+            flow.review_deferred();
+        }
         core.ended.clear();
         return std::move(core.out);
     }
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -23,6 +23,7 @@
 enum class part_progress {
     waiting, ///< for a connection
     running,
+    deferred, ///< its repeat waits until the request's losses are explained
     covered,
     missing, ///< given up
 };
@@ -60,6 +61,8 @@
     bool ended = false;
 
     std::size_t count(part_progress progress) const;
+    /** @return whether an exchange is running, or waits for a connection */
+    bool is_under_way() const;
     /** @return whether some target has run it, or may have */
     bool may_have_run() const { return sent > not_run; }
     bool merges() const { return taken->destination == route_destination::shards; }
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -208,6 +208,11 @@
             item = service.waiting.erase(item);
             continue;
         }
+        if (item->step != trace_step::sent && m_core.judge(*run) != crash_verdict::clear) {
+            defer(*run, run->parts[item->part]);
+            item = service.waiting.erase(item);
+            continue;
+        }
         if (!try_send(*run, item->part, item->step)) {
             return;
         }
@@ -216,6 +221,23 @@
     }
 }
 
+/**
+ * Load pattern: a request to all shards that crashes its targets loses one of each within a moment. A repeat
+ * that leaves at once ends a second one of each; a shard of a request that crashes nothing waits for a few
+ * milliseconds, until another shard has replied.
+ */
+void part_dispatcher::defer(forwarding_run& run, run_part& part) {
+    part.queued = false;
+    part.charge.reset();
+    if (!part.exchanges.empty()) {
+        return;
+    }
+    part.progress = part_progress::deferred;
+    m_core.deferring.insert(run.request.number);
+    m_core.trace(run, trace_step::deferred, part.service->id, nullptr);
+    m_core.wake(run, m_core.now + crash_evidence::crash_shows_within);
+}
+
 void part_dispatcher::abandon(const running_exchange& unwanted) {
     const auto found = m_core.connections.find(unwanted.connection);
     if (found == m_core.connections.end()) {
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace tamarack {
@@ -308,14 +309,14 @@
     part.hedge_at = time_point::max();
     const bool once =
         run.taken->repeats == repeatability::once && m_core.options.protections.single_run_of_once;
-    const bool crashes = !did_not_run && m_core.crashes_targets(run);
-    const bool may_repeat = did_not_run || (!once && !crashes);
+    const bool may_repeat = did_not_run || !once;
     const bool in_time = m_core.now < run.times.cut_off && part.used < run.taken->attempts;
     if (!may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
-        if (crashes) {
-            m_core.tell_withheld(run);
-        }
-        give_up(run, part, crashes ? "crashes_targets" : cause);
+        give_up(run, part, cause);
+        return;
+    }
+    if (m_core.judge(run) != crash_verdict::clear) {
+        m_dispatcher.defer(run, part);
         return;
     }
     if (!take_extra(run, part)) {
@@ -327,6 +328,37 @@
     m_dispatcher.send_or_wait(run, part_index, trace_step::retried);
 }
 
+void request_flow::review_deferred() {
+    for (const forward_number number : std::set<forward_number>{m_core.deferring}) {
+        if (forwarding_run* run = m_core.find_run(number)) {
+            review_deferred(*run);
+            settle(*run);
+        }
+    }
+}
+
+void request_flow::review_deferred(forwarding_run& run) {
+    const crash_verdict verdict = m_core.judge(run);
+    const bool undecided =
+        verdict == crash_verdict::unexplained || (verdict != crash_verdict::clear && run.is_under_way());
+    if (undecided) {
+        return;
+    }
+    m_core.deferring.erase(run.request.number);
+    for (std::size_t index = 0; index < run.parts.size(); ++index) {
+        run_part& part = run.parts[index];
+        if (part.progress != part_progress::deferred) {
+            continue;
+        }
+        if (verdict == crash_verdict::clear) {
+            try_again(run, index, false, "connection_lost");
+        } else {
+            m_core.tell_withheld(run);
+            give_up(run, part, "crashes_targets");
+        }
+    }
+}
+
 void request_flow::give_up(forwarding_run& run, run_part& part, const char* cause) {
     part.progress = part_progress::missing;
     m_core.trace(run, trace_step::given_up, part.service->id, nullptr, cause);
@@ -337,7 +369,7 @@
     part.hedge_at = time_point::max();
     const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts &&
                         run.taken->repeats != repeatability::once && m_dispatcher.has_untried(part);
-    if (wanted && m_core.crashes_targets(run)) {
+    if (wanted && m_core.judge(run) != crash_verdict::clear) {
         m_core.tell_withheld(run);
         return;
     }
@@ -469,6 +501,7 @@
 
 void request_flow::finish(forwarding_run& run, forward_answer answer) {
     run.ended = true;
+    m_core.deferring.erase(run.request.number);
     for (run_part& part : run.parts) {
         part.queued = false;
         for (const running_exchange& unwanted : part.exchanges) {
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -18,6 +18,8 @@
     void on_lost(forwarding_run& run, std::size_t part, target_connection connection);
     /** Targets of a service were withdrawn: what waits for it is given up where none is left for it. */
     void give_up_unservable(known_service& service);
+    /** Repeats or gives up what is deferred, where the losses of its request are explained by now. */
+    void review_deferred();
     /** A time that the request asked for has come. */
     void on_wake(forwarding_run& run);
 
@@ -42,6 +44,7 @@
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** An exchange ended without a usable reply: another one, or the part stays out. */
     void try_again(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
+    void review_deferred(forwarding_run& run);
     void give_up(forwarding_run& run, run_part& part, const char* cause);
     void hedge(forwarding_run& run, std::size_t part);
     bool take_extra(forwarding_run& run, run_part& part);
--- a/modules/tamarack_forwarding/explain/request_trace.h
+++ b/modules/tamarack_forwarding/explain/request_trace.h
@@ -20,11 +20,12 @@
     unwanted,  ///< an exchange is no longer needed; its reply is awaited for a short time
     given_up,  ///< a shard stays out
     no_budget, ///< a further exchange is not allowed by the budget for extra load
+    deferred,  ///< a further exchange waits until it is known whether the request crashes its targets
 };
 
 template <>
 struct name_table<trace_step> {
-    static constexpr std::array<std::pair<trace_step, std::string_view>, 10> entries{{
+    static constexpr std::array<std::pair<trace_step, std::string_view>, 11> entries{{
         {trace_step::routed, "routed"},
         {trace_step::waits, "waits"},
         {trace_step::sent, "sent"},
@@ -35,6 +36,7 @@
         {trace_step::unwanted, "unwanted"},
         {trace_step::given_up, "given_up"},
         {trace_step::no_budget, "no_budget"},
+        {trace_step::deferred, "deferred"},
     }};
 };
 
--- a/tests/forwarding/crashing_request_test.cpp
+++ b/tests/forwarding/crashing_request_test.cpp
@@ -129,6 +129,53 @@
         << "one target of each shard, and few more";
 }
 
+/** @return share of requests in time among those that run when two fifths of all targets crash at once */
+double good_share_when_many_crash(const forwarding_options& options) {
+    constexpr int waves = 20;
+    constexpr duration work = 30ms;
+    forwarding_world world{49, all_hosts, options};
+    std::vector<std::string> shards;
+    world_target like;
+    like.work = work;
+    like.slots = 5;
+    like.connections = 43;
+    for (int shard = 0; shard < 10; ++shard) {
+        shards.push_back("s" + std::to_string(shard));
+        world.add_service(shards.back(), 5, like);
+    }
+    route& sweep = world.add_route("sweep", shards);
+    sweep.timeout = 2s;
+    sweep.objective = 200ms;
+    sweep.least_coverage = 0.89;
+    world.publish();
+    world.load("sweep", 120.0, 1s, 105s);
+    double good = 0.0;
+    for (int wave = 0; wave < waves; ++wave) {
+        world.at(20s + wave * 4s, [&world, wave] {
+            for (int shard = 0; shard < 10; ++shard) {
+                for (int replica = 0; replica < 2; ++replica) {
+                    world.crash("s" + std::to_string(shard) + "-" +
+                                std::to_string((wave + 2 * shard + replica) % 5));
+                }
+            }
+        });
+    }
+    world.run_until(110s);
+    for (int wave = 0; wave < waves; ++wave) {
+        good += world.good_share(20s + wave * 4s - work, 20s + wave * 4s) / waves;
+    }
+    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+    return good;
+}
+
+TEST_F(crashing_request, is_not_seen_where_many_targets_crash_at_once) {
+    forwarding_options without = options();
+    without.protections.single_run_of_crashing = false;
+    const double with_protection = good_share_when_many_crash(options());
+    const double without_protection = good_share_when_many_crash(without);
+    EXPECT_GE(with_protection, without_protection);
+}
+
 TEST_F(crashing_request, to_all_shards_is_not_repeated_much_after_all_hosts_were_killed) {
     forwarding_world world{48, all_hosts, options()};
     add_shards(world, 2s);
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -302,7 +302,7 @@
 }
 
 void forwarding_world::tell_crash(std::size_t host, const crash_found& found) {
-    m_hosts[host].crash_news.emplace_back(m_now, found.content);
+    m_hosts[host].crash_news[found.content] = m_now;
     for (std::size_t other = 0; other < m_hosts.size(); ++other) {
         tell_crash_news(host, other);
     }
@@ -314,9 +314,9 @@
         return;
     }
     schedule(m_now + one_way, [this, to, news = m_hosts[from].crash_news] {
-        for (const auto& [at, content] : news) {
+        for (const auto& [content, at] : news) {
             m_hosts[to].engine->on_crash_told(at, content);
-            m_hosts[to].crash_news.emplace_back(at, content);
+            m_hosts[to].crash_news.emplace(content, at);
         }
     });
 }
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -163,7 +163,7 @@
         time_point timer_at = time_point::max();
         std::size_t life = 0; ///< grows with each restart
         bool on_standby = false;
-        std::vector<std::pair<time_point, digest>> crash_news; ///< what it found or was told
+        std::map<digest, time_point> crash_news; ///< what it found or was told, and when it was found
     };
     struct open_request {
         std::size_t host = 0;
