Add up what all hosts lose to a request

Callers saw: a request that crashes its targets and comes at another host each time went on; each host counted its own losses, and told the others only once it had found two by itself.

A confirmed loss is told by itself now, with its target and life, after 300 ms: a request that crashes nothing has been completed by its repeat by then and is not told. At most four losses a second and host, those of contents that most targets were lost to first; a host that starts, or comes back into reach, is told of 32 at most. quarantine.request carries the target; without one it is read as the evidence that the release before sends.

--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -102,13 +102,16 @@
     return m_thread.try_post([this, ends_at] { m_engine.on_lease(steady_now(), ends_at); });
 }
 
-bool forwarding_duty::post_crash_told(digest content, time_point found_at) {
-    return m_thread.try_post([this, content = std::move(content), found_at] {
-        log_state_change(
-            log_level::info, "crashing_request_told",
-            m_picture.view ? m_picture.view->ticket : ticket_number{},
-            {{"content", content.hex()}, {"age_ms", std::to_string((steady_now() - found_at) / 1ms)}});
-        m_engine.on_crash_told(found_at, content);
+bool forwarding_duty::post_crash_told(crash_loss loss) {
+    return m_thread.try_post([this, loss = std::move(loss)] {
+        if (m_crash_lines.take(steady_now())) {
+            log_state_change(log_level::info, "crashing_request_told",
+                             m_picture.view ? m_picture.view->ticket : ticket_number{},
+                             {{"content", loss.content.hex()},
+                              {"target", loss.lost.target.value()},
+                              {"age_ms", std::to_string((steady_now() - loss.found_at) / 1ms)}});
+        }
+        m_engine.on_crash_told(steady_now(), loss);
     });
 }
 
@@ -176,8 +179,8 @@
                 [this](const crash_found& found) {
                     log_state_change(log_level::warning, "crashing_request_found", m_picture.view->ticket,
                                      {{"content", found.content.hex()}, {"target", found.target.value()}});
-                    m_hooks.tell_crash(found.content);
                 },
+                [this](const tell_crash_loss& told) { m_hooks.tell_crash_loss(told.loss); },
                 [this](const crash_evidence_told& told) { write_crash_evidence(told); },
                 [this](const extra_load_told& told) { write_extra_load(told); },
                 [this](const target_changed& changed) { write_target_change(changed); },
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -26,7 +26,7 @@
 
 /** What the forwarding duty tells the other hosts; called on its thread. */
 struct forwarding_hooks {
-    std::function<void(const digest&)> tell_crash;                   ///< of a content that crashes targets
+    std::function<void(const crash_loss&)> tell_crash_loss;          ///< of a target lost to a content
     std::function<void(const target_id&, incarnation)> tell_leaving; ///< of a target that takes no new work
 };
 
@@ -54,8 +54,8 @@
     bool post_picture(forwarding_picture picture);
     /** From any thread: this host is in touch with the control hosts until then. */
     bool post_lease(time_point ends_at);
-    /** From any thread: another host found that requests of this content crash targets. */
-    bool post_crash_told(digest content, time_point found_at);
+    /** From any thread: another host found that a target was lost to a content. */
+    bool post_crash_told(crash_loss loss);
     /** From any thread: callers are to go elsewhere; each connection closes after its next answer. */
     bool post_leaving();
     /** From any thread. @return exchanges with targets that have begun since the start */
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -113,7 +113,7 @@
         return m_serving->start();
     }
     forwarding_hooks hooks;
-    hooks.tell_crash = [this](const digest& content) { m_hosts->post_quarantine({content}); };
+    hooks.tell_crash_loss = [this](const crash_loss& loss) { m_hosts->post_crash_loss(loss); };
     hooks.tell_leaving = [this](const target_id& target, incarnation life) {
         m_hosts->post_target_leaving(target, life);
     };
@@ -282,11 +282,11 @@
         return !m_serving || m_serving->post_suspicion(std::move(suspicion));
     };
     hooks.exchanges = [this] { return m_forwarding ? m_forwarding->exchanges() : 0; };
-    hooks.quarantine = [this](const crash_notice& notice) {
+    hooks.quarantine = [this](const crash_loss& loss) {
         if (m_forwarding) {
-            return m_forwarding->post_crash_told(notice.content, notice.found_at);
+            return m_forwarding->post_crash_told(loss);
         }
-        return !m_serving || m_serving->post_quarantine(notice.content);
+        return !m_serving || m_serving->post_quarantine(loss.content);
     };
     return hooks;
 }
--- a/apps/tamarackd/hosts/crash_notices.cpp
+++ b/apps/tamarackd/hosts/crash_notices.cpp
@@ -1,39 +1,45 @@
 #include "crash_notices.h"
 
-#include <tamarack_forwarding/tamarack_forwarding.h>
-
 #include <algorithm>
+#include <functional>
 
 namespace tamarack {
 
 namespace {
 
-/** Bounds what a newcomer is sent; the engine remembers as many contents. */
+/** The engine remembers as many contents. */
 constexpr std::size_t most_notices = 1'000;
+/** Each host tells a newcomer: at 300 hosts it gets some 150 bytes for each of them and each loss, 1.5 MB. */
+constexpr std::size_t most_told = 32;
 
-bool counts(const crash_notice& notice, time_point now) {
-    return notice.found_at + crash_evidence::remembered_for >= now;
+bool counts(time_point found_at, time_point now) {
+    return found_at + crash_evidence::remembered_for >= now;
 }
 
 } // namespace
 
-void crash_notices::add(time_point now, const crash_notice& notice) {
-    std::erase_if(m_notices, [now](const auto& item) { return !counts(item.second, now); });
-    if (m_notices.size() >= most_notices) {
+void crash_notices::add(time_point now, const crash_loss& loss) {
+    std::erase_if(m_found_at, [now](const auto& item) { return !counts(item.second, now); });
+    if (m_found_at.size() >= most_notices) {
         return;
     }
-    crash_notice& known = m_notices.try_emplace(notice.content.hex(), notice).first->second;
-    known.found_at = std::max(known.found_at, notice.found_at);
+    time_point& found_at = m_found_at.try_emplace({loss.content, loss.lost}, loss.found_at).first->second;
+    found_at = std::max(found_at, loss.found_at);
 }
 
-std::vector<crash_notice> crash_notices::current(time_point now) const {
-    std::vector<crash_notice> notices;
-    for (const auto& [text, notice] : m_notices) {
-        if (counts(notice, now)) {
-            notices.push_back(notice);
+std::vector<crash_loss> crash_notices::current(time_point now) const {
+    std::vector<crash_loss> losses;
+    std::map<digest, std::size_t> targets;
+    for (const auto& [key, found_at] : m_found_at) {
+        if (counts(found_at, now)) {
+            losses.push_back({key.first, key.second, found_at});
+            ++targets[key.first];
         }
     }
-    return notices;
+    std::ranges::stable_sort(losses, std::greater{},
+                             [&targets](const crash_loss& loss) { return targets.at(loss.content); });
+    losses.resize(std::min(losses.size(), most_told));
+    return losses;
 }
 
 } // namespace tamarack
--- a/apps/tamarackd/hosts/crash_notices.h
+++ b/apps/tamarackd/hosts/crash_notices.h
@@ -1,20 +1,14 @@
 #pragma once
 
 #include <tamarack_base/tamarack_base.h>
-#include <tamarack_tickets/tamarack_tickets.h>
+#include <tamarack_forwarding/tamarack_forwarding.h>
 
 #include <map>
-#include <string>
+#include <utility>
 #include <vector>
 
 namespace tamarack {
 
-/** Requests of this content crash the targets that run them. */
-struct crash_notice {
-    digest content;
-    time_point found_at{}; ///< by the host that found it
-};
-
 /**
  * Keeps what is known of contents that crash targets, for hosts that start or come back into reach.
  *
@@ -23,14 +17,15 @@
  */
 class crash_notices {
 public:
-    /** A content was found here, or told by another host. */
-    void add(time_point now, const crash_notice& notice);
+    /** A loss was found here, or told by another host. */
+    void add(time_point now, const crash_loss& loss);
 
-    /** @return the notices that still count */
-    std::vector<crash_notice> current(time_point now) const;
+    /** @return losses that still count, those of the contents that most targets were lost to first; bounded
+     */
+    std::vector<crash_loss> current(time_point now) const;
 
 private:
-    std::map<std::string, crash_notice> m_notices; ///< by the hexadecimal text of the content's digest
+    std::map<std::pair<digest, target_life>, time_point> m_found_at;
 };
 
 } // namespace tamarack
--- a/apps/tamarackd/hosts/host_methods.cpp
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -1,7 +1,5 @@
 #include "host_methods.h"
 
-#include <tamarack_forwarding/tamarack_forwarding.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -67,20 +65,31 @@
     Json::Value parameters;
     parameters["digest"] = value.content.hex();
     parameters["age_ms"] = Json::Int64{value.age / 1ms};
+    if (!value.lost.target.empty()) {
+        parameters["target"] = value.lost.target.value();
+        parameters["life"] = Json::UInt64{value.lost.life.value};
+    }
     return parameters;
 }
 
-/** The release before sends no age. */
+/** The release before names no target. */
 outcome<quarantine_notice> decode_quarantine(const Json::Value& parameters) {
     const Json::Value& age = parameters["age_ms"];
-    const bool readable = parameters["digest"].isString() && (age.isNull() || age.isUInt64());
+    const Json::Value& target = parameters["target"];
+    const bool names_target = target.isString() && parameters["life"].isUInt64();
+    const bool readable = parameters["digest"].isString() && (age.isNull() || age.isUInt64()) &&
+                          (target.isNull() || names_target);
     if (!readable) {
-        return error{error_code::malformed, "a quarantine lacks its digest or has an age that is no number"};
+        return error{error_code::malformed, "a quarantine lacks a member or has one of another type"};
     }
     constexpr std::int64_t longest = crash_evidence::remembered_for / 1ms;
     const auto milliseconds = static_cast<std::int64_t>(
         std::min<std::uint64_t>(age.isNull() ? 0 : age.asUInt64(), std::uint64_t{longest}));
-    return quarantine_notice{digest{parameters["digest"].asString()}, milliseconds * 1ms};
+    quarantine_notice notice{digest{parameters["digest"].asString()}, milliseconds * 1ms, {}};
+    if (names_target) {
+        notice.lost = {target_id{target.asString()}, incarnation{parameters["life"].asUInt64()}};
+    }
+    return notice;
 }
 
 void register_host_methods(host_dispatcher& dispatcher, const host_method_handlers& handlers) {
--- a/apps/tamarackd/hosts/host_methods.h
+++ b/apps/tamarackd/hosts/host_methods.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <tamarack_control/tamarack_control.h>
+#include <tamarack_forwarding/tamarack_forwarding.h>
 #include <tamarack_membership/tamarack_membership.h>
 #include <tamarack_transport/tamarack_transport.h>
 
@@ -30,10 +31,11 @@
     ticket_number holds; ///< nothing is answered unless the other holds a later one
 };
 
-/** Requests of this content crash the targets that run them. */
+/** A target was lost to a content, or, where none is named, requests of the content crash their targets. */
 struct quarantine_notice {
     digest content;
     duration age{}; ///< since it was found
+    target_life lost;
 };
 
 /** @return the parameters of the notification */
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -97,9 +97,9 @@
     };
     handlers.quarantine = [this](const quarantine_notice& told) {
         const time_point now = steady_now();
-        const crash_notice notice{told.content, now - told.age};
-        m_crashes.add(now, notice);
-        m_hooks.quarantine(notice);
+        const crash_loss loss{told.content, told.lost, now - told.age};
+        m_crashes.add(now, loss);
+        m_hooks.quarantine(loss);
     };
     handlers.identity = [this](const host_identity& told) {
         m_introductions.on_introduced(steady_now(), told.member, told.data_center);
@@ -187,12 +187,15 @@
 }
 
 bool hosts_duty::post_quarantine(spread_quarantine found) {
-    return m_thread.try_post([this, found = std::move(found)] {
-        const crash_notice notice{found.request, steady_now()};
-        m_crashes.add(steady_now(), notice);
+    return post_crash_loss({found.request, target_life{}, steady_now()});
+}
+
+bool hosts_duty::post_crash_loss(crash_loss loss) {
+    return m_thread.try_post([this, loss = std::move(loss)] {
+        m_crashes.add(steady_now(), loss);
         for (const host_record& host : m_detector->hosts()) {
             if (host.state == host_state::alive && host.host != m_settings.host) {
-                tell_crash(host, notice);
+                tell_crash(host, loss);
             }
         }
     });
@@ -399,8 +402,8 @@
     }
 }
 
-void hosts_duty::tell_crash(const host_record& host, const crash_notice& notice) {
-    const quarantine_notice told{notice.content, steady_now() - notice.found_at};
+void hosts_duty::tell_crash(const host_record& host, const crash_loss& loss) {
+    const quarantine_notice told{loss.content, steady_now() - loss.found_at, loss.lost};
     m_links.send(host.hosts_address, quarantine_method, encode_quarantine(told));
 }
 
@@ -409,14 +412,15 @@
     const auto [seen, is_new] = m_seen_hosts.try_emplace(record.host, record);
     const bool only_load = !is_new && seen->second.life == record.life &&
                            seen->second.state == record.state && seen->second.draining == record.draining;
-    const bool newcomer = is_new || seen->second.life != record.life;
+    const bool newcomer =
+        is_new || seen->second.life != record.life || seen->second.state != host_state::alive;
     seen->second = record;
     if (only_load) {
         return;
     }
     if (newcomer && record.state == host_state::alive && record.host != m_settings.host) {
-        for (const crash_notice& notice : m_crashes.current(steady_now())) {
-            tell_crash(record, notice);
+        for (const crash_loss& loss : m_crashes.current(steady_now())) {
+            tell_crash(record, loss);
         }
     }
     if (m_settings.formation.automatic) {
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -37,7 +37,7 @@
     std::function<bool(request_number, claim_answer)> claim_answer_for;
     std::function<bool(request_number)> claim_failed_for;
     std::function<bool(spread_suspicion)> suspicion;
-    std::function<bool(const crash_notice&)> quarantine;
+    std::function<bool(const crash_loss&)> quarantine;
     std::function<std::uint64_t()> exchanges; ///< with targets, since the start
     target_memory* memory = nullptr;          ///< where targets are kept over a start; none without a disk
 };
@@ -105,6 +105,8 @@
      */
     bool post_suspicion(spread_suspicion found, std::function<void()> known);
     bool post_quarantine(spread_quarantine found);
+    /** From any thread: a target was lost to a content. */
+    bool post_crash_loss(crash_loss loss);
 
     /** From any thread: the settings name other seeds. */
     bool post_seeds(std::vector<seed_host> seeds);
@@ -125,7 +127,7 @@
     void carry_out(control_client_actions actions);
     void carry_out(membership_actions actions);
     void on_host_changed(const host_record& record);
-    void tell_crash(const host_record& host, const crash_notice& notice);
+    void tell_crash(const host_record& host, const crash_loss& loss);
     /** Brings timers and the serving duty's picture up to date; called after each event. */
     void settle();
     void send_picture(time_point now);
--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -87,8 +87,9 @@
         suspect& suspected = m_suspects[item.content.hex()];
         suspected.lost_targets.insert(target);
         suspected.last = now;
-        found.push_back({item.content, target, suspected.lost_targets.size(),
-                         !before && crashes_targets(now, item.content)});
+        const crash_loss loss{item.content, target, now};
+        found.push_back({loss, suspected.lost_targets.size(), !before && crashes_targets(now, item.content)});
+        m_untold.push_back({loss, now + told_after});
     }
 }
 
@@ -101,13 +102,45 @@
     }
 }
 
-void crash_evidence::on_told(time_point found_at, const digest& content) {
-    forget(found_at);
-    if (m_suspects.size() < most_suspects || m_suspects.contains(content.hex())) {
-        suspect& suspected = m_suspects[content.hex()];
+void crash_evidence::on_told(time_point now, const crash_loss& loss) {
+    forget(now);
+    const std::string name = loss.content.hex();
+    if (m_suspects.size() >= most_suspects && !m_suspects.contains(name)) {
+        return;
+    }
+    suspect& suspected = m_suspects[name];
+    suspected.last = std::max(suspected.last, loss.found_at);
+    if (loss.lost.target.empty()) {
         suspected.told = true;
-        suspected.last = std::max(suspected.last, found_at);
+    } else {
+        suspected.lost_targets.insert(loss.lost);
+    }
+}
+
+std::vector<crash_loss> crash_evidence::take_untold(time_point now) {
+    std::erase_if(m_untold,
+                  [this](const untold_loss& item) { return !m_suspects.contains(item.loss.content.hex()); });
+    if (next_untold() > now) {
+        return {};
+    }
+    // What is known to have cost most targets goes first: many losses may be of requests that crash nothing.
+    const auto waits =
+        std::ranges::find_if(m_untold, [now](const untold_loss& item) { return item.due > now; });
+    std::stable_sort(m_untold.begin(), waits, [this](const untold_loss& left, const untold_loss& right) {
+        return targets_lost_to(left.loss.content) > targets_lost_to(right.loss.content);
+    });
+    const auto due = static_cast<std::size_t>(waits - m_untold.begin());
+    std::vector<crash_loss> taken;
+    for (std::size_t index = 0; index < std::min(due, most_told_at_once); ++index) {
+        taken.push_back(m_untold[index].loss);
     }
+    m_untold.erase(m_untold.begin(), m_untold.begin() + static_cast<std::ptrdiff_t>(taken.size()));
+    m_told_until = now + told_every;
+    return taken;
+}
+
+time_point crash_evidence::next_untold() const {
+    return m_untold.empty() ? time_point::max() : std::max(m_untold.front().due, m_told_until);
 }
 
 crash_verdict crash_evidence::judge(time_point now, const digest& content) const {
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "target_life.h"
+#include "crash_loss.h"
 
 #include <cstddef>
 #include <map>
@@ -30,8 +30,9 @@
  * other exchanges lose their connections for other reasons. Each exchange without a reply calls for a check
  * whether its target is still there: a connection is opened for it, whether or not one is needed otherwise.
  * The loss counts against the content when the target can't be reached, or when another process announces
- * itself at its address; only once for each target. Two targets lost to one content are evidence: it is not
- * sent to a second target any more. A target that completes a request of the content clears it.
+ * itself at its address; only once for each target, and at all hosts, whichever saw it. Two targets lost to
+ * one content are evidence: it is not sent to a second target any more. A target that completes a request of
+ * the content clears it.
  */
 class crash_evidence {
 public:
@@ -42,13 +43,17 @@
      * without power ends at its limit.
      */
     static constexpr duration crash_shows_within = 2s;
+    /** Longer than most repeats take, and short beside the seconds within which all hosts are to know. */
+    static constexpr duration told_after = 300ms;
+    /** At 300 hosts, a tenth of a link of 20 Mbit/s with 200 bytes a loss and host. */
+    static constexpr std::size_t most_told_at_once = 4;
+    static constexpr duration told_every = 1s;
 
     /** A target is found to be gone after it was lost to a content. */
     struct confirmed_loss {
-        digest content;
-        target_life lost;
+        crash_loss loss;
         std::size_t targets = 0; ///< lost to the content so far
-        bool found = false;      ///< there is evidence now, and was none before: other hosts are to be told
+        bool found = false;      ///< there is evidence now, and was none before
     };
 
     /** An exchange ended without a reply; its target, at this address, is to be checked. */
@@ -69,8 +74,20 @@
 
     /** A target completed a request of this content. */
     void on_completed(const digest& content);
-    /** Another host has had evidence against a content since a time. */
-    void on_told(time_point found_at, const digest& content);
+    /** Another host found a loss. */
+    void on_told(time_point now, const crash_loss& loss);
+
+    /**
+     * Takes losses that are due to be told to the other hosts, the oldest first.
+     *
+     * Each waits for a moment: a request that crashes nothing, and lost targets that others crashed, is
+     * completed meanwhile by its repeat and is not told.
+     *
+     * @return `most_told_at_once` at most; those left are due after `told_every`
+     */
+    std::vector<crash_loss> take_untold(time_point now);
+    /** @return when take_untold is due; the end of time while there is nothing to tell */
+    time_point next_untold() const;
 
     /** @return what is known of a content; what was seen long ago does not count */
     crash_verdict judge(time_point now, const digest& content) const;
@@ -90,6 +107,10 @@
         exchange_end how = exchange_end::connection_lost;
         time_point at{};
     };
+    struct untold_loss {
+        crash_loss loss;
+        time_point due{};
+    };
     /** Losses of one target that are neither confirmed nor refuted. */
     struct open_losses {
         endpoint address;
@@ -98,7 +119,7 @@
     };
     struct suspect {
         std::set<target_life> lost_targets;
-        bool told = false; ///< by another host
+        bool told = false; ///< by a host of the release before, which names no targets
         time_point last{};
     };
 
@@ -107,6 +128,8 @@
     void forget(time_point now);
 
     std::map<target_life, open_losses> m_losses;
+    std::vector<untold_loss> m_untold;         ///< in the order in which they were found
+    time_point m_told_until{};                 ///< no more is told before
     std::map<std::string, suspect> m_suspects; ///< by the hexadecimal text of the content's digest
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../crashes/crash_loss.h"
 #include "../crashes/crash_step.h"
 #include "../payload/forward_answer.h"
 #include "../payload/target_exchange.h"
@@ -69,7 +70,12 @@
     duration until{};           ///< how long it is ejected, or rests
 };
 
-/** There is evidence that requests of this content crash the targets that run them: tell the other hosts. */
+/** A target was lost to a content: tell the other hosts. */
+struct tell_crash_loss {
+    crash_loss loss;
+};
+
+/** There is evidence that requests of this content crash the targets that run them; for the log. */
 struct crash_found {
     digest content;
     target_id target; ///< lost last
@@ -101,9 +107,9 @@
 };
 
 /** What the shell has to do after an event, in order. */
-using forwarding_action =
-    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
-                 target_changed, target_leaving, crash_found, crash_evidence_told, extra_load_told>;
+using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
+                                       deliver_answer, target_changed, target_leaving, tell_crash_loss,
+                                       crash_found, crash_evidence_told, extra_load_told>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -53,6 +53,7 @@
     connection, ///< the end of waiting for an unwanted reply
     warming,    ///< connections may be opened again
     extra_load, ///< extra load is to be told
+    crash_news, ///< losses are to be told to other hosts
 };
 
 struct due_item {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -51,6 +51,7 @@
     void on_exchange_lost(const held_connection& held, exchange_end how);
     void on_address_taken(const forwarding_target& listed);
     void tell_confirmed(const std::vector<crash_evidence::confirmed_loss>& losses);
+    void tell_other_hosts();
     void on_completed(sent_content& content);
     void on_failure(known_target& target);
     void on_due(const due_item& item);
@@ -234,13 +235,26 @@
 
 void forwarding_engine::implementation::tell_confirmed(
     const std::vector<crash_evidence::confirmed_loss>& losses) {
-    for (const crash_evidence::confirmed_loss& loss : losses) {
+    for (const auto& [loss, targets, found] : losses) {
         core.out.emplace_back(crash_evidence_told{crash_step::confirmed, loss.content, request_id{},
-                                                  loss.lost.target, loss.targets});
-        if (loss.found) {
+                                                  loss.lost.target, targets});
+        if (found) {
             core.out.emplace_back(crash_found{loss.content, loss.lost.target});
         }
     }
+    if (!losses.empty()) {
+        core.schedule(core.crashes.next_untold(), due_kind::crash_news, 0);
+    }
+}
+
+void forwarding_engine::implementation::tell_other_hosts() {
+    for (crash_loss& loss : core.crashes.take_untold(core.now)) {
+        core.out.emplace_back(tell_crash_loss{std::move(loss)});
+    }
+    const time_point next = core.crashes.next_untold();
+    if (next != time_point::max()) {
+        core.schedule(std::max(next, core.now + duration{1}), due_kind::crash_news, 0);
+    }
 }
 
 /**
@@ -401,6 +415,9 @@
     case due_kind::extra_load:
         core.tell_extra_load();
         break;
+    case due_kind::crash_news:
+        tell_other_hosts();
+        break;
     }
 }
 
@@ -464,8 +481,8 @@
     return due.empty() ? time_point::max() : due.top().at;
 }
 
-void forwarding_engine::on_crash_told(time_point found_at, const digest& content) {
-    m_implementation->core.crashes.on_told(found_at, content);
+void forwarding_engine::on_crash_told(time_point now, const crash_loss& loss) {
+    m_implementation->core.crashes.on_told(now, loss);
 }
 
 std::size_t forwarding_engine::unanswered() const {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -42,8 +42,8 @@
     void on_lease(time_point now, time_point ends_at);
     /** A caller's request arrived. */
     forwarding_actions on_request(time_point now, forward_request request);
-    /** Another host found, at some time, that requests of this content crash the targets that run them. */
-    void on_crash_told(time_point found_at, const digest& content);
+    /** Another host found that a target was lost to a content. */
+    void on_crash_told(time_point now, const crash_loss& loss);
     /** A caller closed its connection before its answer. */
     forwarding_actions on_caller_gone(time_point now, forward_number request);
     forwarding_actions on_connected(time_point now, target_connection connection);
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -15,6 +15,7 @@
 #include "payload/target_exchange.h"
 
 #include "crashes/crash_evidence.h"
+#include "crashes/crash_loss.h"
 #include "crashes/crash_step.h"
 #include "crashes/target_life.h"
 
