Refuse a request that has crashed three targets

Callers saw: a request under which three targets had ended was sent on, one target each time it came, and each of them ended.

Cause: evidence stopped repeats only. A request that comes again is sent again, and the evidence was forgotten after 60 s.

A content that three targets were lost to is refused at once as not run, with the time until it may be tried again: 60 s after the last loss, on all hosts. Then it is sent to one target, without repeats; a loss refuses it for another 60 s, a completion clears it. Evidence is remembered for 10 minutes, a single loss for 60 s as before.

Tests made stricter: ten comings at one host run three times at most (13 were allowed), one that other hosts found runs once, not ten times. The two tests on how long it is remembered follow the new times.

Ruled out: refusing after two, which one request with its retry can reach when two targets end for another reason.

--- a/apps/tamarackd/hosts/crash_notices.cpp
+++ b/apps/tamarackd/hosts/crash_notices.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t most_told = 32;
 
 bool counts(time_point found_at, time_point now) {
-    return found_at + crash_evidence::remembered_for >= now;
+    return found_at + crash_evidence::evidence_remembered_for >= now;
 }
 
 } // namespace
--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -9,6 +9,7 @@
 /** A target that crashed is started again and announces itself within some seconds. */
 constexpr duration restart_shows_within = 15s;
 constexpr std::size_t targets_that_are_evidence = 2;
+constexpr std::size_t targets_that_stop_it = 3;
 constexpr std::size_t most_suspects = 1'000;
 constexpr std::size_t most_lost_of_a_target = 64;
 
@@ -143,7 +144,26 @@
     return m_untold.empty() ? time_point::max() : std::max(m_untold.front().due, m_told_until);
 }
 
+bool crash_evidence::suspect::is_evident() const {
+    return told || lost_targets.size() >= targets_that_are_evidence;
+}
+
+time_point crash_evidence::suspect::forgotten_at() const {
+    return last + (is_evident() ? evidence_remembered_for : remembered_for);
+}
+
+duration crash_evidence::refused_still(time_point now, const digest& content) const {
+    const auto found = m_suspects.find(content.hex());
+    if (found == m_suspects.end() || found->second.lost_targets.size() < targets_that_stop_it) {
+        return duration{0};
+    }
+    return std::max(found->second.last + refused_for - now, duration{0});
+}
+
 crash_verdict crash_evidence::judge(time_point now, const digest& content) const {
+    if (refused_still(now, content) > duration{0}) {
+        return crash_verdict::refused;
+    }
     if (crashes_targets(now, content)) {
         return crash_verdict::crashes_targets;
     }
@@ -161,10 +181,7 @@
 
 bool crash_evidence::crashes_targets(time_point now, const digest& content) const {
     const auto found = m_suspects.find(content.hex());
-    if (found == m_suspects.end() || found->second.last + remembered_for < now) {
-        return false;
-    }
-    return found->second.told || found->second.lost_targets.size() >= targets_that_are_evidence;
+    return found != m_suspects.end() && found->second.forgotten_at() >= now && found->second.is_evident();
 }
 
 std::size_t crash_evidence::targets_lost_to(const digest& content) const {
@@ -173,7 +190,7 @@
 }
 
 void crash_evidence::forget(time_point now) {
-    std::erase_if(m_suspects, [now](const auto& item) { return item.second.last + remembered_for < now; });
+    std::erase_if(m_suspects, [now](const auto& item) { return item.second.forgotten_at() < now; });
     for (auto item = m_losses.begin(); item != m_losses.end();) {
         std::erase_if(item->second.exchanges,
                       [now](const lost_exchange& lost) { return lost.at + restart_shows_within < now; });
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -20,7 +20,8 @@
 enum class crash_verdict {
     clear,
     unexplained,     ///< two targets may have been lost to it; checks of them are under way
-    crashes_targets, ///< there is evidence
+    crashes_targets, ///< there is evidence: it is sent to one target of each service, and not again
+    refused,         ///< it has crashed three targets, the last one a short while ago: it is not sent at all
 };
 
 /**
@@ -31,13 +32,17 @@
  * whether its target is still there: a connection is opened for it, whether or not one is needed otherwise.
  * The loss counts against the content when the target can't be reached, or when another process announces
  * itself at its address; only once for each target, and at all hosts, whichever saw it. Two targets lost to
- * one content are evidence: it is not sent to a second target any more. A target that completes a request of
- * the content clears it.
+ * one content are evidence: it is not sent to a second target any more. Three stop it for a while. A target
+ * that completes a request of the content clears it.
  */
 class crash_evidence {
 public:
-    /** A content is remembered for this long after the last loss; callers come back within seconds. */
+    /** A single loss is remembered for this long; callers come back within seconds. */
     static constexpr duration remembered_for = 60s;
+    /** Evidence is remembered for this long after the last loss. */
+    static constexpr duration evidence_remembered_for = 10min;
+    /** After the last crash; then one exchange may show that the targets were mended. */
+    static constexpr duration refused_for = 60s;
     /**
      * A check ends within this: a crashed process refuses connections from at once, and an opening to a host
      * without power ends at its limit.
@@ -92,6 +97,9 @@
     /** @return what is known of a content; what was seen long ago does not count */
     crash_verdict judge(time_point now, const digest& content) const;
 
+    /** @return how much longer a content is refused; zero when it is not */
+    duration refused_still(time_point now, const digest& content) const;
+
     /** @return whether there is evidence against a content; what was seen long ago does not count */
     bool crashes_targets(time_point now, const digest& content) const;
 
@@ -121,6 +129,9 @@
         std::set<target_life> lost_targets;
         bool told = false; ///< by a host of the release before, which names no targets
         time_point last{};
+
+        bool is_evident() const;
+        time_point forgotten_at() const;
     };
 
     void confirm(time_point now, const target_life& target, const open_losses& losses, duration within,
--- a/modules/tamarack_forwarding/crashes/crash_step.h
+++ b/modules/tamarack_forwarding/crashes/crash_step.h
@@ -15,15 +15,17 @@
     unanswered, ///< an exchange was given up after its target had been silent for long
     confirmed,  ///< its target could not be reached right after, or another process took its place
     withheld,   ///< a request is not repeated because of the evidence
+    refused,    ///< a request is not sent at all
 };
 
 template <>
 struct name_table<crash_step> {
-    static constexpr std::array<std::pair<crash_step, std::string_view>, 4> entries{{
+    static constexpr std::array<std::pair<crash_step, std::string_view>, 5> entries{{
         {crash_step::lost, "lost"},
         {crash_step::unanswered, "unanswered"},
         {crash_step::confirmed, "confirmed"},
         {crash_step::withheld, "withheld"},
+        {crash_step::refused, "refused"},
     }};
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -77,10 +77,10 @@
     return crashes.judge(now, run.content->name());
 }
 
-void forwarding_core::tell_withheld(const forwarding_run& run) {
+void forwarding_core::tell_crash_step(crash_step step, const forwarding_run& run) {
     const digest& content = run.content->name();
-    out.emplace_back(crash_evidence_told{crash_step::withheld, content, run.request.id, target_id{},
-                                         crashes.targets_lost_to(content)});
+    out.emplace_back(
+        crash_evidence_told{step, content, run.request.id, target_id{}, crashes.targets_lost_to(content)});
 }
 
 exchange_timing& forwarding_core::timing_of(const route& taken) {
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -115,8 +115,8 @@
     std::size_t connections_allowed(const known_target& target) const;
     /** @return what is known of requests like this one: whether they crash targets */
     crash_verdict judge(const forwarding_run& run) const;
-    /** A request is not repeated because of the evidence against its content. */
-    void tell_withheld(const forwarding_run& run);
+    /** A request is not repeated, or not sent, because of the evidence against its content. */
+    void tell_crash_step(crash_step step, const forwarding_run& run);
     exchange_timing& timing_of(const route& taken);
     /** @return the service that a usable target serves, or nullptr */
     known_service_pointer service_of(const known_target& target) const;
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -77,6 +77,10 @@
     run.trace.objective_left = run.times.objective_at - m_core.now;
     make_parts(run);
     run.trace.shards = run.parts.size();
+    if (m_core.judge(run) == crash_verdict::refused) {
+        refuse_crashing(run);
+        return;
+    }
     if (!can_be_covered(run)) {
         answer_failed(run,
                       until_coverable(run) ? forward_reason::targets_resting : forward_reason::no_target);
@@ -218,6 +222,16 @@
     return false;
 }
 
+/** Load pattern: a request that has crashed three targets comes again, and each coming ends one more. */
+void request_flow::refuse_crashing(forwarding_run& run) {
+    m_core.tell_crash_step(crash_step::refused, run);
+    forward_answer answer;
+    answer.outcome = forward_outcome::not_run;
+    answer.reason = forward_reason::crashes_targets;
+    answer.retry_after = m_core.crashes.refused_still(m_core.now, run.content->name());
+    finish(run, std::move(answer));
+}
+
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
@@ -353,7 +367,7 @@
         if (verdict == crash_verdict::clear) {
             try_again(run, index, false, "connection_lost");
         } else {
-            m_core.tell_withheld(run);
+            m_core.tell_crash_step(crash_step::withheld, run);
             give_up(run, part, "crashes_targets");
         }
     }
@@ -370,7 +384,7 @@
     const bool wanted = part.progress == part_progress::running && part.used < run.taken->attempts &&
                         run.taken->repeats != repeatability::once && m_dispatcher.has_untried(part);
     if (wanted && m_core.judge(run) != crash_verdict::clear) {
-        m_core.tell_withheld(run);
+        m_core.tell_crash_step(crash_step::withheld, run);
         return;
     }
     if (!wanted || !take_extra(run, part)) {
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -41,6 +41,7 @@
     /** Leaves out shards that can't reply before the objective, as many as the least coverage allows. */
     void leave_out_overloaded(forwarding_run& run);
     bool is_admitted(forwarding_run& run);
+    void refuse_crashing(forwarding_run& run);
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** An exchange ended without a usable reply: another one, or the part stays out. */
     void try_again(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -41,12 +41,13 @@
     targets_refused, ///< every target that was asked refused to run it
     targets_failed,
     connection_lost,
+    crashes_targets, ///< requests of its content have crashed three targets
     caller_gone,
 };
 
 template <>
 struct name_table<forward_reason> {
-    static constexpr std::array<std::pair<forward_reason, std::string_view>, 11> entries{{
+    static constexpr std::array<std::pair<forward_reason, std::string_view>, 12> entries{{
         {forward_reason::none, "none"},
         {forward_reason::no_configuration, "no_configuration"},
         {forward_reason::no_route, "no_route"},
@@ -57,6 +58,7 @@
         {forward_reason::targets_refused, "targets_refused"},
         {forward_reason::targets_failed, "targets_failed"},
         {forward_reason::connection_lost, "connection_lost"},
+        {forward_reason::crashes_targets, "crashes_targets"},
         {forward_reason::caller_gone, "caller_gone"},
     }};
 };
--- a/tests/daemon/crash_notices_test.cpp
+++ b/tests/daemon/crash_notices_test.cpp
@@ -22,9 +22,9 @@
     crash_notices first;
     first.add(start, {digest{"ab"}, {target_id{"t"}, incarnation{1}}, start});
     crash_notices second;
-    second.add(start + 50s, first.current(start + 50s).front());
-    EXPECT_EQ(second.current(start + 59s).size(), 1U);
-    EXPECT_TRUE(second.current(start + 61s).empty());
+    second.add(start + 550s, first.current(start + 550s).front());
+    EXPECT_EQ(second.current(start + 599s).size(), 1U);
+    EXPECT_TRUE(second.current(start + 601s).empty());
 }
 
 /** Load pattern: many targets crash at once, beside a request that crashes what runs it. */
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -173,10 +173,31 @@
     evidence.on_told(start, {poison, target(1), start});
     EXPECT_FALSE(evidence.crashes_targets(start, poison));
     evidence.on_told(start, {poison, target(2), start});
-    EXPECT_TRUE(evidence.crashes_targets(start + 59s, poison));
+    EXPECT_TRUE(evidence.crashes_targets(start + 599s, poison));
+    EXPECT_FALSE(evidence.crashes_targets(start + 601s, poison));
+}
+
+TEST(crash_evidence, a_single_loss_is_forgotten_sooner) {
+    crash_evidence evidence;
+    evidence.on_told(start, {poison, target(1), start});
+    evidence.on_told(start + 61s, {poison, target(2), start + 61s});
     EXPECT_FALSE(evidence.crashes_targets(start + 61s, poison));
 }
 
+TEST(crash_evidence, three_targets_stop_a_content_until_one_exchange_may_show_it_harmless) {
+    crash_evidence evidence;
+    for (int number = 1; number <= 3; ++number) {
+        EXPECT_NE(evidence.judge(start, poison), crash_verdict::refused);
+        evidence.on_told(start, {poison, target(number), start});
+    }
+    EXPECT_EQ(evidence.judge(start + 59s, poison), crash_verdict::refused);
+    EXPECT_EQ(evidence.refused_still(start + 59s, poison), 1s);
+    EXPECT_EQ(evidence.judge(start + 61s, poison), crash_verdict::crashes_targets) << "sent to one target";
+    evidence.on_told(start + 62s, {poison, target(4), start + 62s});
+    EXPECT_EQ(evidence.judge(start + 120s, poison), crash_verdict::refused);
+    EXPECT_EQ(evidence.judge(start + 120s, innocent), crash_verdict::clear);
+}
+
 /** Targets that crash on each request, for a host's engine: connections break, and open again only later. */
 struct crashing_targets : ::testing::Test {
     forwarding_engine engine_with(forwarding_protections protections) const {
@@ -230,7 +251,7 @@
 TEST_F(crashing_targets, one_that_crashed_two_targets_is_not_sent_to_a_second_one_again) {
     forwarding_engine engine = engine_with({});
     const int runs = runs_of_ten_requests(engine);
-    EXPECT_LE(runs, 13) << "one target for each request, and three retries at most";
+    EXPECT_LE(runs, 3) << "it is stopped by the third target";
     EXPECT_EQ(m_found, 1) << "other hosts are told once";
 }
 
@@ -252,13 +273,13 @@
     EXPECT_EQ(runs_of_ten_requests(engine), 20);
 }
 
-TEST_F(crashing_targets, one_of_which_another_host_told_is_sent_once) {
+TEST_F(crashing_targets, one_of_which_another_host_told_is_sent_once_and_not_again) {
     forwarding_engine engine = engine_with({});
     const digest content = content_of(*single_route_request(1).payload);
     for (const char* other : {"i-7", "i-8"}) {
         engine.on_crash_told(m_now, {content, {target_id{other}, incarnation{}}, m_now});
     }
-    EXPECT_EQ(runs_of_ten_requests(engine), 10);
+    EXPECT_EQ(runs_of_ten_requests(engine), 1);
 }
 
 } // namespace
--- a/tests/forwarding/crashing_request_test.cpp
+++ b/tests/forwarding/crashing_request_test.cpp
@@ -77,6 +77,29 @@
     expect_few_retries(world);
 }
 
+TEST_F(crashing_request, is_not_sent_any_more_after_it_crashed_three_targets) {
+    forwarding_world world{50, all_hosts, options()};
+    add_orders(world, like_orders());
+    run(world, "fetch");
+    EXPECT_LE(world.crashing_request().late_arrivals(),
+              testing_support::crashing_request_check::tolerated_retries)
+        << world.crashing_request().crashes() << " targets ended";
+    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+}
+
+TEST_F(crashing_request, is_found_when_each_host_sees_one_loss) {
+    forwarding_world world{51, all_hosts, options()};
+    world.add_service("orders", 30, like_orders());
+    route& fetch = world.add_route("fetch", {"orders"});
+    fetch.timeout = 2500ms;
+    fetch.objective = 250ms;
+    fetch.attempts = 1;
+    run(world, "fetch");
+    EXPECT_LE(world.crashing_request().late_arrivals(),
+              testing_support::crashing_request_check::tolerated_retries)
+        << world.crashing_request().crashes() << " targets ended";
+}
+
 TEST_F(crashing_request, is_found_by_hosts_on_standby) {
     forwarding_world world{42, all_hosts, options()};
     world_target like = like_orders();
