Keep one timer for connections that can't be opened yet

While openings hang, each event that looks at the connections to targets set a timer for another look, and each of these set the next one: 200 events left 200 timers that repeat every 100 ms (test, failed before: 200 of 2 allowed). Found while checks of lost targets made such looks more frequent.

keep_warm keeps the time that it has set and sets a timer only for an earlier one. A check waits for an opening that is under way at its target, and is looked at again when that ends. Timers of rests and of failed openings stay their own, as requests wait for them. forwarding_statistics counts the timers.

--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -92,6 +92,7 @@
     /** Until extra load is told; grows to a window, so that a process that soon ends has told some. */
     duration extra_load_pause = 1s;
     std::size_t opening = 0;
+    time_point warming_at = time_point::max(); ///< the time for which keep_warm has set its timer
     target_connection last_connection = 0;
     duration lag{}; ///< of the event loop, when a timer last fired late
     time_point lag_at{};
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -188,6 +188,9 @@
     held.phase = connection_phase::idle;
     held.since = core.now;
     target->idle.push_back(connection);
+    if (core.crashes.awaits_check(life_of(target->known))) {
+        dispatcher.keep_warm();
+    }
     if (!target->usable) {
         dispatcher.close(connection);
         return;
@@ -407,6 +410,9 @@
         on_unwanted_expired(item.number);
         break;
     case due_kind::warming:
+        if (item.at >= core.warming_at) {
+            core.warming_at = time_point::max();
+        }
         dispatcher.keep_warm();
         for (auto& [id, service] : core.services) {
             dispatcher.serve_waiting(*service);
@@ -495,6 +501,7 @@
     result.running = core.runs.size();
     result.connections = core.connections.size();
     result.unread = core.unread.size();
+    result.timers = core.due.size();
     for (const auto& [id, service] : core.services) {
         result.waiting += service->waiting.size();
     }
--- a/modules/tamarack_forwarding/engine/forwarding_statistics.h
+++ b/modules/tamarack_forwarding/engine/forwarding_statistics.h
@@ -18,6 +18,7 @@
     std::size_t running = 0; ///< requests without an answer
     std::size_t waiting = 0; ///< exchanges that wait for a connection
     std::size_t connections = 0;
+    std::size_t timers = 0; ///< that are set
     std::size_t unread = 0; ///< exchanges closed unanswered whose charges are open
 };
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -337,7 +337,7 @@
     for (auto& [id, service] : m_core.services) {
         for (const known_target_pointer& target : service->targets) {
             const std::size_t warm = m_core.view->takes_callers ? m_core.options.warm_connections : 0;
-            const bool check = m_core.crashes.awaits_check(life_of(target->known));
+            const bool check = target->opening == 0 && m_core.crashes.awaits_check(life_of(target->known));
             const std::size_t wanted =
                 std::min(check ? target->connections() + 1 : warm, m_core.connections_allowed(*target));
             if (!target->is_available(m_core.now) || target->connections() >= wanted) {
@@ -355,7 +355,8 @@
     if (postponed) {
         next = std::min(next, m_core.now + m_core.options.first_open_pause);
     }
-    if (next != time_point::max()) {
+    if (next < m_core.warming_at) {
+        m_core.warming_at = next;
         m_core.schedule(next, due_kind::warming, 0);
     }
 }
--- a/tests/forwarding/standby_test.cpp
+++ b/tests/forwarding/standby_test.cpp
@@ -34,5 +34,18 @@
     EXPECT_EQ(count_opened(engine.on_view(start, view_of_two_targets(true))), 2U);
 }
 
+/** Load pattern: openings hang while the view changes or connections are lost every few milliseconds. */
+TEST(warm_connections, wait_with_one_timer_for_openings_to_end) {
+    forwarding_options options;
+    options.opening_at_once = 1;
+    forwarding_engine engine{options, random_source{1}};
+    for (int change = 0; change < 200; ++change) {
+        const time_point now = start + change * 1ms;
+        engine.on_timer(now);
+        engine.on_view(now, single_route_view(3));
+    }
+    EXPECT_LE(engine.statistics().timers, 2U);
+}
+
 } // namespace
 } // namespace tamarack
