Test with real processes that a request is refused after three crashes

Six replicas behind proxies, five hosts: the request is told to all, refused by each with the time to come back, other requests of its route are served, and nothing that was refused has run.

--- a/tests/platform_integration/crashing_request_test.cpp
+++ b/tests/platform_integration/crashing_request_test.cpp
@@ -56,5 +56,55 @@
         << deployment.logs();
 }
 
+/** @return how many losses a host knows, by its own or from others */
+std::size_t losses_known(platform_deployment& deployment, std::size_t host) {
+    const std::string output = deployment.output(host);
+    std::size_t known = 0;
+    for (const std::string line : {" crashing_request_told ", " crash_evidence ticket=1 step=confirmed "}) {
+        for (auto at = output.find(line); at != std::string::npos; at = output.find(line, at + 1)) {
+            ++known;
+        }
+    }
+    return known;
+}
+
+TEST(crashing_request, is_refused_by_all_hosts_once_it_has_crashed_three_replicas) {
+    constexpr std::size_t replicas = 6;
+    constexpr unsigned crashes_to_refuse = 3;
+    platform_deployment deployment{3, 2, replica_path::through_proxy};
+    for (std::size_t count = 0; count < replicas; ++count) {
+        deployment.add_replica("orders");
+    }
+    deployment.start_all();
+    ASSERT_EQ(deployment.submit(document), 200U) << deployment.logs();
+    deployment.start_heartbeats();
+    for (std::size_t host = 0; host < deployment.hosts(); ++host) {
+        ASSERT_TRUE(eventually([&] { return deployment.known_replicas(host) == replicas; }));
+        ASSERT_TRUE(eventually([&] { return deployment.ready(host); }));
+    }
+    for (std::size_t host = 0; deployment.crashes() < crashes_to_refuse; ++host) {
+        const std::size_t at = host % deployment.hosts();
+        deployment.request(at, "x.example", crashing_path);
+        ASSERT_TRUE(eventually([&] { return losses_known(deployment, at) >= 1; })) << deployment.logs();
+    }
+    for (std::size_t host = 0; host < deployment.hosts(); ++host) {
+        ASSERT_TRUE(eventually([&] { return losses_known(deployment, host) >= crashes_to_refuse; }))
+            << deployment.logs();
+    }
+
+    const unsigned before = deployment.crashes();
+    for (std::size_t host = 0; host < deployment.hosts(); ++host) {
+        const auto refusal = deployment.request(host, "x.example", crashing_path);
+        ASSERT_TRUE(refusal.has_value());
+        EXPECT_EQ(refusal->status, 503U);
+        EXPECT_TRUE(refusal->fields.contains("retry-after"));
+        const auto other = deployment.request(host, "x.example", "/fetch/1");
+        ASSERT_TRUE(other.has_value());
+        EXPECT_EQ(other->status, 200U) << "another request of the route";
+    }
+    EXPECT_EQ(deployment.crashes(), before);
+    EXPECT_EQ(deployment.requests_run_after_refusal(), std::vector<std::string>{});
+}
+
 } // namespace
 } // namespace tamarack::platform_integration
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -211,6 +211,7 @@
 }
 
 void platform_deployment::crash(stand_in_replica& replica) {
+    ++m_crashes;
     replica.proxy->stop_listening();
     m_loop.run_after(crash_time, [&replica] { replica.proxy->listen_again(); });
 }
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -116,6 +116,8 @@
     std::vector<testing_support::extra_load_breach> extra_load_breaches();
     /** @return repeats that a service got in all */
     std::size_t extra_load(const std::string& service);
+    /** @return how often a replica crashed because it ran the request for `crashing_path` */
+    unsigned crashes() const { return m_crashes; }
     /** @return requests that some replica ran although their caller was told that they did not run */
     std::vector<std::string> requests_run_after_refusal();
     /** @return requests that replicas of a service ran more than once */
@@ -157,6 +159,7 @@
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
     std::atomic<unsigned> m_next_request{1};
+    std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< of what ran and what was refused: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
     std::set<std::string> m_refused;
