--- a/apps/tamarackd/forwarding/forwarding_duty.cpp
+++ b/apps/tamarackd/forwarding/forwarding_duty.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t ring_capacity = 4'096;
 /** Hosts named in one directory reply. */
 constexpr std::size_t most_entries = 64;
-/** Log lines of evidence against contents: a crash of many targets makes a burst of them. Metrics count all.
- */
+/** Log lines of this host's evidence against contents, and as many of what others tell: a crash of many
+ * targets makes a burst of them. Metrics count all steps. */
 constexpr double crash_lines_per_second = 10.0;
 constexpr double crash_lines_burst = 100.0;
 
@@ -57,7 +57,8 @@
                       on_directory(message, respond);
                       return std::function<void()>{};
                   }),
-      m_crash_lines(crash_lines_per_second, crash_lines_burst), m_random(system_random()),
+      m_crash_lines(crash_lines_per_second, crash_lines_burst),
+      m_crash_told_lines(crash_lines_per_second, crash_lines_burst), m_random(system_random()),
       m_hooks(std::move(hooks)) {}
 
 outcome<endpoint> forwarding_duty::start() {
@@ -104,7 +105,7 @@
 
 bool forwarding_duty::post_crash_told(crash_loss loss) {
     return m_thread.try_post([this, loss = std::move(loss)] {
-        if (m_crash_lines.take(steady_now())) {
+        if (m_crash_told_lines.take(steady_now())) {
             log_state_change(log_level::info, "crashing_request_told",
                              m_picture.view ? m_picture.view->ticket : ticket_number{},
                              {{"content", loss.content.hex()},
--- a/apps/tamarackd/forwarding/forwarding_duty.h
+++ b/apps/tamarackd/forwarding/forwarding_duty.h
@@ -88,6 +88,7 @@
     forwarding_picture m_picture;
     request_log m_log;
     rate_allowance m_crash_lines;
+    rate_allowance m_crash_told_lines;
     random_source m_random;
     bool m_leaving = false;
     forward_number m_next_request = 1;
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -186,7 +186,7 @@
     });
 }
 
-bool hosts_duty::post_quarantine(spread_quarantine found) {
+bool hosts_duty::post_quarantine(const spread_quarantine& found) {
     return post_crash_loss({found.request, target_life{}, steady_now()});
 }
 
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -104,7 +104,7 @@
     /** `known` is called on the hosts thread once the service's other hosts know, or did not confirm in time.
      */
     bool post_suspicion(spread_suspicion found, std::function<void()> known);
-    bool post_quarantine(spread_quarantine found);
+    bool post_quarantine(const spread_quarantine& found);
     /** From any thread: a target was lost to a content. */
     bool post_crash_loss(crash_loss loss);
 
--- a/modules/tamarack_base/hashing/digest.h
+++ b/modules/tamarack_base/hashing/digest.h
@@ -16,7 +16,10 @@
     const std::string& hex() const { return m_hex; }
     bool empty() const { return m_hex.empty(); }
 
-    auto operator<=>(const digest&) const = default;
+    friend bool operator==(const digest&, const digest&) = default;
+    friend std::strong_ordering operator<=>(const digest& left, const digest& right) {
+        return left.m_hex.compare(right.m_hex) <=> 0;
+    }
 
 private:
     std::string m_hex;
