--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -85,7 +85,8 @@
     std::vector<std::unique_ptr<forwarding_run>> ended; ///< kept until the end of the event
     std::map<std::string, exchange_timing> timings;     ///< by route
     crash_evidence crashes;
-    std::set<forward_number> deferring; ///< requests with deferred parts
+    time_point crash_news_at = time_point::max(); ///< the time for which the timer of losses to tell is set
+    std::set<forward_number> deferring;           ///< requests with deferred parts
     withheld_targets withheld;
     std::priority_queue<due_item, std::vector<due_item>, due_later> due;
     bool extra_load_due = false; ///< a due item for it is scheduled
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -51,6 +51,7 @@
     void on_exchange_lost(const held_connection& held, exchange_end how);
     void on_address_taken(const forwarding_target& listed);
     void tell_confirmed(const std::vector<crash_evidence::confirmed_loss>& losses);
+    void schedule_crash_news();
     void tell_other_hosts();
     void on_completed(sent_content& content);
     void on_failure(known_target& target);
@@ -245,8 +246,14 @@
             core.out.emplace_back(crash_found{loss.content, loss.lost.target});
         }
     }
-    if (!losses.empty()) {
-        core.schedule(core.crashes.next_untold(), due_kind::crash_news, 0);
+    schedule_crash_news();
+}
+
+void forwarding_engine::implementation::schedule_crash_news() {
+    const time_point next = core.crashes.next_untold();
+    if (next < core.crash_news_at) {
+        core.crash_news_at = next;
+        core.schedule(next, due_kind::crash_news, 0);
     }
 }
 
@@ -254,10 +261,8 @@
     for (crash_loss& loss : core.crashes.take_untold(core.now)) {
         core.out.emplace_back(tell_crash_loss{std::move(loss)});
     }
-    const time_point next = core.crashes.next_untold();
-    if (next != time_point::max()) {
-        core.schedule(std::max(next, core.now + duration{1}), due_kind::crash_news, 0);
-    }
+    core.crash_news_at = time_point::max();
+    schedule_crash_news();
 }
 
 /**
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace tamarack {
@@ -282,5 +283,44 @@
     EXPECT_EQ(runs_of_ten_requests(engine), 1);
 }
 
+/** Load pattern: all targets crash at once, each with a request that runs. */
+TEST(crash_news, is_told_with_one_timer) {
+    constexpr int targets = 20;
+    forwarding_engine engine{{}, random_source{1}};
+    std::vector<target_connection> opening;
+    std::vector<target_connection> sent;
+    const auto note = [&](const forwarding_actions& actions) {
+        for (const forwarding_action& action : actions) {
+            if (const auto* open = std::get_if<open_target_connection>(&action)) {
+                opening.push_back(open->connection);
+            } else if (const auto* send = std::get_if<send_target_exchange>(&action)) {
+                sent.push_back(send->connection);
+            }
+        }
+    };
+    note(engine.on_view(start, single_route_view(targets)));
+    for (const target_connection connection : std::exchange(opening, {})) {
+        note(engine.on_connected(start, connection));
+    }
+    for (forward_number number = 1; number <= targets; ++number) {
+        forward_request request = single_route_request(number);
+        auto payload = std::make_shared<message_payload>();
+        payload->target = "/" + std::to_string(number);
+        request.payload = std::move(payload);
+        note(engine.on_request(start, std::move(request)));
+    }
+    ASSERT_EQ(sent.size(), static_cast<std::size_t>(targets));
+    for (const target_connection connection : sent) {
+        note(engine.on_connection_lost(start + 1ms, connection));
+    }
+    const std::size_t before = engine.statistics().timers;
+    const std::size_t checks = opening.size();
+    for (const target_connection connection : std::exchange(opening, {})) {
+        note(engine.on_connection_lost(start + 2ms, connection));
+    }
+    // Each failed opening sets a timer for the next one.
+    EXPECT_LE(engine.statistics().timers, before + checks + 2);
+}
+
 } // namespace
 } // namespace tamarack
