--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -235,7 +235,7 @@
     hooks.suspect = [this](spread_suspicion found, std::function<void()> known) {
         return m_hosts->post_suspicion(std::move(found), std::move(known));
     };
-    hooks.quarantine = [this](spread_quarantine found) { return m_hosts->post_quarantine(std::move(found)); };
+    hooks.quarantine = [this](const spread_quarantine& found) { return m_hosts->post_quarantine(found); };
     return hooks;
 }
 
