Keep one record of lost targets, with room for what costs several

Cause: crash_evidence and crash_notices kept the same losses by rules of their own. A thousand contents with one loss each, as a crash of many targets leaves them, filled both, and a request that crashes targets was not recorded for a minute; single losses were told to newcomers for ten minutes, where the engine forgets them after one. Found on reading the whole change.

Result: two tests failed before (a flood of 1,500 single losses; a notice of a single loss after 61 s) and pass. Ruled out: a larger bound, which another crash fills.

--- a/apps/tamarackd/hosts/host_methods.cpp
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -82,7 +82,7 @@
     if (!readable) {
         return error{error_code::malformed, "a quarantine lacks a member or has one of another type"};
     }
-    constexpr std::int64_t longest = crash_evidence::evidence_remembered_for / 1ms;
+    constexpr std::int64_t longest = crash_records::evidence_remembered_for / 1ms;
     const auto milliseconds = static_cast<std::int64_t>(
         std::min<std::uint64_t>(age.isNull() ? 0 : age.asUInt64(), std::uint64_t{longest}));
     quarantine_notice notice{digest{parameters["digest"].asString()}, milliseconds * 1ms, {}};
--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -17,6 +17,8 @@
 constexpr duration picture_interval = 20ms;
 /** A picture costs the more the more hosts there are; a start of hundreds changes it with each message. */
 constexpr duration picture_interval_a_host = 500us;
+/** Each host tells a newcomer: at 300 hosts it gets some 150 bytes for each of them and each loss, 1.5 MB. */
+constexpr std::size_t most_crash_losses_told = 32;
 /** Of one exchange with a target, with its part of the request: processor seconds over exchanges of a day on
  * the bench (docs/CAPACITY.md). The process's own clock of processor time is not kept on every platform. */
 constexpr duration processor_time_of_exchange = 170us;
@@ -419,7 +421,7 @@
         return;
     }
     if (newcomer && record.state == host_state::alive && record.host != m_settings.host) {
-        for (const crash_loss& loss : m_crashes.current(steady_now())) {
+        for (const crash_loss& loss : m_crashes.losses(steady_now(), most_crash_losses_told)) {
             tell_crash(record, loss);
         }
     }
--- a/apps/tamarackd/hosts/hosts_duty.h
+++ b/apps/tamarackd/hosts/hosts_duty.h
@@ -3,7 +3,6 @@
 #include "../forwarding/forwarding_duty.h"
 #include "../serving/serving_duty.h"
 #include "control_introductions.h"
-#include "crash_notices.h"
 #include "forwarding_pictures.h"
 #include "host_links.h"
 #include "host_methods.h"
@@ -154,7 +153,7 @@
     host_links m_links;
     control_introductions m_introductions;
     suspicion_exchange m_suspicions;
-    crash_notices m_crashes;
+    crash_records m_crashes;
     endpoint m_address;
     std::unique_ptr<control_client> m_control;
     std::unique_ptr<target_registry> m_registry;
--- a/modules/tamarack_forwarding/crashes/crash_evidence.cpp
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.cpp
@@ -8,16 +8,14 @@
 
 /** A target that crashed is started again and announces itself within some seconds. */
 constexpr duration restart_shows_within = 15s;
-constexpr std::size_t targets_that_are_evidence = 2;
 constexpr std::size_t targets_that_stop_it = 3;
-constexpr std::size_t most_suspects = 1'000;
 constexpr std::size_t most_lost_of_a_target = 64;
 
 } // namespace
 
 void crash_evidence::on_exchange_lost(time_point now, const target_life& target, const endpoint& address,
                                       const digest& content, exchange_end how) {
-    forget(now);
+    forget_losses(now);
     open_losses& losses = m_losses[target];
     losses.address = address;
     losses.checked = false;
@@ -80,22 +78,20 @@
 void crash_evidence::confirm(time_point now, const target_life& target, const open_losses& losses,
                              duration within, std::vector<confirmed_loss>& found) {
     for (const lost_exchange& item : losses.exchanges) {
-        const bool known = m_suspects.contains(item.content.hex());
-        if (item.at + within < now || (!known && m_suspects.size() >= most_suspects)) {
+        if (item.at + within < now) {
             continue;
         }
         const bool before = crashes_targets(now, item.content);
-        suspect& suspected = m_suspects[item.content.hex()];
-        suspected.lost_targets.insert(target);
-        suspected.last = now;
         const crash_loss loss{item.content, target, now};
-        found.push_back({loss, suspected.lost_targets.size(), !before && crashes_targets(now, item.content)});
+        m_records.add(now, loss);
+        found.push_back(
+            {loss, targets_lost_to(now, item.content), !before && crashes_targets(now, item.content)});
         m_untold.push_back({loss, now + told_after});
     }
 }
 
 void crash_evidence::on_completed(const digest& content) {
-    m_suspects.erase(content.hex());
+    m_records.clear(content);
     for (auto item = m_losses.begin(); item != m_losses.end();) {
         std::erase_if(item->second.exchanges,
                       [&content](const lost_exchange& lost) { return lost.content == content; });
@@ -103,32 +99,18 @@
     }
 }
 
-void crash_evidence::on_told(time_point now, const crash_loss& loss) {
-    forget(now);
-    const std::string name = loss.content.hex();
-    if (m_suspects.size() >= most_suspects && !m_suspects.contains(name)) {
-        return;
-    }
-    suspect& suspected = m_suspects[name];
-    suspected.last = std::max(suspected.last, loss.found_at);
-    if (loss.lost.target.empty()) {
-        suspected.told = true;
-    } else {
-        suspected.lost_targets.insert(loss.lost);
-    }
-}
-
 std::vector<crash_loss> crash_evidence::take_untold(time_point now) {
-    std::erase_if(m_untold,
-                  [this](const untold_loss& item) { return !m_suspects.contains(item.loss.content.hex()); });
+    std::erase_if(m_untold, [this, now](const untold_loss& item) {
+        return targets_lost_to(now, item.loss.content) == 0;
+    });
     if (next_untold() > now) {
         return {};
     }
     // What is known to have cost most targets goes first: many losses may be of requests that crash nothing.
     const auto waits =
         std::ranges::find_if(m_untold, [now](const untold_loss& item) { return item.due > now; });
-    std::stable_sort(m_untold.begin(), waits, [this](const untold_loss& left, const untold_loss& right) {
-        return targets_lost_to(left.loss.content) > targets_lost_to(right.loss.content);
+    std::stable_sort(m_untold.begin(), waits, [this, now](const untold_loss& left, const untold_loss& right) {
+        return targets_lost_to(now, left.loss.content) > targets_lost_to(now, right.loss.content);
     });
     const auto due = static_cast<std::size_t>(waits - m_untold.begin());
     std::vector<crash_loss> taken;
@@ -144,20 +126,11 @@
     return m_untold.empty() ? time_point::max() : std::max(m_untold.front().due, m_told_until);
 }
 
-bool crash_evidence::suspect::is_evident() const {
-    return told || lost_targets.size() >= targets_that_are_evidence;
-}
-
-time_point crash_evidence::suspect::forgotten_at() const {
-    return last + (is_evident() ? evidence_remembered_for : remembered_for);
-}
-
 duration crash_evidence::refused_still(time_point now, const digest& content) const {
-    const auto found = m_suspects.find(content.hex());
-    if (found == m_suspects.end() || found->second.lost_targets.size() < targets_that_stop_it) {
+    if (targets_lost_to(now, content) < targets_that_stop_it) {
         return duration{0};
     }
-    return std::max(found->second.last + refused_for - now, duration{0});
+    return std::max(m_records.last_loss(content) + refused_for - now, duration{0});
 }
 
 crash_verdict crash_evidence::judge(time_point now, const digest& content) const {
@@ -174,23 +147,12 @@
     const auto unchecked = std::count_if(m_losses.begin(), m_losses.end(), [&](const auto& item) {
         return std::any_of(item.second.exchanges.begin(), item.second.exchanges.end(), is_unchecked);
     });
-    const bool unexplained =
-        targets_lost_to(content) + static_cast<std::size_t>(unchecked) >= targets_that_are_evidence;
+    const bool unexplained = targets_lost_to(now, content) + static_cast<std::size_t>(unchecked) >=
+                             crash_records::targets_that_are_evidence;
     return unexplained ? crash_verdict::unexplained : crash_verdict::clear;
 }
 
-bool crash_evidence::crashes_targets(time_point now, const digest& content) const {
-    const auto found = m_suspects.find(content.hex());
-    return found != m_suspects.end() && found->second.forgotten_at() >= now && found->second.is_evident();
-}
-
-std::size_t crash_evidence::targets_lost_to(const digest& content) const {
-    const auto found = m_suspects.find(content.hex());
-    return found == m_suspects.end() ? 0 : found->second.lost_targets.size();
-}
-
-void crash_evidence::forget(time_point now) {
-    std::erase_if(m_suspects, [now](const auto& item) { return item.second.forgotten_at() < now; });
+void crash_evidence::forget_losses(time_point now) {
     for (auto item = m_losses.begin(); item != m_losses.end();) {
         std::erase_if(item->second.exchanges,
                       [now](const lost_exchange& lost) { return lost.at + restart_shows_within < now; });
--- a/modules/tamarack_forwarding/crashes/crash_evidence.h
+++ b/modules/tamarack_forwarding/crashes/crash_evidence.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "crash_loss.h"
+#include "crash_records.h"
 
 #include <cstddef>
 #include <map>
-#include <set>
-#include <string>
 #include <vector>
 
 namespace tamarack {
@@ -37,10 +35,6 @@
  */
 class crash_evidence {
 public:
-    /** A single loss is remembered for this long; callers come back within seconds. */
-    static constexpr duration remembered_for = 60s;
-    /** Evidence is remembered for this long after the last loss. */
-    static constexpr duration evidence_remembered_for = 10min;
     /** After the last crash; then one exchange may show that the targets were mended. */
     static constexpr duration refused_for = 60s;
     /**
@@ -80,7 +74,7 @@
     /** A target completed a request of this content. */
     void on_completed(const digest& content);
     /** Another host found a loss. */
-    void on_told(time_point now, const crash_loss& loss);
+    void on_told(time_point now, const crash_loss& loss) { m_records.add(now, loss); }
 
     /**
      * Takes losses that are due to be told to the other hosts, the oldest first.
@@ -101,13 +95,17 @@
     duration refused_still(time_point now, const digest& content) const;
 
     /** @return whether there is evidence against a content; what was seen long ago does not count */
-    bool crashes_targets(time_point now, const digest& content) const;
+    bool crashes_targets(time_point now, const digest& content) const {
+        return m_records.is_evident(now, content);
+    }
 
     /** @return targets that were lost to a content, as far as this host knows */
-    std::size_t targets_lost_to(const digest& content) const;
+    std::size_t targets_lost_to(time_point now, const digest& content) const {
+        return m_records.targets_lost_to(now, content);
+    }
 
     /** @return whether any loss is on record: otherwise no digest need be computed */
-    bool empty() const { return m_suspects.empty() && m_losses.empty(); }
+    bool empty() const { return m_records.empty() && m_losses.empty(); }
 
 private:
     struct lost_exchange {
@@ -125,23 +123,14 @@
         bool checked = false; ///< a connection is being opened, or was, since the last loss
         std::vector<lost_exchange> exchanges;
     };
-    struct suspect {
-        std::set<target_life> lost_targets;
-        bool told = false; ///< by a host of the release before, which names no targets
-        time_point last{};
-
-        bool is_evident() const;
-        time_point forgotten_at() const;
-    };
-
     void confirm(time_point now, const target_life& target, const open_losses& losses, duration within,
                  std::vector<confirmed_loss>& found);
-    void forget(time_point now);
+    void forget_losses(time_point now);
 
     std::map<target_life, open_losses> m_losses;
-    std::vector<untold_loss> m_untold;         ///< in the order in which they were found
-    time_point m_told_until{};                 ///< no more is told before
-    std::map<std::string, suspect> m_suspects; ///< by the hexadecimal text of the content's digest
+    std::vector<untold_loss> m_untold; ///< in the order in which they were found
+    time_point m_told_until{};         ///< no more is told before
+    crash_records m_records;
 };
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -79,8 +79,8 @@
 
 void forwarding_core::tell_crash_step(crash_step step, const forwarding_run& run) {
     const digest& content = run.content->name();
-    out.emplace_back(
-        crash_evidence_told{step, content, run.request.id, target_id{}, crashes.targets_lost_to(content)});
+    out.emplace_back(crash_evidence_told{step, content, run.request.id, target_id{},
+                                         crashes.targets_lost_to(now, content)});
 }
 
 exchange_timing& forwarding_core::timing_of(const route& taken) {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -234,7 +234,7 @@
     core.crashes.on_exchange_lost(core.now, life_of(target), target.address, content.name(), how);
     const crash_step step = how == exchange_end::connection_lost ? crash_step::lost : crash_step::unanswered;
     core.out.emplace_back(crash_evidence_told{step, content.name(), content.request, target.id,
-                                              core.crashes.targets_lost_to(content.name())});
+                                              core.crashes.targets_lost_to(core.now, content.name())});
 }
 
 void forwarding_engine::implementation::tell_confirmed(
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -16,6 +16,7 @@
 
 #include "crashes/crash_evidence.h"
 #include "crashes/crash_loss.h"
+#include "crashes/crash_records.h"
 #include "crashes/crash_step.h"
 #include "crashes/target_life.h"
 
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -56,7 +56,7 @@
         lose(evidence, start + number * 1ms, number, poison);
     }
     EXPECT_FALSE(evidence.crashes_targets(start + 100ms, poison));
-    EXPECT_EQ(evidence.targets_lost_to(poison), 0U);
+    EXPECT_EQ(evidence.targets_lost_to(start + 100ms, poison), 0U);
     EXPECT_TRUE(evidence.on_target_unreachable(start + 1h, target(1)).empty()) << "long after the loss";
 }
 
@@ -133,7 +133,7 @@
     EXPECT_TRUE(evidence.on_address_taken(start + 3s, address_of(1), target(1)).empty())
         << "the same process";
     EXPECT_EQ(evidence.on_address_taken(start + 3s, address_of(1), target(7, 2)).size(), 1U);
-    EXPECT_EQ(evidence.targets_lost_to(poison), 1U);
+    EXPECT_EQ(evidence.targets_lost_to(start + 3s, poison), 1U);
 }
 
 TEST(crash_evidence, is_dropped_once_a_target_completes_the_content) {
@@ -185,6 +185,25 @@
     EXPECT_FALSE(evidence.crashes_targets(start + 61s, poison));
 }
 
+/** Load pattern: many targets crash at once, each with requests that crash nothing. */
+TEST(crash_evidence, a_flood_of_single_losses_leaves_room_for_a_content_that_costs_several_targets) {
+    crash_evidence evidence;
+    for (int number = 0; number < 1'500; ++number) {
+        evidence.on_told(start, {digest_of(std::to_string(number)), target(number), start});
+    }
+    evidence.on_told(start + 1s, {poison, target(1), start + 1s});
+    evidence.on_told(start + 2s, {poison, target(2), start + 2s});
+    EXPECT_TRUE(evidence.crashes_targets(start + 2s, poison));
+}
+
+TEST(crash_evidence, a_single_loss_of_long_ago_does_not_hold_back_a_repeat) {
+    crash_evidence evidence;
+    evidence.on_told(start, {innocent, target(1), start});
+    lose(evidence, start + 50s, 3, poison);
+    evidence.on_exchange_lost(start + 61s, target(2), address_of(2), innocent, exchange_end::connection_lost);
+    EXPECT_EQ(evidence.judge(start + 61s, innocent), crash_verdict::clear);
+}
+
 TEST(crash_evidence, three_targets_stop_a_content_until_one_exchange_may_show_it_harmless) {
     crash_evidence evidence;
     for (int number = 1; number <= 3; ++number) {
