Move what becomes of lost exchanges out of the engine's file

Change: exchange_losses hands losses, checks and completions to the evidence and tells what follows; code moved, not altered.

--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -1,6 +1,7 @@
 #include "forwarding_engine.h"
 
 #include "../targets/target_observations.h"
+#include "exchange_losses.h"
 #include "request_flow.h"
 
 #include <algorithm>
@@ -22,6 +23,7 @@
     forwarding_core core;
     part_dispatcher dispatcher{core};
     request_flow flow{core, dispatcher};
+    exchange_losses losses{core};
 
     implementation(forwarding_options options, random_source random) : core(std::move(options), random) {}
 
@@ -48,12 +50,6 @@
     void observe(held_connection& held, const target_reply& reply);
     void observe_rest(known_target& target, const target_reply& reply);
     void on_leaving(const known_target_pointer& target);
-    void on_exchange_lost(const held_connection& held, exchange_end how);
-    void on_address_taken(const forwarding_target& listed);
-    void tell_confirmed(const std::vector<crash_evidence::confirmed_loss>& losses);
-    void schedule_crash_news();
-    void tell_other_hosts();
-    void on_completed(sent_content& content);
     void on_failure(known_target& target);
     void on_due(const due_item& item);
     void on_unwanted_expired(target_connection connection);
@@ -151,7 +147,7 @@
     service.targets.push_back(target);
     core.targets[listed.id.value()] = target;
     core.tell(target_change::added, *target);
-    on_address_taken(listed);
+    losses.on_address_taken(listed);
 }
 
 void forwarding_engine::implementation::remove(const known_target_pointer& target, target_change change) {
@@ -213,9 +209,9 @@
         on_failure(*held.target);
     }
     if (held.phase == connection_phase::opening) {
-        tell_confirmed(core.crashes.on_target_unreachable(core.now, life_of(held.target->known)));
+        losses.on_unreachable(held.target->known);
     } else if (held.content) {
-        on_exchange_lost(held, exchange_end::connection_lost);
+        losses.on_lost(held, exchange_end::connection_lost);
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (run != nullptr) {
@@ -224,63 +220,6 @@
     dispatcher.keep_warm();
 }
 
-/** Has the target checked, unless another one has completed the request. */
-void forwarding_engine::implementation::on_exchange_lost(const held_connection& held, exchange_end how) {
-    sent_content& content = *held.content;
-    if (content.completed) {
-        return;
-    }
-    const forwarding_target& target = held.target->known;
-    core.crashes.on_exchange_lost(core.now, life_of(target), target.address, content.name(), how);
-    const crash_step step = how == exchange_end::connection_lost ? crash_step::lost : crash_step::unanswered;
-    core.out.emplace_back(crash_evidence_told{step, content.name(), content.request, target.id,
-                                              core.crashes.targets_lost_to(core.now, content.name())});
-}
-
-void forwarding_engine::implementation::tell_confirmed(
-    const std::vector<crash_evidence::confirmed_loss>& losses) {
-    for (const auto& [loss, targets, found] : losses) {
-        core.out.emplace_back(crash_evidence_told{crash_step::confirmed, loss.content, request_id{},
-                                                  loss.lost.target, targets});
-        if (found) {
-            core.out.emplace_back(crash_found{loss.content, loss.lost.target});
-        }
-    }
-    schedule_crash_news();
-}
-
-void forwarding_engine::implementation::schedule_crash_news() {
-    const time_point next = core.crashes.next_untold();
-    if (next < core.crash_news_at) {
-        core.crash_news_at = next;
-        core.schedule(next, due_kind::crash_news, 0);
-    }
-}
-
-void forwarding_engine::implementation::tell_other_hosts() {
-    for (crash_loss& loss : core.crashes.take_untold(core.now)) {
-        core.out.emplace_back(tell_crash_loss{std::move(loss)});
-    }
-    core.crash_news_at = time_point::max();
-    schedule_crash_news();
-}
-
-/**
- * A target came under an address: earlier processes there have ended, with all that still runs at them.
- *
- * Load pattern: a target that crashed leaves its connections open and silent, as one on a host without power
- * does, and is back before anybody has given it up.
- */
-void forwarding_engine::implementation::on_address_taken(const forwarding_target& listed) {
-    for (const auto& [number, held] : core.connections) {
-        const forwarding_target& former = held.target->known;
-        if (held.content && former.address == listed.address && life_of(former) != life_of(listed)) {
-            on_exchange_lost(held, exchange_end::unanswered);
-        }
-    }
-    tell_confirmed(core.crashes.on_address_taken(core.now, listed.address, life_of(listed)));
-}
-
 void forwarding_engine::implementation::on_failure(known_target& target) {
     const bool before = core.now < target.ejected_until;
     observe_failure(target, core.now);
@@ -348,7 +287,7 @@
     const std::size_t part = held.part;
     const duration taken = core.now - held.since;
     if (reply.verdict == target_verdict::completed) {
-        on_completed(*held.content);
+        losses.on_completed(*held.content);
     }
     observe(held, reply);
     core.close_charges(target->known.id);
@@ -382,13 +321,6 @@
     }
 }
 
-void forwarding_engine::implementation::on_completed(sent_content& content) {
-    content.completed = true;
-    if (!core.crashes.empty()) {
-        core.crashes.on_completed(content.name());
-    }
-}
-
 void forwarding_engine::implementation::on_unwanted_expired(target_connection connection) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end() || found->second.phase != connection_phase::unwanted) {
@@ -399,7 +331,7 @@
     dispatcher.close(connection);
     if (core.now - held.since > unanswered_factor * held.usual + unanswered_least) {
         on_failure(*held.target);
-        on_exchange_lost(held, exchange_end::unanswered);
+        losses.on_lost(held, exchange_end::unanswered);
     }
     dispatcher.keep_warm();
 }
@@ -427,7 +359,7 @@
         core.tell_extra_load();
         break;
     case due_kind::crash_news:
-        tell_other_hosts();
+        losses.tell_other_hosts();
         break;
     }
 }
