Move a request's answers out of its flow

Change: request_answers gives a request its one answer; whether parts make the least coverage is asked of the run; a function that nothing called is gone. Code moved, not altered.

--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -26,6 +26,12 @@
         parts.begin(), parts.end(), [progress](const run_part& part) { return part.progress == progress; }));
 }
 
+bool forwarding_run::covers_enough(std::size_t covered) const {
+    const double share =
+        static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(parts.size(), 1));
+    return covered > 0 && share + share_rounding >= taken->least_coverage;
+}
+
 bool forwarding_run::is_under_way() const {
     return std::any_of(parts.begin(), parts.end(),
                        [](const run_part& part) { return part.queued || !part.exchanges.empty(); });
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -43,6 +43,9 @@
     std::optional<target_reply> failure; ///< of a target that ran it and failed
 };
 
+/** Shares of counts are compared with room for rounding. */
+inline constexpr double share_rounding = 1e-9;
+
 /** One request on its way. Internal to the module. */
 struct forwarding_run {
     forward_request request;
@@ -61,6 +64,8 @@
     bool ended = false;
 
     std::size_t count(part_progress progress) const;
+    /** @return whether so many parts make the least coverage of its route */
+    bool covers_enough(std::size_t covered) const;
     /** @return whether an exchange is running, or waits for a connection */
     bool is_under_way() const;
     /** @return whether some target has run it, or may have */
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/request_answers.cpp
@@ -0,0 +1,119 @@
+#include "request_answers.h"
+
+#include "../admission/admission.h"
+#include "../merging/record_merge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/** A caller that comes back sooner meets the same targets in the same state. */
+constexpr duration least_retry_after = 20ms;
+
+} // namespace
+
+std::optional<duration> request_answers::until_coverable(const forwarding_run& run) const {
+    std::vector<time_point> moments;
+    for (const run_part& part : run.parts) {
+        if (const auto at = m_dispatcher.available_at(*part.service)) {
+            moments.push_back(*at);
+        }
+    }
+    std::sort(moments.begin(), moments.end());
+    for (std::size_t index = 0; index < moments.size(); ++index) {
+        if (run.covers_enough(index + 1)) {
+            return moments[index] - m_core.now;
+        }
+    }
+    return std::nullopt;
+}
+
+void request_answers::refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason,
+                                      duration retry_after) {
+    forward_answer answer;
+    answer.number = request.number;
+    answer.id = std::move(request.id);
+    answer.outcome = outcome;
+    answer.reason = reason;
+    answer.retry_after = retry_after == duration{0} ? retry_after : spread_return(retry_after, m_core.random);
+    answer.trace.ticket = m_core.view ? m_core.view->ticket : ticket_number{};
+    m_core.out.emplace_back(deliver_answer{std::move(answer)});
+}
+
+/** Load pattern: a request that has crashed three targets comes again, and each coming ends one more. */
+void request_answers::refuse_crashing(forwarding_run& run) {
+    m_core.tell_crash_step(crash_step::refused, run);
+    forward_answer answer;
+    answer.outcome = forward_outcome::not_run;
+    answer.reason = forward_reason::crashes_targets;
+    answer.retry_after = m_core.crashes.refused_still(m_core.now, run.content->name());
+    finish(run, std::move(answer));
+}
+
+void request_answers::merged(forwarding_run& run) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::merged;
+    std::vector<const std::string*> bodies;
+    for (const run_part& part : run.parts) {
+        if (part.progress == part_progress::covered) {
+            answer.tokens.push_back(part.token);
+            bodies.push_back(&part.body);
+        }
+    }
+    answer.missing = run.parts.size() - bodies.size();
+    answer.reason = answer.missing == 0 ? forward_reason::none : forward_reason::timed_out;
+    answer.body = merge_greatest(bodies, run.taken->result_limit);
+    finish(run, std::move(answer));
+}
+
+void request_answers::reply(forwarding_run& run, target_reply reply) {
+    forward_answer answer;
+    answer.outcome = forward_outcome::replied;
+    answer.reason =
+        reply.verdict == target_verdict::completed ? forward_reason::none : forward_reason::targets_failed;
+    answer.reply = std::move(reply);
+    finish(run, std::move(answer));
+}
+
+void request_answers::failed(forwarding_run& run, forward_reason reason) {
+    forward_answer answer;
+    answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
+    answer.reason = reason;
+    if (answer.outcome == forward_outcome::not_run) {
+        const duration usual = std::max(run.timing->high(), least_retry_after);
+        const std::optional<duration> rest = until_coverable(run);
+        answer.retry_after = spread_return(
+            rest ? std::max(*rest, usual) : std::max(m_core.options.no_target_retry, usual), m_core.random);
+    }
+    finish(run, std::move(answer));
+}
+
+void request_answers::finish(forwarding_run& run, forward_answer answer) {
+    run.ended = true;
+    m_core.deferring.erase(run.request.number);
+    for (run_part& part : run.parts) {
+        part.queued = false;
+        for (const running_exchange& unwanted : part.exchanges) {
+            m_dispatcher.abandon(unwanted);
+        }
+        part.exchanges.clear();
+    }
+    answer.number = run.request.number;
+    answer.id = run.request.id;
+    run.trace.taken = m_core.now - run.arrived;
+    run.trace.covered = run.count(part_progress::covered);
+    run.trace.late = m_core.now > run.times.objective_at;
+    if (run.trace.late) {
+        ++m_core.counted.late_answers;
+    }
+    answer.trace = std::move(run.trace);
+    m_core.out.emplace_back(deliver_answer{std::move(answer)});
+    const auto found = m_core.runs.find(run.request.number);
+    m_core.ended.push_back(std::move(found->second));
+    m_core.runs.erase(found);
+}
+
+} // namespace tamarack
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -1,7 +1,6 @@
 #include "request_flow.h"
 
 #include "../admission/admission.h"
-#include "../merging/record_merge.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,11 +11,6 @@
 
 namespace {
 
-/** Shares of counts are compared with room for rounding. */
-constexpr double rounding = 1e-9;
-/** A caller that comes back sooner meets the same targets in the same state. */
-constexpr duration least_retry_after = 20ms;
-
 void remove_exchange(run_part& part, target_connection connection) {
     std::erase_if(part.exchanges,
                   [connection](const running_exchange& running) { return running.connection == connection; });
@@ -24,40 +18,17 @@
 
 } // namespace
 
-double request_flow::coverage(const forwarding_run& run) {
-    return run.parts.empty() ? 0.0
-                             : static_cast<double>(run.count(part_progress::covered)) /
-                                   static_cast<double>(run.parts.size());
-}
-
-bool request_flow::covers_enough(const forwarding_run& run, std::size_t covered) {
-    const double share =
-        static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(run.parts.size(), 1));
-    return covered > 0 && share + rounding >= run.taken->least_coverage;
-}
-
-void request_flow::refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason,
-                                   duration retry_after) {
-    forward_answer answer;
-    answer.number = request.number;
-    answer.id = std::move(request.id);
-    answer.outcome = outcome;
-    answer.reason = reason;
-    answer.retry_after = retry_after == duration{0} ? retry_after : spread_return(retry_after, m_core.random);
-    answer.trace.ticket = m_core.view ? m_core.view->ticket : ticket_number{};
-    m_core.out.emplace_back(deliver_answer{std::move(answer)});
-}
-
 void request_flow::on_arrival(forward_request request) {
     ++m_core.counted.requests;
     if (!m_core.index) {
-        refuse_unrouted(std::move(request), forward_outcome::not_run, forward_reason::no_configuration,
-                        m_core.options.no_configuration_retry);
+        m_answers.refuse_unrouted(std::move(request), forward_outcome::not_run,
+                                  forward_reason::no_configuration, m_core.options.no_configuration_retry);
         return;
     }
     const route* taken = m_core.index->find(request.authority, request.path);
     if (taken == nullptr) {
-        refuse_unrouted(std::move(request), forward_outcome::invalid, forward_reason::no_route, duration{0});
+        m_answers.refuse_unrouted(std::move(request), forward_outcome::invalid, forward_reason::no_route,
+                                  duration{0});
         return;
     }
     const forward_number number = request.number;
@@ -78,12 +49,12 @@
     make_parts(run);
     run.trace.shards = run.parts.size();
     if (m_core.judge(run) == crash_verdict::refused) {
-        refuse_crashing(run);
+        m_answers.refuse_crashing(run);
         return;
     }
     if (!can_be_covered(run)) {
-        answer_failed(run,
-                      until_coverable(run) ? forward_reason::targets_resting : forward_reason::no_target);
+        m_answers.failed(run, m_answers.until_coverable(run) ? forward_reason::targets_resting
+                                                             : forward_reason::no_target);
         return;
     }
     if (!is_admitted(run)) {
@@ -127,7 +98,7 @@
 bool request_flow::can_be_covered(const forwarding_run& run) const {
     const auto reachable = std::count_if(run.parts.begin(), run.parts.end(),
                                          [&](const run_part& part) { return is_servable(run, part); });
-    return covers_enough(run, static_cast<std::size_t>(reachable));
+    return run.covers_enough(static_cast<std::size_t>(reachable));
 }
 
 bool request_flow::is_servable(const forwarding_run& run, const run_part& part) const {
@@ -136,22 +107,6 @@
     return at && *at < (hurries ? run.times.objective_at : run.times.cut_off);
 }
 
-std::optional<duration> request_flow::until_coverable(const forwarding_run& run) const {
-    std::vector<time_point> moments;
-    for (const run_part& part : run.parts) {
-        if (const auto at = m_dispatcher.available_at(*part.service)) {
-            moments.push_back(*at);
-        }
-    }
-    std::sort(moments.begin(), moments.end());
-    for (std::size_t index = 0; index < moments.size(); ++index) {
-        if (covers_enough(run, index + 1)) {
-            return moments[index] - m_core.now;
-        }
-    }
-    return std::nullopt;
-}
-
 placement_demand request_flow::demand_of(const forwarding_run& run) const {
     return {run.timing->median(), run.timing->high(), run.taken->objective};
 }
@@ -176,7 +131,7 @@
               [](const auto& one, const auto& other) { return one.first > other.first; });
     for (const auto& [wait, part] : late) {
         const std::size_t missing = run.count(part_progress::missing);
-        if (!covers_enough(run, run.parts.size() - missing - 1)) {
+        if (!run.covers_enough(run.parts.size() - missing - 1)) {
             return;
         }
         give_up(run, *part, "overloaded");
@@ -197,7 +152,7 @@
     }
     std::sort(waits.begin(), waits.end());
     const double share = run.merges() ? run.taken->least_coverage : 1.0;
-    const double needed = std::ceil(share * static_cast<double>(run.parts.size()) - rounding);
+    const double needed = std::ceil(share * static_cast<double>(run.parts.size()) - share_rounding);
     const auto rank = static_cast<std::size_t>(std::max(needed, 1.0)) - 1;
     return waits[std::min(rank, waits.size() - 1)];
 }
@@ -218,20 +173,10 @@
     answer.outcome = forward_outcome::not_run;
     answer.reason = forward_reason::overloaded;
     answer.retry_after = spread_return(decision.retry_after, m_core.random);
-    finish(run, std::move(answer));
+    m_answers.finish(run, std::move(answer));
     return false;
 }
 
-/** Load pattern: a request that has crashed three targets comes again, and each coming ends one more. */
-void request_flow::refuse_crashing(forwarding_run& run) {
-    m_core.tell_crash_step(crash_step::refused, run);
-    forward_answer answer;
-    answer.outcome = forward_outcome::not_run;
-    answer.reason = forward_reason::crashes_targets;
-    answer.retry_after = m_core.crashes.refused_still(m_core.now, run.content->name());
-    finish(run, std::move(answer));
-}
-
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
@@ -292,7 +237,7 @@
     part.charge.reset();
     part.hedge_at = time_point::max();
     if (!run.merges()) {
-        answer_reply(run, std::move(reply));
+        m_answers.reply(run, std::move(reply));
         return;
     }
     part.token = std::move(reply.token);
@@ -451,98 +396,35 @@
     const std::size_t covered = run.count(part_progress::covered);
     const std::size_t missing = run.count(part_progress::missing);
     const std::size_t open = run.parts.size() - covered - missing;
-    const bool enough = run.merges() && covers_enough(run, covered);
+    const bool enough = run.merges() && run.covers_enough(covered);
     if (enough && (open == 0 || m_core.now >= run.times.objective_at)) {
-        answer_merged(run);
+        m_answers.merged(run);
         return;
     }
-    if (!covers_enough(run, covered + open)) {
+    if (!run.covers_enough(covered + open)) {
         run_part& part = run.parts.front();
         if (!run.merges() && part.failure) {
-            answer_reply(run, std::move(*part.failure));
+            m_answers.reply(run, std::move(*part.failure));
             return;
         }
         const forward_reason cause = !run.may_have_run() ? forward_reason::targets_refused
                                      : run.lost > 0      ? forward_reason::connection_lost
                                                          : forward_reason::targets_failed;
-        answer_failed(run, cause);
+        m_answers.failed(run, cause);
         return;
     }
     const bool unsent =
         run.sent == 0 && m_core.now >= run.times.objective_at && run.times.objective_at > run.arrived;
     if (m_core.now >= run.times.cut_off || unsent) {
-        answer_failed(run, run.may_have_run() ? forward_reason::timed_out : forward_reason::overloaded);
+        m_answers.failed(run, run.may_have_run() ? forward_reason::timed_out : forward_reason::overloaded);
     }
 }
 
-void request_flow::answer_merged(forwarding_run& run) {
-    forward_answer answer;
-    answer.outcome = forward_outcome::merged;
-    std::vector<const std::string*> bodies;
-    for (const run_part& part : run.parts) {
-        if (part.progress == part_progress::covered) {
-            answer.tokens.push_back(part.token);
-            bodies.push_back(&part.body);
-        }
-    }
-    answer.missing = run.parts.size() - bodies.size();
-    answer.reason = answer.missing == 0 ? forward_reason::none : forward_reason::timed_out;
-    answer.body = merge_greatest(bodies, run.taken->result_limit);
-    finish(run, std::move(answer));
-}
-
-void request_flow::answer_reply(forwarding_run& run, target_reply reply) {
-    forward_answer answer;
-    answer.outcome = forward_outcome::replied;
-    answer.reason =
-        reply.verdict == target_verdict::completed ? forward_reason::none : forward_reason::targets_failed;
-    answer.reply = std::move(reply);
-    finish(run, std::move(answer));
-}
-
-void request_flow::answer_failed(forwarding_run& run, forward_reason reason) {
-    forward_answer answer;
-    answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
-    answer.reason = reason;
-    if (answer.outcome == forward_outcome::not_run) {
-        const duration usual = std::max(run.timing->high(), least_retry_after);
-        const std::optional<duration> rest = until_coverable(run);
-        answer.retry_after = spread_return(
-            rest ? std::max(*rest, usual) : std::max(m_core.options.no_target_retry, usual), m_core.random);
-    }
-    finish(run, std::move(answer));
-}
-
-void request_flow::finish(forwarding_run& run, forward_answer answer) {
-    run.ended = true;
-    m_core.deferring.erase(run.request.number);
-    for (run_part& part : run.parts) {
-        part.queued = false;
-        for (const running_exchange& unwanted : part.exchanges) {
-            m_dispatcher.abandon(unwanted);
-        }
-        part.exchanges.clear();
-    }
-    answer.number = run.request.number;
-    answer.id = run.request.id;
-    run.trace.taken = m_core.now - run.arrived;
-    run.trace.covered = run.count(part_progress::covered);
-    run.trace.late = m_core.now > run.times.objective_at;
-    if (run.trace.late) {
-        ++m_core.counted.late_answers;
-    }
-    answer.trace = std::move(run.trace);
-    m_core.out.emplace_back(deliver_answer{std::move(answer)});
-    const auto found = m_core.runs.find(run.request.number);
-    m_core.ended.push_back(std::move(found->second));
-    m_core.runs.erase(found);
-}
-
 void request_flow::on_caller_gone(forwarding_run& run) {
     forward_answer answer;
     answer.outcome = run.may_have_run() ? forward_outcome::unknown : forward_outcome::not_run;
     answer.reason = forward_reason::caller_gone;
-    finish(run, std::move(answer));
+    m_answers.finish(run, std::move(answer));
 }
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "part_dispatcher.h"
+#include "request_answers.h"
 
 namespace tamarack {
 
@@ -8,7 +8,7 @@
 class request_flow {
 public:
     request_flow(forwarding_core& core, part_dispatcher& dispatcher)
-        : m_core(core), m_dispatcher(dispatcher) {}
+        : m_core(core), m_dispatcher(dispatcher), m_answers(core, dispatcher) {}
 
     void on_arrival(forward_request request);
     void on_caller_gone(forwarding_run& run);
@@ -28,20 +28,16 @@
                    std::string result) const;
     forwarding_core& m_core;
     part_dispatcher& m_dispatcher;
+    request_answers m_answers;
 
-    void refuse_unrouted(forward_request request, forward_outcome outcome, forward_reason reason,
-                         duration retry_after);
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
     /** @return whether a part has an available target before its request becomes late */
     bool is_servable(const forwarding_run& run, const run_part& part) const;
-    /** @return how long until enough services have an available target; nothing when they have none */
-    std::optional<duration> until_coverable(const forwarding_run& run) const;
     duration expected_queue(const forwarding_run& run) const;
     /** Leaves out shards that can't reply before the objective, as many as the least coverage allows. */
     void leave_out_overloaded(forwarding_run& run);
     bool is_admitted(forwarding_run& run);
-    void refuse_crashing(forwarding_run& run);
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** An exchange ended without a usable reply: another one, or the part stays out. */
     void try_again(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
@@ -51,13 +47,7 @@
     bool take_extra(forwarding_run& run, run_part& part);
     /** Answers the request if it is time to. */
     void settle(forwarding_run& run);
-    void answer_merged(forwarding_run& run);
-    void answer_reply(forwarding_run& run, target_reply reply);
-    void answer_failed(forwarding_run& run, forward_reason reason);
-    void finish(forwarding_run& run, forward_answer answer);
-    static double coverage(const forwarding_run& run);
     placement_demand demand_of(const forwarding_run& run) const;
-    static bool covers_enough(const forwarding_run& run, std::size_t covered);
 };
 
 } // namespace tamarack
