Share the set-up of tests that stood twice

Cause: pairs of places in tests were written twice (set-up of the crashing request's deployment and hosts on standby, one replica that asks for rest, a target that drains). The test that waits until a host was told waits for two losses again, the evidence of before: since losses are told one by one, it had gone on with one. The test of hosts that see one loss each checks late retries, the budget and 'not run' as well. No bound is changed.

--- a/tests/forwarding/crashing_request_test.cpp
+++ b/tests/forwarding/crashing_request_test.cpp
@@ -61,6 +61,14 @@
         world.run_until(44s);
     }
 
+    /** Puts all hosts but the first on standby, so that the request comes at hosts that keep no connections.
+     */
+    void put_on_standby(forwarding_world& world) {
+        for (std::size_t host = 1; host < all_hosts; ++host) {
+            world.put_on_standby(host);
+        }
+    }
+
     void expect_few_retries(const forwarding_world& world) {
         EXPECT_LE(world.crashing_request().late_retries(),
                   testing_support::crashing_request_check::tolerated_retries)
@@ -68,6 +76,14 @@
         EXPECT_EQ(world.violations(), std::vector<std::string>{});
         EXPECT_EQ(world.extra_load_breaches().size(), 0U);
     }
+
+    /** First exchanges of an attempt count as well: each of them ends a target. */
+    void expect_few_exchanges(const forwarding_world& world) {
+        expect_few_retries(world);
+        EXPECT_LE(world.crashing_request().late_arrivals(),
+                  testing_support::crashing_request_check::tolerated_retries)
+            << world.crashing_request().crashes() << " targets ended";
+    }
 };
 
 TEST_F(crashing_request, is_found_where_callers_are_sent) {
@@ -81,10 +97,7 @@
     forwarding_world world{50, all_hosts, options()};
     add_orders(world, like_orders());
     run(world, "fetch");
-    EXPECT_LE(world.crashing_request().late_arrivals(),
-              testing_support::crashing_request_check::tolerated_retries)
-        << world.crashing_request().crashes() << " targets ended";
-    EXPECT_EQ(world.violations(), std::vector<std::string>{});
+    expect_few_exchanges(world);
 }
 
 TEST_F(crashing_request, is_found_when_each_host_sees_one_loss) {
@@ -95,9 +108,7 @@
     fetch.objective = 250ms;
     fetch.attempts = 1;
     run(world, "fetch");
-    EXPECT_LE(world.crashing_request().late_arrivals(),
-              testing_support::crashing_request_check::tolerated_retries)
-        << world.crashing_request().crashes() << " targets ended";
+    expect_few_exchanges(world);
 }
 
 TEST_F(crashing_request, is_found_by_hosts_on_standby) {
@@ -105,9 +116,7 @@
     world_target like = like_orders();
     like.crash_time = 500ms;
     add_orders(world, like);
-    for (std::size_t host = 1; host < all_hosts; ++host) {
-        world.put_on_standby(host);
-    }
+    put_on_standby(world);
     run(world, "fetch", 1);
     expect_few_retries(world);
 }
@@ -133,9 +142,7 @@
 TEST_F(crashing_request, to_all_shards_is_found_by_hosts_on_standby) {
     forwarding_world world{45, all_hosts, options()};
     add_shards(world, 500ms);
-    for (std::size_t host = 1; host < all_hosts; ++host) {
-        world.put_on_standby(host);
-    }
+    put_on_standby(world);
     run(world, "match", 1);
     expect_few_retries(world);
 }
--- a/tests/forwarding/withheld_targets_test.cpp
+++ b/tests/forwarding/withheld_targets_test.cpp
@@ -88,6 +88,14 @@
     EXPECT_EQ(world.unanswered(), 0U);
 }
 
+/** One replica is full from the third second on, and asks for a rest with each refusal. */
+void fill_one_replica(forwarding_world& world, duration rest) {
+    world.at(3s, [&world, rest] {
+        world.target("s-1").full = true;
+        world.target("s-1").asks_rest = rest;
+    });
+}
+
 /** All replicas of a service are full for three seconds and ask for rest, while callers go on. */
 struct all_replicas_full : ::testing::Test {
     void SetUp() override {
@@ -167,10 +175,7 @@
     forwarding_world world{22, 4};
     add_lookup(world, 3);
     world.publish();
-    world.at(3s, [&] {
-        world.target("s-1").full = true;
-        world.target("s-1").asks_rest = 3s;
-    });
+    fill_one_replica(world, 3s);
     world.load("lookup", 80.0, 1s, 11s);
     world.run_until(16s);
     expect_promises(world);
@@ -182,10 +187,7 @@
     forwarding_world world{23, 2};
     add_lookup(world, 2);
     world.publish();
-    world.at(3s, [&] {
-        world.target("s-1").full = true;
-        world.target("s-1").asks_rest = 4s;
-    });
+    fill_one_replica(world, 4s);
     world.at(4s, [&] {
         world.hide("s-1");
         world.publish();
--- a/tests/membership/network_scenarios.h
+++ b/tests/membership/network_scenarios.h
@@ -52,4 +52,12 @@
     return network;
 }
 
+/** A target announces that it drains; then time passes. */
+inline void drain_target(virtual_network& network, std::size_t target, duration then) {
+    constexpr std::uint64_t later_than_all = 17;
+    network.set_target_state(target, target_state::draining);
+    network.announce(target, later_than_all);
+    network.run_for(then);
+}
+
 } // namespace tamarack::testing
--- a/tests/membership/network_test.cpp
+++ b/tests/membership/network_test.cpp
@@ -65,9 +65,7 @@
 
 TEST(network, a_draining_target_is_known_everywhere_within_three_seconds) {
     for_each_seed({50, 7, 20}, [](virtual_network& network) {
-        network.set_target_state(3, target_state::draining);
-        network.announce(3, 17);
-        network.run_for(3s);
+        drain_target(network, 3, 3s);
         EXPECT_EQ(network.count_using(3), 0U);
         EXPECT_EQ(network.count_using(4), 50U);
     });
--- a/tests/membership/news_relays_test.cpp
+++ b/tests/membership/news_relays_test.cpp
@@ -145,9 +145,7 @@
 
 TEST(relayed_network, a_draining_target_is_known_everywhere_within_a_second) {
     for_each_seed([](virtual_network& network) {
-        network.set_target_state(3, target_state::draining);
-        network.announce(3, 17);
-        network.run_for(1s);
+        drain_target(network, 3, 1s);
         EXPECT_EQ(network.count_using(3), 0U);
         EXPECT_EQ(network.count_using(4), 40U);
     });
@@ -157,9 +155,7 @@
 TEST(relayed_network, a_lost_relay_delays_news_by_less_than_the_time_to_drain) {
     for_each_seed([](virtual_network& network) {
         network.kill_host(1);
-        network.set_target_state(3, target_state::draining);
-        network.announce(3, 17);
-        network.run_for(5s);
+        drain_target(network, 3, 5s);
         EXPECT_EQ(network.count_using(3), 0U);
     });
 }
--- a/tests/platform_integration/crashing_request_test.cpp
+++ b/tests/platform_integration/crashing_request_test.cpp
@@ -13,39 +13,59 @@
   "priority":2,"service":"orders","max-attempts":2}],
  "services":[{"name":"orders","health-check-path":"/health","max-connections":45}]})";
 
-TEST(crashing_request, is_not_sent_to_a_second_replica_again_by_each_host_that_starts) {
-    constexpr std::size_t restarted = 4;
-    constexpr std::size_t replicas = 4;
-    platform_deployment deployment{3, 2, replica_path::through_proxy};
+/** Waits until a host knows so many replicas and serves. @return false when it never did */
+bool serves(platform_deployment& deployment, std::size_t host, std::size_t replicas) {
+    return eventually([&] { return deployment.known_replicas(host) == replicas; }) && eventually([&] {
+               const auto response = deployment.request(host, "x.example", "/fetch/1");
+               return response && response->status == 200U;
+           });
+}
+
+/** Starts all hosts before some replicas of one service, and waits until each host serves. */
+void start_with_replicas(platform_deployment& deployment, std::size_t replicas) {
     for (std::size_t count = 0; count < replicas; ++count) {
         deployment.add_replica("orders");
     }
     deployment.start_all();
     ASSERT_EQ(deployment.submit(document), 200U) << deployment.logs();
     deployment.start_heartbeats();
-    const auto serves = [&](std::size_t host) {
-        return eventually([&] { return deployment.known_replicas(host) == replicas; }) && eventually([&] {
-                   const auto response = deployment.request(host, "x.example", "/fetch/1");
-                   return response && response->status == 200U;
-               });
-    };
     for (std::size_t host = 0; host < deployment.hosts(); ++host) {
-        ASSERT_TRUE(serves(host)) << deployment.logs();
+        ASSERT_TRUE(serves(deployment, host, replicas)) << deployment.logs();
+    }
+}
+
+/** @return how many losses a host knows, by its own or from others */
+std::size_t losses_known(platform_deployment& deployment, std::size_t host) {
+    const std::string output = deployment.output(host);
+    std::size_t known = 0;
+    for (const std::string line : {" crashing_request_told ", " crash_evidence ticket=1 step=confirmed "}) {
+        for (auto at = output.find(line); at != std::string::npos; at = output.find(line, at + 1)) {
+            ++known;
+        }
     }
+    return known;
+}
+
+TEST(crashing_request, is_not_sent_to_a_second_replica_again_by_each_host_that_starts) {
+    constexpr std::size_t restarted = 4;
+    constexpr std::size_t replicas = 4;
+    constexpr std::size_t losses_that_are_evidence = 2;
+    platform_deployment deployment{3, 2, replica_path::through_proxy};
+    ASSERT_NO_FATAL_FAILURE(start_with_replicas(deployment, replicas));
     // A host that has just started earns its first repeats by other requests.
     ASSERT_TRUE(eventually([&] {
         for (int request = 0; request < 10; ++request) {
             deployment.request(restarted, "x.example", "/fetch/1");
         }
         deployment.request(restarted, "x.example", crashing_path);
-        return deployment.output(0).find("crashing_request_told") != std::string::npos;
+        return losses_known(deployment, 0) >= losses_that_are_evidence;
     })) << deployment.logs();
 
     const std::size_t before = deployment.extra_load("orders");
     for (std::size_t round = 0; round < 2 * (tolerated_retries + 1); ++round) {
         deployment.kill_host(restarted);
         deployment.start_host(restarted);
-        ASSERT_TRUE(serves(restarted)) << deployment.logs();
+        ASSERT_TRUE(serves(deployment, restarted, replicas)) << deployment.logs();
         for (int request = 0; request < 20; ++request) {
             deployment.request(restarted, "x.example", "/fetch/1");
         }
@@ -56,32 +76,11 @@
         << deployment.logs();
 }
 
-/** @return how many losses a host knows, by its own or from others */
-std::size_t losses_known(platform_deployment& deployment, std::size_t host) {
-    const std::string output = deployment.output(host);
-    std::size_t known = 0;
-    for (const std::string line : {" crashing_request_told ", " crash_evidence ticket=1 step=confirmed "}) {
-        for (auto at = output.find(line); at != std::string::npos; at = output.find(line, at + 1)) {
-            ++known;
-        }
-    }
-    return known;
-}
-
 TEST(crashing_request, is_refused_by_all_hosts_once_it_has_crashed_three_replicas) {
     constexpr std::size_t replicas = 6;
     constexpr unsigned crashes_to_refuse = 3;
     platform_deployment deployment{3, 2, replica_path::through_proxy};
-    for (std::size_t count = 0; count < replicas; ++count) {
-        deployment.add_replica("orders");
-    }
-    deployment.start_all();
-    ASSERT_EQ(deployment.submit(document), 200U) << deployment.logs();
-    deployment.start_heartbeats();
-    for (std::size_t host = 0; host < deployment.hosts(); ++host) {
-        ASSERT_TRUE(eventually([&] { return deployment.known_replicas(host) == replicas; }));
-        ASSERT_TRUE(eventually([&] { return deployment.ready(host); }));
-    }
+    ASSERT_NO_FATAL_FAILURE(start_with_replicas(deployment, replicas));
     for (std::size_t host = 0; deployment.crashes() < crashes_to_refuse; ++host) {
         const std::size_t at = host % deployment.hosts();
         deployment.request(at, "x.example", crashing_path);
