--- a/apps/tamarackd/hosts/hosts_duty.cpp
+++ b/apps/tamarackd/hosts/hosts_duty.cpp
@@ -2,7 +2,6 @@
 
 #include "../system_random.h"
 #include "hosts_options.h"
-#include "view_builder.h"
 
 #include <algorithm>
 #include <utility>
@@ -120,89 +119,6 @@
                     [this](const Json::Value& parameters) { m_suspicions.on_known(parameters); });
 }
 
-bool hosts_duty::post_raft(raft_envelope envelope) {
-    return m_thread.try_post([this, envelope = std::move(envelope)] {
-        m_links.send(address_of(envelope.to.host), raft_method, encode_envelope(envelope));
-    });
-}
-
-bool hosts_duty::post_control(send_control_message message) {
-    return m_thread.try_post([this, message = std::move(message)] {
-        send_control(message.to, message.address, message.message);
-        settle();
-    });
-}
-
-bool hosts_duty::post_committed(configuration latest) {
-    return m_thread.try_post([this, latest = std::move(latest)] {
-        carry_out(m_control->adopt(steady_now(), latest));
-        settle();
-    });
-}
-
-bool hosts_duty::post_announcement(announcement value,
-                                   std::function<void(outcome<announcement_receipt>)> answer) {
-    return m_thread.try_post([this, value = std::move(value), answer = std::move(answer)] {
-        answer(m_registry->on_announcement(steady_now(), value, m_control->current()));
-        settle();
-    });
-}
-
-bool hosts_duty::post_departure(target_id target, std::optional<incarnation> life,
-                                std::function<void(outcome<done>)> answer) {
-    return m_thread.try_post([this, target = std::move(target), life, answer = std::move(answer)] {
-        answer(m_registry->on_departure(steady_now(), target, life));
-        settle();
-    });
-}
-
-bool hosts_duty::post_target_leaving(target_id target, incarnation life) {
-    return m_thread.try_post([this, target = std::move(target), life] {
-        m_registry->on_leaving(steady_now(), target, life);
-        settle();
-    });
-}
-
-bool hosts_duty::post_leader(std::function<void(host_id)> answer) {
-    return m_thread.try_post([this, answer = std::move(answer)] { answer(m_control->leader()); });
-}
-
-bool hosts_duty::post_commit(commit_claim wanted) {
-    return m_thread.try_post([this, wanted = std::move(wanted)] {
-        carry_out(m_control->commit(steady_now(), wanted.request, wanted.wanted, wanted.deadline));
-        settle();
-    });
-}
-
-bool hosts_duty::post_record(record_claim_result ended) {
-    return m_thread.try_post([this, ended = std::move(ended)] {
-        carry_out(m_control->record(steady_now(), ended.ended));
-        settle();
-    });
-}
-
-bool hosts_duty::post_suspicion(spread_suspicion found, std::function<void()> known) {
-    return m_thread.try_post([this, found = std::move(found), known = std::move(known)] {
-        m_suspicions.tell(steady_now(), found, other_hosts_of(found.service), known);
-        settle();
-    });
-}
-
-bool hosts_duty::post_quarantine(const spread_quarantine& found) {
-    return post_crash_loss({found.request, target_life{}, steady_now()});
-}
-
-bool hosts_duty::post_crash_loss(crash_loss loss) {
-    return m_thread.try_post([this, loss = std::move(loss)] {
-        m_crashes.add(steady_now(), loss);
-        for (const host_record& host : m_detector->hosts()) {
-            if (host.state == host_state::alive && host.host != m_settings.host) {
-                tell_crash(host, loss);
-            }
-        }
-    });
-}
-
 std::map<host_id, endpoint> hosts_duty::other_hosts_of(const service_id& service) const {
     std::map<host_id, endpoint> others;
     for (const host_record& host : m_detector->hosts()) {
@@ -214,13 +130,6 @@
     return others;
 }
 
-bool hosts_duty::post_seeds(std::vector<seed_host> seeds) {
-    return m_thread.try_post([this, seeds = std::move(seeds)] {
-        m_seeds = seeds;
-        update_control_hosts();
-    });
-}
-
 /** The control hosts to ask: those that are known to live, and the seeds. */
 void hosts_duty::update_control_hosts() {
     std::vector<host_id> hosts;
@@ -238,26 +147,6 @@
     m_control->set_control_hosts(std::move(hosts));
 }
 
-bool hosts_duty::post_draining() {
-    return m_thread.try_post([this] {
-        m_leaving = true;
-        carry_out(m_detector->set_draining(steady_now(), true));
-        settle();
-    });
-}
-
-bool hosts_duty::post_leave() {
-    return m_thread.try_post([this] {
-        const time_point now = steady_now();
-        carry_out(m_control->release(now));
-        carry_out(m_detector->leave(now));
-    });
-}
-
-bool hosts_duty::post_overview(std::function<void(hosts_overview)> answer) {
-    return m_thread.try_post([this, answer = std::move(answer)] { answer(overview()); });
-}
-
 void hosts_duty::on_timer(time_point now) {
     carry_out(m_control->on_timer(now));
     m_registry->on_timer(now);
@@ -472,95 +361,6 @@
     m_timer->rearm();
 }
 
-void hosts_duty::enter_directory(time_point now) {
-    if (m_entered || m_leaving || m_ordered_to_drain || !serves_callers(m_settings)) {
-        return;
-    }
-    if (m_settings.edge.kind == edge_kind::platform) {
-        if (m_pictures->may_enter(now, m_control->current(), *m_registry)) {
-            m_entered = true;
-            log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
-            carry_out(m_detector->set_draining(now, false));
-            m_picture_stale = true;
-            settle();
-        }
-        return;
-    }
-    readiness_inputs inputs;
-    inputs.holds_lease = m_control->lease_ends_at() > now;
-    inputs.isolated = m_isolated;
-    inputs.hosts_known = m_detector->hosts().size();
-    inputs.assigned = is_assigned_any();
-    inputs.view = m_view.get();
-    if (!m_readiness.open(now, inputs)) {
-        return;
-    }
-    m_entered = true;
-    log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
-    carry_out(m_detector->set_draining(now, false));
-}
-
-void hosts_duty::follow_order(time_point now) {
-    const auto& orders = m_control->current().hosts;
-    const auto order = orders.find(m_settings.host);
-    const bool drains = order != orders.end() && order->second.intent == host_intent::draining;
-    if (drains == m_ordered_to_drain || m_leaving) {
-        return;
-    }
-    m_ordered_to_drain = drains;
-    log_state_change(log_level::info, drains ? "ordered_to_drain" : "ordered_to_serve",
-                     m_control->current().number, {});
-    if (drains) {
-        carry_out(m_detector->set_draining(now, true));
-        m_drained_at = now + m_settings.times.directory_keep + directory_margin;
-        return;
-    }
-    m_drained_at = time_point::max();
-    m_entered = false;
-    carry_out(m_control->set_draining(now, false));
-}
-
-bool hosts_duty::is_assigned(const host_id& host, const service_id& service) const {
-    const auto& services = m_control->assigned().services;
-    const auto found = services.find(service);
-    return found != services.end() &&
-           std::find(found->second.begin(), found->second.end(), host) != found->second.end();
-}
-
-bool hosts_duty::is_assigned_any() const {
-    const auto& services = m_control->assigned().services;
-    return std::any_of(services.begin(), services.end(),
-                       [this](const auto& service) { return is_assigned(m_settings.host, service.first); });
-}
-
-void hosts_duty::send_picture(time_point now) {
-    m_next_picture = time_point::max();
-    const bool stale = m_picture_stale || m_registry->generation() != m_pictured_generation;
-    m_pictured_generation = m_registry->generation();
-    m_picture_stale = false;
-    m_hosts_stale = false;
-    if (m_settings.edge.kind == edge_kind::platform) {
-        const bool hosts_matter = m_pictures->on_hosts(now, m_detector->hosts());
-        if (!stale && !hosts_matter) {
-            return;
-        }
-        m_picture_stale = !m_hooks.forwarding(
-            m_pictures->build(now, m_control->current(), *m_registry, m_entered && !m_leaving));
-        return;
-    }
-    auto directory = std::make_shared<directory_view>();
-    const view_sources sources{m_settings.host, m_settings.data_center, *m_control, *m_registry};
-    directory->hosts = m_detector->hosts();
-    directory->assigned = assigned_in_reach(sources);
-    directory->ticket = m_control->current().number;
-    built_view built = build_serving_view(sources, now);
-    m_view = built.view;
-    serving_picture picture{std::move(built.view), std::move(directory), std::move(built.cancellable)};
-    if (!m_hooks.picture(std::move(picture))) {
-        m_picture_stale = true;
-    }
-}
-
 void hosts_duty::send_control(const host_id& to, const endpoint& address, const control_message& message) {
     if (to == m_settings.host) {
         m_thread.try_post([this, message] {
--- /dev/null
+++ b/apps/tamarackd/hosts/hosts_duty_pictures.cpp
@@ -0,0 +1,100 @@
+#include "hosts_duty.h"
+
+#include "hosts_options.h"
+#include "view_builder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+void hosts_duty::enter_directory(time_point now) {
+    if (m_entered || m_leaving || m_ordered_to_drain || !serves_callers(m_settings)) {
+        return;
+    }
+    if (m_settings.edge.kind == edge_kind::platform) {
+        if (m_pictures->may_enter(now, m_control->current(), *m_registry)) {
+            m_entered = true;
+            log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
+            carry_out(m_detector->set_draining(now, false));
+            m_picture_stale = true;
+            settle();
+        }
+        return;
+    }
+    readiness_inputs inputs;
+    inputs.holds_lease = m_control->lease_ends_at() > now;
+    inputs.isolated = m_isolated;
+    inputs.hosts_known = m_detector->hosts().size();
+    inputs.assigned = is_assigned_any();
+    inputs.view = m_view.get();
+    if (!m_readiness.open(now, inputs)) {
+        return;
+    }
+    m_entered = true;
+    log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
+    carry_out(m_detector->set_draining(now, false));
+}
+
+void hosts_duty::follow_order(time_point now) {
+    const auto& orders = m_control->current().hosts;
+    const auto order = orders.find(m_settings.host);
+    const bool drains = order != orders.end() && order->second.intent == host_intent::draining;
+    if (drains == m_ordered_to_drain || m_leaving) {
+        return;
+    }
+    m_ordered_to_drain = drains;
+    log_state_change(log_level::info, drains ? "ordered_to_drain" : "ordered_to_serve",
+                     m_control->current().number, {});
+    if (drains) {
+        carry_out(m_detector->set_draining(now, true));
+        m_drained_at = now + m_settings.times.directory_keep + directory_margin;
+        return;
+    }
+    m_drained_at = time_point::max();
+    m_entered = false;
+    carry_out(m_control->set_draining(now, false));
+}
+
+bool hosts_duty::is_assigned(const host_id& host, const service_id& service) const {
+    const auto& services = m_control->assigned().services;
+    const auto found = services.find(service);
+    return found != services.end() &&
+           std::find(found->second.begin(), found->second.end(), host) != found->second.end();
+}
+
+bool hosts_duty::is_assigned_any() const {
+    const auto& services = m_control->assigned().services;
+    return std::any_of(services.begin(), services.end(),
+                       [this](const auto& service) { return is_assigned(m_settings.host, service.first); });
+}
+
+void hosts_duty::send_picture(time_point now) {
+    m_next_picture = time_point::max();
+    const bool stale = m_picture_stale || m_registry->generation() != m_pictured_generation;
+    m_pictured_generation = m_registry->generation();
+    m_picture_stale = false;
+    m_hosts_stale = false;
+    if (m_settings.edge.kind == edge_kind::platform) {
+        const bool hosts_matter = m_pictures->on_hosts(now, m_detector->hosts());
+        if (!stale && !hosts_matter) {
+            return;
+        }
+        m_picture_stale = !m_hooks.forwarding(
+            m_pictures->build(now, m_control->current(), *m_registry, m_entered && !m_leaving));
+        return;
+    }
+    auto directory = std::make_shared<directory_view>();
+    const view_sources sources{m_settings.host, m_settings.data_center, *m_control, *m_registry};
+    directory->hosts = m_detector->hosts();
+    directory->assigned = assigned_in_reach(sources);
+    directory->ticket = m_control->current().number;
+    built_view built = build_serving_view(sources, now);
+    m_view = built.view;
+    serving_picture picture{std::move(built.view), std::move(directory), std::move(built.cancellable)};
+    if (!m_hooks.picture(std::move(picture))) {
+        m_picture_stale = true;
+    }
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/hosts/hosts_duty_posts.cpp
@@ -0,0 +1,117 @@
+#include "hosts_duty.h"
+
+#include <utility>
+
+namespace tamarack {
+
+bool hosts_duty::post_raft(raft_envelope envelope) {
+    return m_thread.try_post([this, envelope = std::move(envelope)] {
+        m_links.send(address_of(envelope.to.host), raft_method, encode_envelope(envelope));
+    });
+}
+
+bool hosts_duty::post_control(send_control_message message) {
+    return m_thread.try_post([this, message = std::move(message)] {
+        send_control(message.to, message.address, message.message);
+        settle();
+    });
+}
+
+bool hosts_duty::post_committed(configuration latest) {
+    return m_thread.try_post([this, latest = std::move(latest)] {
+        carry_out(m_control->adopt(steady_now(), latest));
+        settle();
+    });
+}
+
+bool hosts_duty::post_announcement(announcement value,
+                                   std::function<void(outcome<announcement_receipt>)> answer) {
+    return m_thread.try_post([this, value = std::move(value), answer = std::move(answer)] {
+        answer(m_registry->on_announcement(steady_now(), value, m_control->current()));
+        settle();
+    });
+}
+
+bool hosts_duty::post_departure(target_id target, std::optional<incarnation> life,
+                                std::function<void(outcome<done>)> answer) {
+    return m_thread.try_post([this, target = std::move(target), life, answer = std::move(answer)] {
+        answer(m_registry->on_departure(steady_now(), target, life));
+        settle();
+    });
+}
+
+bool hosts_duty::post_target_leaving(target_id target, incarnation life) {
+    return m_thread.try_post([this, target = std::move(target), life] {
+        m_registry->on_leaving(steady_now(), target, life);
+        settle();
+    });
+}
+
+bool hosts_duty::post_leader(std::function<void(host_id)> answer) {
+    return m_thread.try_post([this, answer = std::move(answer)] { answer(m_control->leader()); });
+}
+
+bool hosts_duty::post_commit(commit_claim wanted) {
+    return m_thread.try_post([this, wanted = std::move(wanted)] {
+        carry_out(m_control->commit(steady_now(), wanted.request, wanted.wanted, wanted.deadline));
+        settle();
+    });
+}
+
+bool hosts_duty::post_record(record_claim_result ended) {
+    return m_thread.try_post([this, ended = std::move(ended)] {
+        carry_out(m_control->record(steady_now(), ended.ended));
+        settle();
+    });
+}
+
+bool hosts_duty::post_suspicion(spread_suspicion found, std::function<void()> known) {
+    return m_thread.try_post([this, found = std::move(found), known = std::move(known)] {
+        m_suspicions.tell(steady_now(), found, other_hosts_of(found.service), known);
+        settle();
+    });
+}
+
+bool hosts_duty::post_quarantine(const spread_quarantine& found) {
+    return post_crash_loss({found.request, target_life{}, steady_now()});
+}
+
+bool hosts_duty::post_crash_loss(crash_loss loss) {
+    return m_thread.try_post([this, loss = std::move(loss)] {
+        m_crashes.add(steady_now(), loss);
+        for (const host_record& host : m_detector->hosts()) {
+            if (host.state == host_state::alive && host.host != m_settings.host) {
+                tell_crash(host, loss);
+            }
+        }
+    });
+}
+
+bool hosts_duty::post_seeds(std::vector<seed_host> seeds) {
+    return m_thread.try_post([this, seeds = std::move(seeds)] {
+        m_seeds = seeds;
+        update_control_hosts();
+    });
+}
+
+bool hosts_duty::post_draining() {
+    return m_thread.try_post([this] {
+        m_leaving = true;
+        carry_out(m_detector->set_draining(steady_now(), true));
+        settle();
+    });
+}
+
+bool hosts_duty::post_leave() {
+    return m_thread.try_post([this] {
+        const time_point now = steady_now();
+        carry_out(m_control->release(now));
+        carry_out(m_detector->leave(now));
+    });
+}
+
+bool hosts_duty::post_overview(std::function<void(hosts_overview)> answer) {
+    return m_thread.try_post([this, answer = std::move(answer)] { answer(overview()); });
+}
+
+} // namespace tamarack
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -1,23 +1,15 @@
 #include "target_registry.h"
 
 #include "announcement_checks.h"
+#include "record_versions.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace tamarack {
 
 namespace {
 
-/** A life that ended stays ended: heartbeats that its keeper heard meanwhile don't count against it. */
-constexpr std::uint64_t version_of_end = std::numeric_limits<std::uint64_t>::max();
-
-/** Sequence numbers order the states of one life; the end of a lease comes after the last one heard. */
-std::uint64_t version_of(std::uint64_t sequence, bool alive) {
-    return sequence * 2 + (alive ? 0 : 1);
-}
-
 bool differs_beyond_load(const announcement& before, const announcement& after) {
     return before.life != after.life || before.state != after.state || before.versions != after.versions ||
            before.slots != after.slots || before.connections != after.connections;
@@ -255,124 +247,6 @@
     return hosts;
 }
 
-std::vector<target_record> target_registry::on_changes(time_point now,
-                                                       const std::vector<target_record>& changes) {
-    std::vector<target_record> news;
-    for (const target_record& change : changes) {
-        if (merge(now, change)) {
-            news.push_back(change);
-        }
-    }
-    return news;
-}
-
-void target_registry::recall(time_point now, const std::vector<target_record>& kept) {
-    for (target_record record : kept) {
-        record.keeper = {};
-        record.latest.warmup_left = {};
-        if (merge_recalled(now, record)) {
-            m_entries.at(record.latest.target).recalled_here = true;
-        }
-    }
-}
-
-/** Takes what is not known otherwise, and only shortly after the start: others may have forgotten its end. */
-bool target_registry::merge_recalled(time_point now, const target_record& kept) {
-    const bool known = m_entries.contains(kept.latest.target) || m_index.address_taken(kept.latest);
-    if (known || !kept.alive || now >= m_grace_ends || m_entries.size() >= m_options.targets) {
-        return false;
-    }
-    entry& recalled = m_entries[kept.latest.target];
-    recalled.record = kept;
-    recalled.heard_sequence = kept.latest.sequence;
-    recalled.changed_at = now;
-    m_index.add(recalled.record.latest, true);
-    set_deadline(recalled, m_grace_ends);
-    ++m_generation;
-    return true;
-}
-
-bool target_registry::merge(time_point now, const target_record& change) {
-    if (change.keeper.empty()) {
-        merge_recalled(now, change);
-        return false;
-    }
-    const auto found = m_entries.find(change.latest.target);
-    if (found == m_entries.end()) {
-        const bool worth_keeping = change.alive && m_entries.size() < m_options.targets;
-        if (!worth_keeping) {
-            return false;
-        }
-        replace(now, m_entries[change.latest.target], change);
-        return true;
-    }
-    entry& known = found->second;
-    if (change.latest.life == known.record.latest.life) {
-        known.record.lives = std::max(known.record.lives, change.lives);
-    }
-    const bool withdrawn =
-        m_options.lives_are_start_times && change.latest.life == known.record.latest.life &&
-        change.latest.state == target_state::draining && known.record.latest.state != target_state::draining;
-    if (withdrawn) {
-        withdraw(now, known);
-    }
-    if (!is_newer(change, known.record)) {
-        return withdrawn;
-    }
-    const bool heard_later = known.kept_here && known.record.alive &&
-                             change.latest.life == known.record.latest.life &&
-                             change.version < version_of(known.heard_sequence, true);
-    if (heard_later) {
-        restate(now, known);
-        return withdrawn;
-    }
-    replace(now, known, change);
-    return true;
-}
-
-void target_registry::replace(time_point now, entry& known, const target_record& change) {
-    const bool is_new = known.record.latest.target.empty();
-    if (!is_new) {
-        m_index.remove(known.record.latest);
-        if (known.record.latest.life != change.latest.life && change.lives > known.record.lives) {
-            end_life(known, known.record.latest.life);
-        }
-    }
-    const bool same_life = !is_new && known.record.latest.life == change.latest.life;
-    const std::uint64_t lives = same_life ? std::max(known.record.lives, change.lives) : change.lives;
-    const bool drained = !is_new && drains_for_good(known, change.latest.life);
-    known.record = change;
-    known.record.lives = lives;
-    if (drained) {
-        known.record.latest.state = target_state::draining;
-    }
-    known.heard_sequence = change.latest.sequence;
-    known.record.latest.load = {};
-    known.changed_at = now;
-    if (change.version == version_of_end) {
-        end_life(known, change.latest.life);
-    }
-    m_index.add(known.record.latest, known.record.alive);
-    ++m_generation;
-    set_kept(known, change.alive && change.keeper == m_self);
-    if (!change.alive) {
-        set_deadline(known, now + m_options.forget_after);
-    } else if (known.kept_here) {
-        set_deadline(known, std::max(now, m_grace_ends) + m_options.target_lease);
-    } else if (!m_keepers.lives(change.keeper)) {
-        orphan(now, known);
-    } else {
-        clear_deadline(known);
-    }
-}
-
-void target_registry::end_life(entry& known, incarnation life) const {
-    known.ended.push_back(life);
-    if (known.ended.size() > m_options.ended_lives) {
-        known.ended.erase(known.ended.begin());
-    }
-}
-
 void target_registry::on_timer(time_point now) {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const target_id target = m_deadlines.begin()->second;
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -1,25 +1,15 @@
 #include "forwarding_world.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace tamarack {
 
 namespace {
 
-constexpr duration one_way = 500us;
 constexpr duration handshake = 6ms;
-/** An exchange that left before the answer arrived may still arrive for so long. */
-constexpr duration rest_slack = 500ms;
-constexpr duration leaving_slack = 10ms;
 /** A started host is known to the others after this. */
 constexpr duration time_to_meet = 500ms;
-constexpr double two_pi = 6.283185307179586;
-
-duration scaled(duration value, double factor) {
-    return duration{static_cast<std::int64_t>(static_cast<double>(value.count()) * factor)};
-}
 
 } // namespace
 
@@ -316,31 +306,6 @@
     });
 }
 
-/** Connections of a target that crashes silently stay open for its callers, and nothing comes back on them.
- */
-void forwarding_world::crash_target(const target_id& id) {
-    simulated_target& target = m_targets.at(id);
-    ++target.life;
-    target.running = 0;
-    target.waiting.clear();
-    target.unread.clear();
-    target.down_until = m_now + target.behaviour.crash_time;
-    schedule(target.down_until, [this, &target] {
-        ++target.behaviour.known.life.value;
-        publish();
-    });
-    if (target.behaviour.crashes_silently) {
-        return;
-    }
-    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
-        for (const auto& [connection, at] : m_hosts[host].connections) {
-            if (at == id) {
-                lose_connection(host, m_hosts[host].life, connection, one_way);
-            }
-        }
-    }
-}
-
 void forwarding_world::on_exchange(std::size_t host, const send_target_exchange& send) {
     const target_id id = send.exchange.target;
     const bool crashes = m_crashing_requests.contains(send.exchange.id.value());
@@ -355,121 +320,6 @@
     });
 }
 
-void forwarding_world::receive(const target_id& id, const running_work& work) {
-    simulated_target& target = m_targets.at(id);
-    ++target.arrivals;
-    m_extra_load.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
-                            work.id.value());
-    if (work.crashes) {
-        m_crashing.on_arrival(m_now.time_since_epoch(), target.behaviour.known.service.value(),
-                              work.id.value());
-    }
-    check_withheld(target, work.host);
-    if (target.behaviour.dark || m_now < target.down_until) {
-        return;
-    }
-    const bool full = target.behaviour.full;
-    if (!full && target.running < target.behaviour.slots) {
-        start_work(target, work);
-    } else if (!full && target.waiting.size() < target.behaviour.queue) {
-        target.waiting.push_back(work);
-    } else {
-        reply(work, id, target_verdict::not_run);
-    }
-}
-
-void forwarding_world::check_withheld(simulated_target& target, std::size_t host) {
-    const auto rest = target.rests.find(host);
-    if (rest != target.rests.end() && m_now > rest->second.first + rest_slack &&
-        m_now < rest->second.second) {
-        ++target.got_in_rest[host];
-    }
-    const auto told = target.told_leaving.find(host);
-    if (told != target.told_leaving.end() && m_now > told->second + leaving_slack) {
-        ++target.after_leaving;
-    }
-}
-
-void forwarding_world::say_withheld(simulated_target& target, std::size_t host, target_reply& answer) {
-    if (answer.verdict == target_verdict::not_run && target.behaviour.asks_rest > duration{0}) {
-        answer.rest = target.behaviour.asks_rest;
-        target.rests[host] = {m_now, m_now + target.behaviour.asks_rest};
-    }
-    if (target.behaviour.leaves) {
-        answer.leaving = true;
-        target.told_leaving.try_emplace(host, m_now);
-    }
-}
-
-duration forwarding_world::pause_left(const simulated_target& target) const {
-    if (target.behaviour.pause_every == duration{0}) {
-        return duration{0};
-    }
-    const duration phase = (m_now - m_start + target.behaviour.pause_phase) % target.behaviour.pause_every;
-    return std::max(target.behaviour.pause - phase, duration{0});
-}
-
-void forwarding_world::start_work(simulated_target& target, const running_work& work) {
-    ++target.running;
-    if (m_said_not_run.contains(work.id.value())) {
-        m_violations.push_back("request " + work.id.value() + " ran after it was said not to run");
-    }
-    ++m_runs[{work.id.value(), target.behaviour.known.service.value()}];
-    if (work.crashes) {
-        m_crashing.on_crash(m_now.time_since_epoch());
-        crash_target(target.behaviour.known.id);
-        return;
-    }
-    const double normal =
-        std::sqrt(-2.0 * std::log(1.0 - m_random.unit())) * std::cos(two_pi * m_random.unit());
-    const duration needed =
-        scaled(target.behaviour.work, target.behaviour.slow * std::exp(target.behaviour.spread * normal));
-    const target_id id = target.behaviour.known.id;
-    schedule(m_now + pause_left(target) + needed, [this, id, work, life = target.life] {
-        if (m_targets.at(id).life == life) {
-            end_work(id, work);
-        }
-    });
-}
-
-void forwarding_world::end_work(const target_id& id, const running_work& work) {
-    simulated_target& target = m_targets.at(id);
-    --target.running;
-    if (!target.waiting.empty()) {
-        const running_work next = target.waiting.front();
-        target.waiting.erase(target.waiting.begin());
-        start_work(target, next);
-    }
-    if (target.behaviour.dark) {
-        return;
-    }
-    if (m_random.chance(target.behaviour.lose_reply)) {
-        lose_connection(work.host, work.life, work.connection, one_way);
-        return;
-    }
-    reply(work, id,
-          m_random.chance(target.behaviour.fail) ? target_verdict::failed : target_verdict::completed);
-}
-
-void forwarding_world::reply(const running_work& work, const target_id& id, target_verdict verdict) {
-    schedule(m_now + one_way, [this, work, id, verdict] {
-        if (!holds(work.host, work.life, work.connection)) {
-            return;
-        }
-        simulated_target& target = m_targets.at(id);
-        target_reply answer;
-        answer.verdict = verdict;
-        answer.status = verdict == target_verdict::completed ? 200 : 500;
-        answer.token = id.value() + "/" + work.id.value();
-        answer.body = std::string(16, 'a');
-        answer.load = target_load{static_cast<std::uint32_t>(target.running),
-                                  static_cast<std::uint32_t>(target.waiting.size()),
-                                  static_cast<std::uint32_t>(target.behaviour.slots), 1.0};
-        say_withheld(target, work.host, answer);
-        carry_out(work.host, m_hosts[work.host].engine->on_reply(m_now, work.connection, std::move(answer)));
-    });
-}
-
 void forwarding_world::on_answer(const forward_answer& answer) {
     const auto found = m_open.find(answer.number);
     if (found == m_open.end()) {
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -126,6 +126,8 @@
     time_point now() const { return m_now; }
 
 private:
+    static constexpr duration one_way = 500us; ///< between hosts, and between hosts and targets
+
     struct running_work {
         std::size_t host = 0;
         target_connection connection = 0;
