Don't send a request that waits once its content is refused

Callers saw: nothing of it; a target would end. Cause: only repeats that wait for a connection were looked at again, a first exchange was sent although three targets had been lost to its content since. Change: it is taken back and refused as not run, with the time until it may be tried again. Ruled out: giving the part up alone, which names targets that refused.

--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -208,7 +208,9 @@
             item = service.waiting.erase(item);
             continue;
         }
-        if (item->step != trace_step::sent && m_core.judge(*run) != crash_verdict::clear) {
+        const crash_verdict verdict = m_core.judge(*run);
+        const bool repeats = item->step != trace_step::sent;
+        if (verdict == crash_verdict::refused || (repeats && verdict != crash_verdict::clear)) {
             defer(*run, run->parts[item->part]);
             item = service.waiting.erase(item);
             continue;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -35,7 +35,7 @@
     /** @return when a service has an available target: now, when a rest ends, or nothing when all are gone */
     std::optional<time_point> available_at(const known_service& service) const;
 
-    /** A part's repeat is not sent while its request is suspected of crashing targets. */
+    /** What waits for a part is not sent while its request is suspected of crashing targets. */
     void defer(forwarding_run& run, run_part& part);
     /** The exchange's reply is no longer wanted; it is awaited for a short time, so that the connection
      * stays. */
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -304,6 +304,10 @@
         return;
     }
     m_core.deferring.erase(run.request.number);
+    if (verdict == crash_verdict::refused && !run.may_have_run()) {
+        m_answers.refuse_crashing(run);
+        return;
+    }
     for (std::size_t index = 0; index < run.parts.size(); ++index) {
         run_part& part = run.parts[index];
         if (part.progress != part_progress::deferred) {
--- a/tests/forwarding/crash_evidence_test.cpp
+++ b/tests/forwarding/crash_evidence_test.cpp
@@ -286,6 +286,32 @@
                                     [](const trace_entry& entry) { return entry.step == trace_step::lost; }));
 }
 
+/** Load pattern: a request waits for a connection while other hosts find what it does. */
+TEST_F(crashing_targets, a_request_that_waits_is_not_sent_once_its_content_is_refused) {
+    forwarding_engine engine = engine_with({});
+    std::vector<target_connection> opening;
+    for (const forwarding_action& action : engine.on_view(m_now, single_route_view(1))) {
+        if (const auto* open = std::get_if<open_target_connection>(&action)) {
+            opening.push_back(open->connection);
+        }
+    }
+    ASSERT_EQ(opening.size(), 1U);
+    engine.on_request(m_now, single_route_request(1));
+    const digest content = content_of(*single_route_request(1).payload);
+    for (const char* other : {"i-7", "i-8", "i-9"}) {
+        engine.on_crash_told(m_now, {content, {target_id{other}, incarnation{}}, m_now});
+    }
+    bool refused = false;
+    for (const forwarding_action& action : engine.on_connected(m_now + 1ms, opening.front())) {
+        EXPECT_FALSE(std::holds_alternative<send_target_exchange>(action));
+        if (const auto* delivered = std::get_if<deliver_answer>(&action)) {
+            refused = delivered->answer.outcome == forward_outcome::not_run &&
+                      delivered->answer.reason == forward_reason::crashes_targets;
+        }
+    }
+    EXPECT_TRUE(refused);
+}
+
 TEST_F(crashing_targets, loses_two_targets_to_each_request_without_the_protection) {
     forwarding_protections protections;
     protections.single_run_of_crashing = false;
