Answer requests that are read while a host shuts down

Change: stop() closes callers' connections before it stops the workers. An idle connection is closed at once, one that carries a request after its answer, until the limit of finish_requests has passed. Both engines. A unit test covers idle and busy connections.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -131,6 +131,10 @@
     });
 }
 
+bool forwarding_worker::post_close(std::function<void()> closed) {
+    return m_thread.try_post([this, closed = std::move(closed)] { m_callers.close_connections(closed); });
+}
+
 std::function<void()> forwarding_worker::on_request(http_request message, const http_responder& respond) {
     auto read = m_edge.read_request(std::move(message));
     if (!succeeded(read)) {
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -64,6 +64,9 @@
     std::uint64_t exchange_count() const { return m_exchanges; }
     /** From any thread: accepts no further connections; calls `drained` once all requests are answered. */
     bool post_drain(std::function<void()> drained);
+    /** From any thread: closes each caller's connection, at once or after the answer to the request that it
+     * carries; calls `closed` once all are closed. */
+    bool post_close(std::function<void()> closed);
 
 private:
     std::function<void()> on_request(http_request message, const http_responder& respond);
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -3,6 +3,7 @@
 #include "control/recovery.h"
 #include "system_random.h"
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <utility>
@@ -188,6 +189,7 @@
 }
 
 bool host_daemon::finish_requests(duration limit) {
+    m_requests_end_at = steady_now() + limit;
     if (!m_serving && !m_forwarding) {
         return true;
     }
@@ -201,6 +203,19 @@
     return finished.wait_for(limit) == std::future_status::ready;
 }
 
+void host_daemon::close_callers() {
+    if (!m_serving && !m_forwarding) {
+        return;
+    }
+    auto closed_promise = std::make_shared<std::promise<void>>();
+    auto closed = closed_promise->get_future();
+    const auto set = [closed_promise] { closed_promise->set_value(); };
+    const bool posted = m_serving ? m_serving->post_close(set) : m_forwarding->post_close(set);
+    if (posted) {
+        closed.wait_for(std::max(m_requests_end_at - steady_now(), duration{0}));
+    }
+}
+
 void host_daemon::stop() {
     if (!m_started) {
         return;
@@ -211,6 +226,7 @@
     }
     m_hosts->post_leave();
     std::this_thread::sleep_for(leave_grace_time);
+    close_callers();
     m_operators->stop();
     if (m_control_edge) {
         m_control_edge->stop();
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -45,8 +45,12 @@
     /** Leaves the directory. Cached directory answers may still list this host. */
     void leave_directory();
 
-    /** Accepts no further requests and waits until all running ones are answered. @return false if the limit
-     * passed first */
+    /**
+     * Accepts no further connections and waits until all running requests are answered.
+     *
+     * @param limit  for this wait, and for the requests that still arrive on open connections until stop()
+     * @return false if the limit passed first
+     */
     bool finish_requests(duration limit);
 
     /** Releases the lease, transfers leadership and stops all workers. */
@@ -54,6 +58,9 @@
 
 private:
     outcome<done> open_control();
+    /** Closes callers' connections; waits for the answers to requests that have been read, until
+     * m_requests_end_at. */
+    void close_callers();
     serving_hooks make_serving_hooks();
     hosts_hooks make_hosts_hooks();
     control_hooks make_control_hooks();
@@ -72,6 +79,7 @@
     std::unique_ptr<control_worker> m_control;
     std::unique_ptr<operators_edge> m_operators;
     bool m_started = false;
+    time_point m_requests_end_at{}; ///< requests that are running then are cut off
 };
 
 } // namespace tamarack
--- a/apps/tamarackd/serving/serving_worker.cpp
+++ b/apps/tamarackd/serving/serving_worker.cpp
@@ -90,6 +90,10 @@
     });
 }
 
+bool serving_worker::post_close(std::function<void()> closed) {
+    return m_thread.try_post([this, closed = std::move(closed)] { m_server.close_connections(closed); });
+}
+
 std::function<void()> serving_worker::on_http(const http_request& message, http_responder respond) {
     const request_target target = split_target(message.target);
     const auto& path = target.path;
--- a/apps/tamarackd/serving/serving_worker.h
+++ b/apps/tamarackd/serving/serving_worker.h
@@ -64,6 +64,9 @@
     /** From any thread: accepts no further requests; calls `drained` once all are answered and the server no
      * longer accepts connections. */
     bool post_drain(std::function<void()> drained);
+    /** From any thread: closes each connection, at once or after the answer to the request that it carries;
+     * calls `closed` once all are closed. */
+    bool post_close(std::function<void()> closed);
 
 private:
     std::function<void()> on_http(const http_request& message, http_responder respond);
--- a/modules/tamarack_transport/http/http_server.cpp
+++ b/modules/tamarack_transport/http/http_server.cpp
@@ -68,7 +68,7 @@
     }
 
     void serve(tcp::socket socket) const {
-        if (context->connections < context->limits.connections) {
+        if (context->sessions.size() < context->limits.connections) {
             std::make_shared<http_session>(std::move(socket), context)->start();
         }
     }
@@ -127,8 +127,21 @@
     m_implementation->acceptor.close(ignored);
 }
 
+void http_server::close_connections(std::function<void()> closed) {
+    stop_accepting();
+    http_session_context& context = *m_implementation->context;
+    if (context.sessions.empty()) {
+        closed();
+        return;
+    }
+    context.on_all_closed = std::move(closed);
+    for (http_session* session : context.sessions) {
+        session->close_if_idle();
+    }
+}
+
 std::size_t http_server::connections() const {
-    return m_implementation->context->connections;
+    return m_implementation->context->sessions.size();
 }
 
 } // namespace tamarack
--- a/modules/tamarack_transport/http/http_server.h
+++ b/modules/tamarack_transport/http/http_server.h
@@ -60,6 +60,14 @@
     /** Closes the listening socket; responses on open connections carry "Connection: close" from now on. */
     void stop_accepting();
 
+    /**
+     * Stops accepting, and closes each connection that carries no request, at once or after its response. To
+     * be called on the server's thread.
+     *
+     * @param closed  called on that thread once all connections are closed
+     */
+    void close_connections(std::function<void()> closed);
+
     /** @return the number of open connections */
     std::size_t connections() const;
 
--- a/modules/tamarack_transport/http/http_session.cpp
+++ b/modules/tamarack_transport/http/http_session.cpp
@@ -39,11 +39,14 @@
 http_session::http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_session_context> context)
     : m_stream(std::move(socket)), m_context(std::move(context)),
       m_buffer(2 * m_context->limits.header_bytes) {
-    ++m_context->connections;
+    m_context->sessions.insert(this);
 }
 
 http_session::~http_session() {
-    --m_context->connections;
+    m_context->sessions.erase(this);
+    if (m_context->sessions.empty() && m_context->on_all_closed) {
+        std::exchange(m_context->on_all_closed, nullptr)();
+    }
 }
 
 void http_session::start() {
@@ -66,9 +69,11 @@
 void http_session::wait_for_first_bytes() {
     constexpr std::size_t first_read = 4 * kibibyte;
     m_stream.expires_after(m_context->limits.idle);
+    m_is_idle = true;
     m_stream.async_read_some(
         m_buffer.prepare(std::min(first_read, m_buffer.max_size())),
         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t size) {
+            self->m_is_idle = false;
             if (failure) {
                 self->close();
                 return;
@@ -76,6 +81,17 @@
             self->m_buffer.commit(size);
             self->read_request();
         });
+    if (m_context->on_all_closed) {
+        close_if_idle();
+    }
+}
+
+void http_session::close_if_idle() {
+    boost::system::error_code failure;
+    const bool has_input = m_stream.socket().available(failure) > 0 && !failure;
+    if (m_is_idle && !has_input) {
+        close();
+    }
 }
 
 void http_session::read_request() {
--- a/modules/tamarack_transport/http/http_session.h
+++ b/modules/tamarack_transport/http/http_session.h
@@ -11,15 +11,19 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <unordered_set>
 
 namespace tamarack {
 
+class http_session;
+
 /** State shared by the sessions of one server. */
 struct http_session_context {
     http_server_limits limits;
     http_handler handler;
     bool allow_keep_alive = true;
-    std::size_t connections = 0;
+    std::unordered_set<http_session*> sessions; ///< all open connections
+    std::function<void()> on_all_closed;        ///< set while closing; called once no connections are left
 };
 
 /**
@@ -39,6 +43,9 @@
     /** Starts to read the first request. */
     void start();
 
+    /** Closes the connection if no part of a request has arrived; otherwise the request is still answered. */
+    void close_if_idle();
+
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -63,6 +70,7 @@
     std::optional<beast_response> m_response;
     std::function<void()> m_on_disconnect;
     bool m_awaiting_response = false;
+    bool m_is_idle = false; ///< waiting for the first bytes of a request
     bool m_keep_alive = true;
     unsigned m_version = 11;
 };
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -374,6 +374,10 @@
         const std::lock_guard lock{m_records};
         m_refused.insert(request.fields["x-tamarackstand-request-id"]);
     }
+    if (!response) {
+        const std::lock_guard lock{m_records};
+        m_unanswered.insert(request.fields["x-tamarackstand-request-id"]);
+    }
     return response;
 }
 
@@ -390,10 +394,18 @@
 }
 
 std::vector<std::string> platform_deployment::requests_run_after_refusal() {
+    return requests_run_of(m_refused);
+}
+
+std::vector<std::string> platform_deployment::requests_run_without_answer() {
+    return requests_run_of(m_unanswered);
+}
+
+std::vector<std::string> platform_deployment::requests_run_of(const std::set<std::string>& requests) {
     const std::lock_guard lock{m_records};
     std::vector<std::string> found;
     for (const auto& [key, count] : m_runs) {
-        if (m_refused.contains(key.second)) {
+        if (requests.contains(key.second)) {
             found.push_back(key.second);
         }
     }
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -125,6 +125,8 @@
     unsigned crashes() const { return m_crashes; }
     /** @return requests that a replica ran although the answer to their caller was "not run" */
     std::vector<std::string> requests_run_after_refusal();
+    /** @return requests that a replica ran although their caller's connection ended without an answer */
+    std::vector<std::string> requests_run_without_answer();
     /** @return requests that the replicas of a service ran more than once */
     std::vector<std::string> requests_run_twice(const std::string& service);
     /** @return the id of the last request sent */
@@ -152,6 +154,7 @@
     void send_heartbeats(stand_in_replica& replica, std::size_t first_host);
     std::chrono::microseconds elapsed() const;
     void run_on_loop(const std::function<void()>& work);
+    std::vector<std::string> requests_run_of(const std::set<std::string>& requests);
 
     std::size_t m_disk_hosts;
     std::size_t m_entry_hosts;
@@ -168,6 +171,7 @@
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
     std::set<std::string> m_refused;
+    std::set<std::string> m_unanswered;
     testing_support::extra_load_check m_extra_load;
     std::function<std::vector<std::string>(const std::string&)> m_services_of;
     std::chrono::steady_clock::time_point m_started_at = std::chrono::steady_clock::now();
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -159,6 +159,61 @@
     }
 }
 
+/** When a host is asked to stop, and when callers use their open connections again. */
+struct shutdown_pattern {
+    std::size_t host = 0;
+    std::vector<std::chrono::milliseconds>
+        signals;                           ///< times of SIGTERM; the second one shortens the shutdown
+    std::chrono::milliseconds first_use{}; ///< after the first signal
+};
+
+/**
+ * Callers keep their connections open during the whole shutdown, and each one uses its connection again at
+ * another moment around the end of it. A request that a host has read must be answered; a host that no longer
+ * reads closes the connection.
+ */
+TEST_F(platform_deployment_test, a_shutdown_cuts_off_no_request_on_a_connection_that_stays_open) {
+    constexpr std::size_t callers = 40;
+    constexpr auto between_callers = std::chrono::milliseconds{20};
+    using std::chrono::milliseconds;
+    const std::vector<shutdown_pattern> patterns{
+        {1, {milliseconds{0}}, milliseconds{3'040}},
+        {4, {milliseconds{0}, milliseconds{100}}, milliseconds{140}},
+    };
+    for (stand_in_replica* replica : m_replicas["orders"]) {
+        replica->work_ms = 250;
+    }
+    for (const shutdown_pattern& pattern : patterns) {
+        const std::size_t host = pattern.host;
+        std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            auto connection =
+                std::make_unique<testing_support::persistent_connection>(m_deployment.callers_address(host));
+            ASSERT_TRUE(m_deployment.request(host, "x.example", "/match/1", 2'000, connection.get()));
+            connections.push_back(std::move(connection));
+        }
+        const auto begun = std::chrono::steady_clock::now();
+        std::vector<std::thread> threads;
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            threads.emplace_back([&, caller] {
+                std::this_thread::sleep_until(begun + pattern.first_use + caller * between_callers);
+                m_deployment.request(host, "y.example", "/fetch/1", 2'000, connections[caller].get());
+            });
+        }
+        for (const milliseconds signal : pattern.signals) {
+            std::this_thread::sleep_until(begun + signal);
+            m_deployment.process(host).send_signal(SIGTERM);
+        }
+        for (std::thread& thread : threads) {
+            thread.join();
+        }
+        m_deployment.stop_host(host);
+        EXPECT_EQ(m_deployment.requests_run_without_answer(), std::vector<std::string>{}) << host;
+        m_deployment.start_host(host);
+        EXPECT_TRUE(eventually([&] { return status(host, "y.example", "/fetch/1") == 200; }));
+    }
+}
+
 TEST_F(platform_deployment_test, restores_its_configuration_after_all_hosts_were_killed) {
     EXPECT_EQ(m_deployment.submit(document(9, "stocks")), 200U);
     for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <memory>
 #include <string>
 
 namespace tamarack {
@@ -48,6 +49,13 @@
         stopped.get_future().wait();
     }
 
+    /** @return a future that is ready once all connections are closed */
+    std::future<void> close_connections() {
+        auto closed = std::make_shared<std::promise<void>>();
+        m_thread.try_post([this, closed] { m_server.close_connections([closed] { closed->set_value(); }); });
+        return closed->get_future();
+    }
+
 private:
     std::function<void()> handle(http_request request, const http_responder& respond) {
         if (request.target == "/never") {
@@ -182,6 +190,22 @@
     EXPECT_NE(received.find("Connection: close"), std::string::npos);
 }
 
+TEST(http_server, closes_idle_connections_at_once_and_busy_ones_after_their_response) {
+    echo_server server;
+    raw_peer idle{server.address()};
+    raw_peer busy{server.address()};
+    busy.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n");
+    ASSERT_TRUE(succeeded(fetch_and_wait(server.address(), post("/echo", "read"), test_timeout)));
+    auto closed = server.close_connections();
+    EXPECT_EQ(idle.receive_all(), "");
+    EXPECT_EQ(closed.wait_for(std::chrono::milliseconds{0}), std::future_status::timeout);
+    busy.send("x");
+    const std::string received = busy.receive_all();
+    EXPECT_NE(received.find(" 200 "), std::string::npos);
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(closed.wait_for(test_timeout), std::future_status::ready);
+}
+
 TEST(http_server, serves_pipelined_requests_in_order) {
     const echo_server server;
     raw_peer peer{server.address()};
