List a host in the directory once it can serve the routes

Cause: after all hosts were killed or lost power, each waited up to 2 s to know a target of every configured service, also of shards that no route uses any more. Ruled out: the time until the configuration is known (0.1 s after listening, also without the change). Change: a decision of its own, directory_admission: all routes can be covered, or any route while no other host is listed, or 2 s have passed. Conclusion: kept for the callers' look-ups, and because an empty directory serves nobody; no gain of worth is claimed.

--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/** Maximum time that a started host waits for a target of each service before it enters the directory. */
-constexpr duration max_wait_for_targets = 2s;
-
 bool is_same_entry(const host_record& left, const host_record& right) {
     return left.host == right.host && left.callers_address == right.callers_address;
 }
@@ -66,7 +63,6 @@
     if (current.routes && m_routes_ticket != current.number) {
         m_routes = std::make_shared<const route_table>(*current.routes);
         m_routes_ticket = current.number;
-        m_first_routes_at = std::min(m_first_routes_at, now);
     }
     auto view = std::make_shared<forwarding_view>();
     view->ticket = current.number;
@@ -109,14 +105,13 @@
 }
 
 bool forwarding_inputs_builder::may_enter_directory(time_point now, const configuration& current,
-                                                    const target_registry& registry) const {
-    if (!current.routes || m_first_routes_at == time_point::max()) {
-        return false;
-    }
-    const bool all_known = std::ranges::all_of(current.routes->services, [&](const routed_service& service) {
-        return !registry.usable(service.id).empty();
-    });
-    return all_known || now >= m_first_routes_at + max_wait_for_targets;
+                                                    const target_registry& registry) {
+    directory_admission_inputs inputs;
+    inputs.routes = current.routes ? &*current.routes : nullptr;
+    inputs.has_targets = [&registry](const service_id& service) { return !registry.usable(service).empty(); };
+    inputs.others_listed = std::ranges::any_of(
+        m_entries, [this](const host_record& host) { return host.host != m_settings.host; });
+    return m_directory_admission.may_enter(now, inputs);
 }
 
 } // namespace tamarack
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -35,8 +35,7 @@
                             bool in_directory);
 
     /** @return whether this host knows enough targets to be listed in the directory */
-    bool may_enter_directory(time_point now, const configuration& current,
-                             const target_registry& registry) const;
+    bool may_enter_directory(time_point now, const configuration& current, const target_registry& registry);
 
 private:
     std::vector<forwarding_target> list_targets(time_point now, const target_registry& registry);
@@ -51,7 +50,7 @@
     allowance_part m_sent_allowance; ///< as in the last inputs
     std::shared_ptr<const route_table> m_routes;
     ticket_number m_routes_ticket;
-    time_point m_first_routes_at = time_point::max(); ///< when this host received its first route table
+    directory_admission m_directory_admission;
     std::map<target_id, std::pair<incarnation_id, time_point>> m_warmup_ends;
 };
 
--- /dev/null
+++ b/modules/tamarack_membership/directory/directory_admission.cpp
@@ -0,0 +1,36 @@
+#include "directory_admission.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/** Maximum time that a host waits for targets; a service may have none. */
+constexpr duration max_wait_for_targets = 2s;
+/** Tolerance for rounding when shares are compared. */
+constexpr double rounding = 1e-9;
+
+bool is_servable(const route& item, const std::function<bool(const service_id&)>& has_targets) {
+    const auto known = std::ranges::count_if(
+        item.services, [&](const route_service& part) { return has_targets(part.service); });
+    const double share =
+        static_cast<double>(known) / static_cast<double>(std::max<std::size_t>(item.services.size(), 1));
+    const double needed = item.destination == route_destination::shards ? item.least_coverage : 1.0;
+    return known > 0 && share + rounding >= needed;
+}
+
+} // namespace
+
+bool directory_admission::may_enter(time_point now, const directory_admission_inputs& inputs) {
+    if (inputs.routes == nullptr) {
+        return false;
+    }
+    m_first_routes_at = std::min(m_first_routes_at, now);
+    const auto servable = [&](const route& item) { return is_servable(item, inputs.has_targets); };
+    const bool enough = inputs.others_listed ? std::ranges::all_of(inputs.routes->routes, servable)
+                                             : std::ranges::any_of(inputs.routes->routes, servable);
+    return enough || now >= m_first_routes_at + max_wait_for_targets;
+}
+
+} // namespace tamarack
--- a/modules/tamarack_membership/tamarack_membership.h
+++ b/modules/tamarack_membership/tamarack_membership.h
@@ -26,4 +26,5 @@
 #include "shares/replica_share.h"
 
 #include "directory/active_hosts.h"
+#include "directory/directory_admission.h"
 #include "directory/entry_directory.h"
