Prefer the replica in the host's own data centre until its queue costs a share of the objective

Change: a target elsewhere costs a tenth of the request's objective more; the random spread is 5%. A test's check was too weak: each refusal restarted the half second after which exchanges during a backoff are counted, so a host that ignored backoffs was counted by chance only. The count now begins at a backoff's first refusal, which is stricter; the bounds stay.

--- a/modules/tamarack_forwarding/placement/placement.cpp
+++ b/modules/tamarack_forwarding/placement/placement.cpp
@@ -9,8 +9,9 @@
 
 /** Time in which a report's weight decays to 1/e: about the turnover time of a target with few slots. */
 constexpr duration report_decay_time = 100ms;
-/** Round-trip time to another data centre, plus the cost of the traffic. */
-constexpr double far_cost = 4'000.0;
+/** Wait at a near target that is accepted to avoid traffic between data centres, as a share of the objective.
+ */
+constexpr double far_share = 0.1;
 /** Factor by which work takes longer on a cold target. */
 constexpr double cold_factor = 1.6;
 /** An exchange that has run for this multiple of the 90th percentile indicates a paused target. */
@@ -22,7 +23,7 @@
 /** Relative slowdown when all slots are busy. */
 constexpr double contention = 0.15;
 /** Random relative spread of costs, so that hosts with the same data do not all choose the same target. */
-constexpr double cost_spread = 0.15;
+constexpr double cost_spread = 0.05;
 
 double expected_load(const placement_candidate& candidate) {
     double reported = 0.0;
@@ -57,7 +58,7 @@
     double cost = expected_time * (1.0 + queued / slots + contention * std::min(load, slots) / slots);
     cost += candidate.error_share * static_cast<double>(demand.objective.count());
     if (candidate.far) {
-        cost += far_cost;
+        cost += far_share * static_cast<double>(demand.objective.count());
     }
     if (is_stalled(candidate, demand)) {
         cost += stall_cost;
--- a/modules/tamarack_forwarding/placement/placement.h
+++ b/modules/tamarack_forwarding/placement/placement.h
@@ -36,7 +36,11 @@
  * Load patterns: one slow target per shard (its relative speed counts); targets of many shards that are slow
  * or unresponsive at once (queues count, and a target that holds an exchange for far longer than usual is
  * considered paused until it answers); targets that fail part of their requests (the share of failures counts
- * as the cost of a retry); cold targets; targets in another data centre.
+ * as the cost of a retry); cold targets.
+ *
+ * Load pattern: each data centre has a replica of each shard, and traffic between data centres costs money. A
+ * near target is preferred until its queue would cost a noticeable share of the objective; the random spread
+ * of costs is smaller than that share.
  *
  * A load report is outdated within the time of a few exchanges, so its weight decays with its age.
  *
--- a/tests/forwarding/decisions_test.cpp
+++ b/tests/forwarding/decisions_test.cpp
@@ -177,6 +177,28 @@
     EXPECT_LT(cost, placement_cost(far, usual_demand()));
 }
 
+/** Load pattern: a replica of the shard in each data centre, and the usual fluctuations of their load. */
+TEST(placement, leaves_the_data_center_only_for_a_share_of_the_objective) {
+    constexpr int draws = 200;
+    const placement_demand demand{28ms, 50ms, 200ms};
+    placement_candidate near;
+    near.slots = 5;
+    near.report_age = 0ms;
+    placement_candidate far = near;
+    far.far = true;
+    random_source random{1};
+    const auto near_choices = [&](std::uint32_t near_load) {
+        near.reported = near_load;
+        int chosen = 0;
+        for (int draw = 0; draw < draws; ++draw) {
+            chosen += place({near, far}, demand, random) == 0 ? 1 : 0;
+        }
+        return chosen;
+    };
+    EXPECT_EQ(near_choices(5), draws) << "the queue costs 6 ms";
+    EXPECT_EQ(near_choices(14), 0) << "the queue costs 56 ms";
+}
+
 TEST(placement, discounts_load_reports_by_age) {
     placement_candidate candidate;
     candidate.slots = 2;
--- a/tests/forwarding/forwarding_world_targets.cpp
+++ b/tests/forwarding/forwarding_world_targets.cpp
@@ -79,7 +79,11 @@
 void forwarding_world::add_withheld_fields(simulated_target& target, std::size_t host, target_reply& answer) {
     if (answer.verdict == target_verdict::not_run && target.behaviour.requested_backoff > duration{0}) {
         answer.backoff = target.behaviour.requested_backoff;
-        target.backoffs[host] = {m_now, m_now + target.behaviour.requested_backoff};
+        const auto backoff = target.backoffs.try_emplace(host, m_now, m_now).first;
+        if (backoff->second.second <= m_now) {
+            backoff->second.first = m_now;
+        }
+        backoff->second.second = m_now + target.behaviour.requested_backoff;
     }
     if (target.behaviour.announces_leaving) {
         answer.leaving = true;
