Switch mechanisms of forwarding off by a setting

Change: section [ablation], key off, lists mechanisms by name; an unknown name or key is refused with the names that are allowed; the start line reports what is switched off. All are on by default.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -23,6 +23,7 @@
     options.data_center = host_settings.data_center;
     options.extra = {host_settings.forwarding.extra_ratio, host_settings.forwarding.extra_allowance,
                      host_settings.forwarding.extra_window};
+    options.mechanisms = host_settings.forwarding.mechanisms;
     return options;
 }
 
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -27,7 +27,12 @@
             running.push_back(host);
         }
     }
-    active_hosts selection = choose_active_hosts(std::move(running));
+    active_hosts selection;
+    if (m_settings.forwarding.mechanisms.has(forwarding_mechanism::active_subset)) {
+        selection = choose_active_hosts(std::move(running));
+    } else {
+        selection.active = std::move(running);
+    }
     sharing_hosts sharing;
     std::vector<host_record> entries;
     for (const host_record& host : selection.active) {
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -155,7 +155,8 @@
     print_addresses(value_of(started));
     log_state_change(log_level::info, "started", {},
                      {{"role", std::string{to_name(host_settings.role)}},
-                      {"first_start", host_settings.formation.first_start ? "true" : "false"}});
+                      {"first_start", host_settings.formation.first_start ? "true" : "false"},
+                      {"switched_off", host_settings.forwarding.mechanisms.off()}});
     wait_for_stop(signals, host, path);
     return shut_down(host, host_settings, signals);
 }
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -2,6 +2,7 @@
 
 #include "../budget/extra_budget.h"
 #include <tamarack_base/tamarack_base.h>
+#include <tamarack_settings/tamarack_settings.h>
 
 #include <cstddef>
 
@@ -31,6 +32,7 @@
     std::size_t warm_connections = 1;         ///< kept open to each target of a routed service
     duration no_target_retry = 500ms;         ///< retry delay sent to callers when there is no target
     duration no_configuration_retry = 250ms;
+    mechanisms_in_use mechanisms;
     forwarding_protections protections;
 };
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -50,19 +50,21 @@
     placement_candidate candidate;
     candidate.slots = target.info.slots;
     candidate.own_exchanges = static_cast<std::uint32_t>(target.busy);
-    if (target.load) {
+    if (target.load && m_core.uses(forwarding_mechanism::load_reports)) {
         candidate.reported = target.load->running + target.load->waiting + target.sent_since_load;
         candidate.report_age = m_core.now - target.load_at;
     }
-    candidate.speed = target.speed;
+    candidate.speed = m_core.uses(forwarding_mechanism::speed_estimate) ? target.speed : 1.0;
     if (target.load) {
         candidate.speed *= target.load->slowness;
     }
-    candidate.error_share = error_share_of(target, m_core.now);
-    candidate.far = target.far;
-    candidate.cold = m_core.now < target.info.warm_at;
-    candidate.ejected = m_core.now < target.ejected_until;
-    if (!target.running_since.empty()) {
+    if (m_core.uses(forwarding_mechanism::error_share)) {
+        candidate.error_share = error_share_of(target, m_core.now);
+    }
+    candidate.far = target.far && m_core.uses(forwarding_mechanism::near_targets);
+    candidate.cold = m_core.now < target.info.warm_at && m_core.uses(forwarding_mechanism::cold_targets);
+    candidate.ejected = m_core.now < target.ejected_until && m_core.uses(forwarding_mechanism::ejection);
+    if (!target.running_since.empty() && m_core.uses(forwarding_mechanism::stall_detection)) {
         candidate.oldest_exchange = m_core.now - target.running_since.front();
     }
     return candidate;
@@ -94,8 +96,9 @@
     m_eligible.clear();
     m_candidates.clear();
     for (const engine_target_pointer& target : part.service->targets) {
+        const std::size_t busy = m_core.uses(forwarding_mechanism::gradual_return) ? target->busy : 0;
         const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target) ||
-                           !target->backoff.allows(m_core.now, target->busy);
+                           !target->backoff.allows(m_core.now, busy);
         if (unfit || (!include_tried && was_tried(part, target))) {
             continue;
         }
@@ -192,6 +195,10 @@
     const waiting_part item{run.request.number, part_index, run.selected_route->priority,
                             run.times.objective_at, step};
     auto& waiting = part.service->waiting;
+    if (!m_core.uses(forwarding_mechanism::wait_order)) {
+        waiting.push_back(item);
+        return;
+    }
     const auto later = std::find_if(waiting.begin(), waiting.end(), [&](const waiting_part& other) {
         return other.priority > item.priority ||
                (other.priority == item.priority && other.objective_at > item.objective_at);
@@ -339,7 +346,9 @@
     bool postponed = false;
     for (auto& [id, service] : m_core.services) {
         for (const engine_target_pointer& target : service->targets) {
-            const std::size_t warm = m_core.view->takes_callers ? m_core.options.warm_connections : 0;
+            const bool keeps_warm =
+                m_core.view->takes_callers && m_core.uses(forwarding_mechanism::warm_connections);
+            const std::size_t warm = keeps_warm ? m_core.options.warm_connections : 0;
             const bool check =
                 target->opening == 0 && m_core.crashes.awaits_check(incarnation_of(target->info));
             const std::size_t wanted =
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -117,7 +117,8 @@
  */
 void request_flow::drop_overloaded_parts(forwarding_run& run) {
     const duration left = run.times.objective_at - m_core.now;
-    if (!run.merges() || left <= duration{0}) {
+    const bool drops = m_core.uses(forwarding_mechanism::part_dropping);
+    if (!drops || !run.merges() || left <= duration{0}) {
         return;
     }
     std::vector<std::pair<duration, run_part*>> late;
@@ -169,7 +170,7 @@
     inputs.lag = m_core.current_lag();
     inputs.queue_time = expected_queue(run);
     const admission_decision decision = admit(inputs);
-    if (decision.admitted) {
+    if (decision.admitted || !m_core.uses(forwarding_mechanism::admission_by_wait)) {
         return true;
     }
     forward_answer answer;
@@ -272,9 +273,10 @@
     const bool at_most_once = run.selected_route->repeats == repeatability::at_most_once &&
                               m_core.options.protections.enforce_at_most_once;
     const bool may_repeat = did_not_run || !at_most_once;
+    const bool retries = m_core.uses(forwarding_mechanism::retries);
     const bool in_time =
         m_core.now < run.times.answer_deadline && part.possible_runs < run.selected_route->attempts;
-    if (!may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
+    if (!retries || !may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
         give_up(run, part, cause);
         return;
     }
@@ -335,7 +337,8 @@
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
     const bool wanted =
-        part.progress == part_progress::running && part.possible_runs < run.selected_route->attempts &&
+        m_core.uses(forwarding_mechanism::hedges) && part.progress == part_progress::running &&
+        part.possible_runs < run.selected_route->attempts &&
         run.selected_route->repeats != repeatability::at_most_once && m_dispatcher.has_untried(part);
     if (wanted && m_core.judge(run) != crash_verdict::clear) {
         m_core.report_crash_step(crash_step::withheld, run);
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -4,8 +4,8 @@
  *
  * Purpose: a request is sent to one target, to one of several services, or to all shards, whose records are
  * merged; each request gets exactly one correct answer in time, even when targets misbehave or load is high.
- * Dependencies: tamarack_base, tamarack_tickets (route table). Uses no sockets, files, threads or clocks:
- * events are passed in with the current time, and actions are returned.
+ * Dependencies: tamarack_base, tamarack_settings (mechanisms), tamarack_tickets (route table). Uses no
+ * sockets, files, threads or clocks: events are passed in with the current time, and actions are returned.
  */
 #pragma once
 
@@ -35,6 +35,7 @@
 #include "budget/allowance_share.h"
 #include "budget/extra_budget.h"
 #include "budget/extra_exchange_charge.h"
+#include "placement/abandoned_exchange.h"
 #include "placement/connection_share.h"
 #include "placement/placement.h"
 #include "timing/exchange_timing.h"
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -143,6 +143,14 @@
     source.report(section, key, "above 0, at most " + std::to_string(static_cast<long>(upper_bound)));
 }
 
+std::string all_mechanisms() {
+    std::string names;
+    for (const auto& [mechanism, name] : name_table<forwarding_mechanism>::entries) {
+        names += (names.empty() ? "" : ", ") + std::string{name};
+    }
+    return names;
+}
+
 } // namespace
 
 void read_host(settings_source& source, settings& into) {
@@ -250,6 +258,23 @@
     }
 }
 
+void read_ablation(settings_source& source, mechanisms_in_use& into) {
+    const auto text = source.find("ablation", "off");
+    if (!text) {
+        return;
+    }
+    std::istringstream list{*text};
+    std::string name;
+    while (std::getline(list, name, ',')) {
+        const auto mechanism = from_name<forwarding_mechanism>(name);
+        if (!mechanism) {
+            source.report("ablation", "off", "names of mechanisms, separated by commas: " + all_mechanisms());
+            return;
+        }
+        into.switch_off(*mechanism);
+    }
+}
+
 void read_times(settings_source& source, protocol_times& into) {
     for (const time_key& key : time_keys) {
         read_duration(source, "times", key, into);
--- a/modules/tamarack_settings/parsing/section_readers.h
+++ b/modules/tamarack_settings/parsing/section_readers.h
@@ -25,6 +25,7 @@
 
 /** Reads `[forwarding]`. */
 void read_forwarding(settings_source& source, forwarding_settings& into);
+void read_ablation(settings_source& source, mechanisms_in_use& into);
 
 /** Reads `[times]`. */
 void read_times(settings_source& source, protocol_times& into);
--- a/modules/tamarack_settings/tamarack_settings.h
+++ b/modules/tamarack_settings/tamarack_settings.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "model/forwarding_mechanism.h"
 #include "model/settings.h"
 
 #include "model/settings_reader.h"
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -50,6 +50,24 @@
     return AllOf(Field(&settings_mistake::section, section), Field(&settings_mistake::key, key));
 }
 
+TEST(settings, switches_off_the_listed_mechanisms) {
+    const auto read = parse_settings(std::string{good_text} + "[ablation]\noff = hedges,near_targets\n");
+    ASSERT_TRUE(succeeded(read)) << describe(error_of(read).front());
+    const mechanisms_in_use& mechanisms = value_of(read).forwarding.mechanisms;
+    EXPECT_FALSE(mechanisms.has(forwarding_mechanism::hedges));
+    EXPECT_FALSE(mechanisms.has(forwarding_mechanism::near_targets));
+    EXPECT_TRUE(mechanisms.has(forwarding_mechanism::retries));
+    EXPECT_EQ(mechanisms.off(), "hedges,near_targets");
+}
+
+TEST(settings, refuses_unknown_mechanisms_and_keys_of_the_ablation_section) {
+    const auto unknown = mistakes_of(std::string{good_text} + "[ablation]\noff = hedges,hope\n");
+    ASSERT_THAT(unknown, ElementsAre(mistake_at("ablation", "off")));
+    EXPECT_THAT(describe(unknown.front()), AllOf(HasSubstr("hope"), HasSubstr("stall_detection")));
+    EXPECT_THAT(mistakes_of(std::string{good_text} + "[ablation]\nhedges = off\n"),
+                ElementsAre(mistake_at("ablation", "hedges")));
+}
+
 TEST(settings, reads_what_is_given_and_keeps_defaults) {
     const auto read = parse_settings(good_text);
     ASSERT_TRUE(succeeded(read)) << describe(error_of(read).front());
