Always list hosts of comparable speed in the directory

Cause: each answer of the directory left out a slower host with a probability, and callers close their connections to hosts that are left out. Ruled out: the hosts' processors (0.005 of a core in the mean of 0.25 and 0.45). Change: a host at least half as fast as the fastest one is always listed; slower ones by chance as before.

--- a/modules/tamarack_membership/directory/active_hosts.cpp
+++ b/modules/tamarack_membership/directory/active_hosts.cpp
@@ -21,6 +21,11 @@
 /** With fewer active hosts, the failure of one would affect more than a quarter of the callers. */
 constexpr std::size_t min_active = 4;
 
+/** @return whether a host is at least half as fast as the fastest one */
+bool is_comparable(const host_record& host, std::uint32_t fastest) {
+    return host.capacity * 2 >= fastest;
+}
+
 std::uint32_t fastest_of(const std::vector<host_record>& hosts) {
     const auto fastest = std::ranges::max_element(hosts, {}, &host_record::capacity);
     return fastest == hosts.end() ? 0 : fastest->capacity;
@@ -41,7 +46,7 @@
         std::ranges::all_of(running, [](const host_record& host) { return host.capacity > 0; });
     const double load = sum_of(running, &host_record::load);
     const auto slower = std::stable_partition(running.begin(), running.end(), [&](const host_record& host) {
-        return !all_report_capacity || host.capacity * 2 >= fastest;
+        return !all_report_capacity || is_comparable(host, fastest);
     });
     std::sort(slower, running.end(), [](const host_record& left, const host_record& right) {
         return std::make_pair(stable_hash(left.host.value()), left.host) <
@@ -65,10 +70,11 @@
 
 std::vector<endpoint> sample_entry_addresses(const std::vector<host_record>& entries, random_source& random,
                                              std::size_t max_count) {
-    const double fastest = fastest_of(entries);
+    const std::uint32_t fastest = fastest_of(entries);
     std::vector<endpoint> chosen;
     for (const host_record& entry : entries) {
-        if (fastest == 0.0 || random.chance(static_cast<double>(entry.capacity) / fastest)) {
+        const double share = static_cast<double>(entry.capacity) / std::max(fastest, 1U);
+        if (is_comparable(entry, fastest) || random.chance(share)) {
             chosen.push_back(entry.callers_address);
         }
     }
--- a/modules/tamarack_membership/directory/active_hosts.h
+++ b/modules/tamarack_membership/directory/active_hosts.h
@@ -33,8 +33,13 @@
 active_hosts choose_active_hosts(std::vector<host_record> running);
 
 /**
- * Samples hosts for one caller, which picks one of them at random: the slower a host, the less often it is
- * included.
+ * Samples hosts for one caller, which picks one of them at random: of the hosts that are less than half as
+ * fast as the fastest one, the slower a host, the less often it is included.
+ *
+ * Load pattern: callers keep their connections open, but close those to hosts that a later answer leaves out.
+ * In the end nearly all connections go to the hosts that are always included, while each active host holds an
+ * equal part of the connections to targets: when targets are slow, the busy hosts run out of them. Hosts of
+ * comparable speed are therefore always included.
  *
  * @param entries    hosts that accept callers
  * @param random     source of the random choices
--- a/tests/membership/active_hosts_test.cpp
+++ b/tests/membership/active_hosts_test.cpp
@@ -122,6 +122,19 @@
     EXPECT_TRUE(sample_entry_addresses({}, random, 64).empty());
 }
 
+/** Load pattern: callers close their connections to hosts that a later answer leaves out. */
+TEST(sample_entry_addresses, always_includes_hosts_of_comparable_speed) {
+    std::vector<host_record> entries(4);
+    for (std::size_t host = 0; host < entries.size(); ++host) {
+        entries[host].callers_address = endpoint{"10.0.0." + std::to_string(host) + ":80"};
+        entries[host].capacity = host == 0 ? 450 : 250;
+    }
+    random_source random{1};
+    for (int call = 0; call < 100; ++call) {
+        EXPECT_EQ(sample_entry_addresses(entries, random, 64).size(), entries.size());
+    }
+}
+
 /** Load pattern: the load varies from second to second, and each report goes to all hosts. */
 TEST(load_reporter, reports_only_lasting_changes) {
     load_reporter report{fast};
