--- a/modules/tamarack_forwarding/withheld/target_backoff.cpp
+++ b/modules/tamarack_forwarding/withheld/target_backoff.cpp
@@ -11,7 +11,7 @@
 /** Upper bound of the extension: while capacity stays unused, callers miss their objective. */
 constexpr duration max_spread = 500ms;
 /** Number of successes after a backoff after which the target is used without a limit again. */
-constexpr std::size_t successes_to_trust = 16;
+constexpr std::size_t successes_to_unlimited = 16;
 
 } // namespace
 
@@ -28,7 +28,7 @@
         return;
     }
     ++m_max_running;
-    if (m_max_running > successes_to_trust) {
+    if (m_max_running > successes_to_unlimited) {
         m_max_running = unlimited;
     }
 }
