Rename in the forwarding module what newcomers stumbled over

Change: statistics, own_budget, counting_for; the field on the log line keeps its name record_age_ms.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -231,7 +231,7 @@
                       {"repeats", std::to_string(report.extra_exchanges)},
                       {"refused", std::to_string(report.refused)},
                       {"allowance_part", std::to_string(report.allowance_part)},
-                      {"record_age_ms", std::to_string(report.record_age / 1ms)}});
+                      {"record_age_ms", std::to_string(report.counting_for / 1ms)}});
 }
 
 void forwarding_worker::deliver(forward_answer answer) {
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -103,7 +103,7 @@
     std::uint32_t extra_exchanges = 0; ///< hedges and retries charged in the window
     std::uint32_t refused = 0;         ///< extra exchanges that the budget refused since the last report
     double allowance_part = 0.0;       ///< fraction of the allowance that this host may spend
-    duration record_age{};             ///< time since this host began to count for this service
+    duration counting_for{};           ///< time since this host began to count for this service
 };
 
 /** What the caller of the engine has to do after an event, in order. */
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -99,7 +99,7 @@
     target_connection last_connection = 0;
     duration lag{}; ///< of the event loop, at lag_at
     time_point lag_at{};
-    forwarding_statistics counted;
+    forwarding_statistics statistics;
 
     forwarding_core(forwarding_options wanted, random_source source);
 
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -434,7 +434,7 @@
 
 forwarding_statistics forwarding_engine::statistics() const {
     const forwarding_core& core = m_implementation->core;
-    forwarding_statistics result = core.counted;
+    forwarding_statistics result = core.statistics;
     result.running = core.runs.size();
     result.connections = core.connections.size();
     result.unread = core.unread.size();
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -171,7 +171,7 @@
     part.progress = part_progress::running;
     ++part.possible_runs;
     ++run.sent;
-    ++m_core.counted.exchanges;
+    ++m_core.statistics.exchanges;
     m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size());
     if (step == trace_step::sent && part.possible_runs < run.selected_route->attempts) {
         part.hedge_at = m_core.now + hedge_delay(run.timing->p90(), run.times.objective_at - m_core.now);
@@ -330,7 +330,7 @@
     m_core.connections.emplace(connection, std::move(held));
     ++target->opening;
     ++m_core.opening;
-    ++m_core.counted.connections_opened;
+    ++m_core.statistics.connections_opened;
     m_core.crashes.on_check_started(incarnation_of(target->info));
     m_core.actions.emplace_back(open_target_connection{connection, target->info.id, target->info.address,
                                                        m_core.options.connect_timeout});
@@ -385,7 +385,7 @@
 void part_dispatcher::on_open_failed(engine_target& target) {
     const std::uint32_t doublings = std::min(target.failed_opens, max_open_doublings);
     ++target.failed_opens;
-    ++m_core.counted.connections_failed;
+    ++m_core.statistics.connections_failed;
     target.open_after = m_core.now + m_core.options.first_reopen_delay * (1U << doublings);
     m_core.schedule(target.open_after, due_kind::warming, 0);
 }
--- a/modules/tamarack_forwarding/engine/request_answers.cpp
+++ b/modules/tamarack_forwarding/engine/request_answers.cpp
@@ -110,7 +110,7 @@
     run.trace.covered = run.count(part_progress::covered);
     run.trace.late = m_core.now > run.times.objective_at;
     if (run.trace.late) {
-        ++m_core.counted.late_answers;
+        ++m_core.statistics.late_answers;
     }
     answer.trace = std::move(run.trace);
     m_core.actions.emplace_back(deliver_answer{std::move(answer)});
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 void request_flow::on_arrival(forward_request request) {
-    ++m_core.counted.requests;
+    ++m_core.statistics.requests;
     if (!m_core.index) {
         m_answers.refuse_unrouted(std::move(request), forward_outcome::not_run,
                                   forward_reason::no_configuration, m_core.options.no_configuration_retry);
@@ -257,7 +257,7 @@
         part.charge = std::make_shared<extra_exchange_charge>(part.service->budget, m_core.now);
         return true;
     }
-    ++m_core.counted.refused_by_budget;
+    ++m_core.statistics.refused_by_budget;
     ++part.service->refused_extra_exchanges;
     m_core.trace(run, trace_step::no_budget, part.service->id, nullptr);
     return false;
@@ -288,7 +288,7 @@
         give_up(run, part, "no_budget");
         return;
     }
-    ++m_core.counted.retries;
+    ++m_core.statistics.retries;
     ++run.trace.retries;
     m_dispatcher.send_or_wait(run, part_index, trace_step::retried);
 }
@@ -347,7 +347,7 @@
     if (!wanted || !charge_extra_exchange(run, part)) {
         return;
     }
-    ++m_core.counted.hedges;
+    ++m_core.statistics.hedges;
     ++run.trace.hedges;
     if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
         const waiting_part item{run.request.number, part_index, run.selected_route->priority,
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -64,8 +64,8 @@
     std::shared_ptr<extra_budget> budget;      ///< kept when the service leaves the routes, as it may return
     std::uint32_t refused_extra_exchanges = 0; ///< by the budget, since the last report
 
-    engine_service(service_id name, std::shared_ptr<extra_budget> record)
-        : id(std::move(name)), budget(std::move(record)) {}
+    engine_service(service_id name, std::shared_ptr<extra_budget> own_budget)
+        : id(std::move(name)), budget(std::move(own_budget)) {}
 };
 
 using engine_service_pointer = std::shared_ptr<engine_service>;
