Answer a request whose successor arrives before its response

Cause: while a response is awaited, only the wait for the peer's departure kept the session alive. Bytes of a next request end that wait, so the session was destroyed and the connection closed without the response. Ruled out: a strong reference in the responder, which other workers may hold longer than the server's thread exists. Change: the server's context holds the sessions whose request has no response yet.

--- a/modules/tamarack_transport/http/http_server.cpp
+++ b/modules/tamarack_transport/http/http_server.cpp
@@ -26,6 +26,12 @@
         context->handler = std::move(handler);
     }
 
+    ~implementation() { std::exchange(context->answering, {}).clear(); }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
     boost::system::error_code open(const tcp::endpoint& address) {
         boost::system::error_code failure;
         acceptor.open(address.protocol(), failure);
--- a/modules/tamarack_transport/http/http_session.cpp
+++ b/modules/tamarack_transport/http/http_session.cpp
@@ -128,11 +128,14 @@
     };
     auto on_disconnect = m_context->handler(from_beast(std::move(request)), std::move(responder));
     if (m_awaiting_response) {
+        m_context->answering.insert(shared_from_this());
         m_on_disconnect = std::move(on_disconnect);
         watch_for_close();
     }
 }
 
+/** Ends once bytes of a next request arrive: the peer's departure is then noticed when the response is
+ * written. */
 void http_session::watch_for_close() {
     m_stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
                                  [self = shared_from_this()](const boost::system::error_code& failure) {
@@ -151,8 +154,14 @@
                                  });
 }
 
+bool http_session::end_wait() {
+    const bool awaited = std::exchange(m_awaiting_response, false);
+    m_context->answering.erase(shared_from_this());
+    return awaited;
+}
+
 void http_session::handle_disconnect() {
-    m_awaiting_response = false;
+    end_wait();
     if (const auto on_disconnect = std::exchange(m_on_disconnect, nullptr)) {
         on_disconnect();
     }
@@ -160,10 +169,9 @@
 }
 
 void http_session::respond(http_response response) {
-    if (!m_awaiting_response) {
+    if (!end_wait()) {
         return;
     }
-    m_awaiting_response = false;
     m_on_disconnect = nullptr;
     write(std::move(response), m_keep_alive && m_context->allow_keep_alive);
 }
--- a/modules/tamarack_transport/http/http_session.h
+++ b/modules/tamarack_transport/http/http_session.h
@@ -22,14 +22,16 @@
     http_server_limits limits;
     http_handler handler;
     bool allow_keep_alive = true;
-    std::unordered_set<http_session*> sessions; ///< all open connections
-    std::function<void()> on_all_closed;        ///< set while closing; called once no connections are left
+    std::unordered_set<http_session*> sessions;                  ///< all open connections
+    std::unordered_set<std::shared_ptr<http_session>> answering; ///< those whose request has no response yet
+    std::function<void()> on_all_closed; ///< set while closing; called once no connections are left
 };
 
 /**
  * One accepted connection of an http_server: reads requests one after another and writes their responses.
  *
- * A session keeps itself alive while an asynchronous operation or a response is pending.
+ * A session keeps itself alive while an asynchronous operation is pending; its context does while a response
+ * is.
  */
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
@@ -58,6 +60,8 @@
     void handle();
     void watch_for_close();
     void handle_disconnect();
+    /** Stops waiting for the response. @return whether it was awaited */
+    bool end_wait();
     void respond(http_response response);
     void refuse(unsigned status, const char* message);
     void write(http_response response, bool keep_alive);
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -18,8 +18,10 @@
 using boost::asio::ip::tcp;
 
 constexpr duration test_timeout = 10s;
+constexpr duration answer_delay = 200ms;
 
-/** A server that echoes bodies and never answers requests for "/never". */
+/** A server that echoes bodies, those sent to "/later" after a while, and never answers requests for
+ * "/never". */
 class echo_server {
 public:
     explicit echo_server(http_server_limits limits = {})
@@ -63,6 +65,11 @@
         }
         http_response response;
         response.body = std::move(request.body);
+        if (request.target == "/later") {
+            m_thread.run_at(steady_now() + answer_delay,
+                            [respond, response = std::move(response)] { respond(response); });
+            return [] {};
+        }
         respond(std::move(response));
         return nullptr;
     }
@@ -217,6 +224,19 @@
     EXPECT_NE(received.find("two", first), std::string::npos);
 }
 
+/** A caller may send its next request before it has the response to the previous one. */
+TEST(http_server, answers_a_request_whose_successor_arrives_before_its_response) {
+    const echo_server server;
+    raw_peer peer{server.address()};
+    peer.send("POST /later HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none");
+    ASSERT_TRUE(succeeded(fetch_and_wait(server.address(), post("/echo", "read"), test_timeout)));
+    peer.send("POST /later HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\ntwo");
+    const std::string received = peer.receive_all();
+    const std::size_t first = received.find("one");
+    ASSERT_NE(first, std::string::npos);
+    EXPECT_NE(received.find("two", first), std::string::npos);
+}
+
 TEST(fetch, reports_an_address_where_nobody_listens) {
     const auto result = fetch_and_wait(endpoint{"127.0.0.1:1"}, post("/", ""), test_timeout);
     ASSERT_FALSE(succeeded(result));
