Wait for the callers' worker in one place, and log connections that are cut

Cause: finish_requests and close_callers had the same promise and wait; that the second one ran out of time was swallowed. Change: wait_for_callers takes the step to post; stop() logs connections_cut.

--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -190,30 +190,26 @@
 
 bool host_daemon::finish_requests(duration limit) {
     m_requests_end_at = steady_now() + limit;
+    return wait_for_callers([this](const std::function<void()>& done) {
+        return m_serving ? m_serving->post_drain(done) : m_forwarding->post_drain(done);
+    });
+}
+
+bool host_daemon::close_callers() {
+    return wait_for_callers([this](const std::function<void()>& done) {
+        return m_serving ? m_serving->post_close(done) : m_forwarding->post_close(done);
+    });
+}
+
+bool host_daemon::wait_for_callers(const std::function<bool(std::function<void()>)>& post) {
     if (!m_serving && !m_forwarding) {
         return true;
     }
     auto finished_promise = std::make_shared<std::promise<void>>();
     auto finished = finished_promise->get_future();
-    const auto set = [finished_promise] { finished_promise->set_value(); };
-    const bool posted = m_serving ? m_serving->post_drain(set) : m_forwarding->post_drain(set);
-    if (!posted) {
-        return false;
-    }
-    return finished.wait_for(limit) == std::future_status::ready;
-}
-
-void host_daemon::close_callers() {
-    if (!m_serving && !m_forwarding) {
-        return;
-    }
-    auto closed_promise = std::make_shared<std::promise<void>>();
-    auto closed = closed_promise->get_future();
-    const auto set = [closed_promise] { closed_promise->set_value(); };
-    const bool posted = m_serving ? m_serving->post_close(set) : m_forwarding->post_close(set);
-    if (posted) {
-        closed.wait_for(std::max(m_requests_end_at - steady_now(), duration{0}));
-    }
+    const auto left = [this] { return std::max(m_requests_end_at - steady_now(), duration{0}); };
+    return post([finished_promise] { finished_promise->set_value(); }) &&
+           finished.wait_for(left()) == std::future_status::ready;
 }
 
 void host_daemon::stop() {
@@ -226,7 +222,9 @@
     }
     m_hosts->post_leave();
     std::this_thread::sleep_for(leave_grace_time);
-    close_callers();
+    if (!close_callers()) {
+        log_state_change(log_level::warning, "connections_cut", {}, {});
+    }
     m_operators->stop();
     if (m_control_edge) {
         m_control_edge->stop();
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -58,9 +58,16 @@
 
 private:
     outcome<done> open_control();
-    /** Closes callers' connections; waits for the answers to requests that have been read, until
-     * m_requests_end_at. */
-    void close_callers();
+    /** Closes callers' connections after the answers to requests that have been read. @return false if
+     * m_requests_end_at passed first */
+    bool close_callers();
+    /**
+     * Posts a step to the worker that serves callers, and waits until it is done.
+     *
+     * @param post  passes the function to call when it is done; returns false if the worker's queue is full
+     * @return false if m_requests_end_at passed first, or the step was not posted
+     */
+    bool wait_for_callers(const std::function<bool(std::function<void()>)>& post);
     serving_hooks make_serving_hooks();
     hosts_hooks make_hosts_hooks();
     control_hooks make_control_hooks();
