Compute the parts that an answer needs in one place

Cause: the share of a route's parts was compared in three places, with a tolerance for rounding in two. Change: parts_needed in the route table's module, used by the engine, the admission estimate and the directory.

--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -27,9 +27,7 @@
 }
 
 bool forwarding_run::covers_enough(std::size_t covered) const {
-    const double share =
-        static_cast<double>(covered) / static_cast<double>(std::max<std::size_t>(parts.size(), 1));
-    return covered > 0 && share + share_rounding >= selected_route->least_coverage;
+    return covered >= parts_needed(selected_route->least_coverage, parts.size());
 }
 
 bool forwarding_run::is_under_way() const {
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -112,6 +112,7 @@
     /** Schedules a review of a request at this time, unless an earlier one is scheduled. */
     void wake(forwarding_run& run, time_point at);
     void schedule(time_point at, due_kind kind, std::uint64_t number);
+    /** @return whether a mechanism is in use */
     bool uses(forwarding_mechanism mechanism) const { return options.mechanisms.has(mechanism); }
     /** @return the part of the allowance for extra load that this host may spend now */
     double allowance_now() const;
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -43,9 +43,6 @@
     std::optional<target_reply> failure; ///< first reply of a target that ran it and failed
 };
 
-/** Tolerance for rounding when shares are compared. */
-inline constexpr double share_rounding = 1e-9;
-
 /** A request that is being processed. Internal to the module. */
 struct forwarding_run {
     forward_request request;
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -3,7 +3,6 @@
 #include "../admission/admission.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
@@ -156,8 +155,7 @@
     }
     std::sort(waits.begin(), waits.end());
     const double share = run.merges() ? run.selected_route->least_coverage : 1.0;
-    const double needed = std::ceil(share * static_cast<double>(run.parts.size()) - share_rounding);
-    const auto rank = static_cast<std::size_t>(std::max(needed, 1.0)) - 1;
+    const std::size_t rank = parts_needed(share, run.parts.size()) - 1;
     return waits[std::min(rank, waits.size() - 1)];
 }
 
--- a/modules/tamarack_membership/directory/directory_admission.cpp
+++ b/modules/tamarack_membership/directory/directory_admission.cpp
@@ -8,16 +8,12 @@
 
 /** Maximum time that a host waits for targets; a service may have none. */
 constexpr duration max_wait_for_targets = 2s;
-/** Tolerance for rounding when shares are compared. */
-constexpr double rounding = 1e-9;
 
 bool is_servable(const route& item, const std::function<bool(const service_id&)>& has_targets) {
     const auto known = std::ranges::count_if(
         item.services, [&](const route_service& part) { return has_targets(part.service); });
-    const double share =
-        static_cast<double>(known) / static_cast<double>(std::max<std::size_t>(item.services.size(), 1));
-    const double needed = item.destination == route_destination::shards ? item.least_coverage : 1.0;
-    return known > 0 && share + rounding >= needed;
+    const double least_share = item.destination == route_destination::shards ? item.least_coverage : 1.0;
+    return static_cast<std::size_t>(known) >= parts_needed(least_share, item.services.size());
 }
 
 } // namespace
--- a/modules/tamarack_tickets/model/route_table.h
+++ b/modules/tamarack_tickets/model/route_table.h
@@ -2,6 +2,7 @@
 
 #include <tamarack_base/tamarack_base.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -64,6 +65,9 @@
     bool operator==(const route&) const = default;
 };
 
+/** @return the number of parts, of `total`, that an answer needs at least to reach a share; never zero */
+std::size_t parts_needed(double least_share, std::size_t total);
+
 /** Settings of a service's replicas in a route table. */
 struct routed_service {
     service_id id;
--- a/tests/tickets/route_table_test.cpp
+++ b/tests/tickets/route_table_test.cpp
@@ -37,6 +37,14 @@
     return value;
 }
 
+TEST(parts_needed, reaches_the_share_without_a_part_too_many) {
+    EXPECT_EQ(parts_needed(0.89, 10), 9U);
+    EXPECT_EQ(parts_needed(0.6, 5), 3U) << "0.6 * 5 is not exactly 3";
+    EXPECT_EQ(parts_needed(1.0, 36), 36U);
+    EXPECT_EQ(parts_needed(0.0, 4), 1U) << "an answer holds one part at least";
+    EXPECT_EQ(parts_needed(0.5, 0), 1U) << "nothing can't be enough";
+}
+
 TEST(route_table_ticket, survives_its_encoding) {
     const ticket value = with_routes();
     const auto decoded = decode_ticket(encode_ticket(value));
