--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -20,8 +20,7 @@
 /** Every host sends its known crash losses to a new host. With 300 hosts and about 150 bytes per host and
  * loss the new host receives 1.5 MB. */
 constexpr std::size_t max_reported_crash_losses = 32;
-/** Processor time of one exchange with a target, including its share of the request: processor seconds
- * divided by exchanges over one day on the bench (docs/CAPACITY.md). Not measured at run time, because not
+/** Processor time of one exchange with a target, including its share of the request. A constant, because not
  * every platform maintains a process's processor-time clock. */
 constexpr duration processor_time_per_exchange = 170us;
 
--- a/modules/tamarack_settings/model/forwarding_mechanism.h
+++ b/modules/tamarack_settings/model/forwarding_mechanism.h
@@ -2,7 +2,12 @@
 
 #include <tamarack_base/tamarack_base.h>
 
+#include <array>
 #include <bitset>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
 
 namespace tamarack {
 
