--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -151,6 +151,10 @@
     const host_record& self() const { return m_state.self(); }
 
 private:
+    static constexpr duration sync_timeout = 1s; ///< without a reply, another host is asked
+    /** Wait for another state comparison, after a start or one that failed. */
+    static constexpr duration sync_retry_delay = 500ms;
+
     struct pending_probe {
         host_id subject;
         time_point sent_at;
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -25,6 +25,11 @@
 using testing_support::plain_request;
 using testing_support::plain_response;
 
+/** Time-out of a call on a new connection. */
+inline constexpr std::chrono::milliseconds call_limit{5'000};
+inline constexpr unsigned status_ok = 200;
+inline constexpr unsigned status_not_run = 503;
+
 /** A fake replica that implements the platform's protocol on a thread of its deployment. */
 struct stand_in_replica {
     std::string id;
