--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -110,9 +110,10 @@
 }
 
 bool forwarding_inputs_builder::may_enter_directory(time_point now, const configuration& current,
-                                                    const target_registry& registry) {
+                                                    bool confirmed, const target_registry& registry) {
     directory_admission_inputs inputs;
     inputs.routes = current.routes ? &*current.routes : nullptr;
+    inputs.routes_confirmed = confirmed;
     inputs.has_targets = [&registry](const service_id& service) { return !registry.usable(service).empty(); };
     inputs.others_listed = std::ranges::any_of(
         m_entries, [this](const host_record& host) { return host.host != m_settings.host; });
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -34,8 +34,12 @@
     forwarding_inputs build(time_point now, const configuration& current, const target_registry& registry,
                             bool in_directory);
 
-    /** @return whether this host knows enough targets to be listed in the directory */
-    bool may_enter_directory(time_point now, const configuration& current, const target_registry& registry);
+    /**
+     * @param confirmed  whether the control hosts have confirmed that the configuration is the latest
+     * @return whether the directory may list this host
+     */
+    bool may_enter_directory(time_point now, const configuration& current, bool confirmed,
+                             const target_registry& registry);
 
 private:
     std::vector<forwarding_target> list_targets(time_point now, const target_registry& registry);
--- a/apps/tamarackd/hosts/hosts_worker_inputs.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_inputs.cpp
@@ -13,7 +13,8 @@
         return;
     }
     if (m_settings.edge.kind == edge_kind::platform) {
-        if (m_inputs_builder->may_enter_directory(now, m_control->current(), *m_registry)) {
+        const bool confirmed = m_control->lease_ends_at() > now;
+        if (m_inputs_builder->may_enter_directory(now, m_control->current(), confirmed, *m_registry)) {
             m_in_directory = true;
             log_state_change(log_level::info, "entered_directory", m_control->current().number, {});
             carry_out(m_detector->set_draining(now, false));
--- a/modules/tamarack_membership/directory/directory_admission.cpp
+++ b/modules/tamarack_membership/directory/directory_admission.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/** Maximum time that a host waits for targets; a service may have none. */
-constexpr duration max_wait_for_targets = 2s;
+/** Maximum time that a host waits: a service may have no targets, and the control hosts may be out of reach.
+ */
+constexpr duration max_wait = 2s;
 
 bool is_servable(const route& item, const std::function<bool(const service_id&)>& has_targets) {
     const auto known = std::ranges::count_if(
@@ -26,7 +27,7 @@
     const auto servable = [&](const route& item) { return is_servable(item, inputs.has_targets); };
     const bool enough = inputs.others_listed ? std::ranges::all_of(inputs.routes->routes, servable)
                                              : std::ranges::any_of(inputs.routes->routes, servable);
-    return enough || now >= m_first_routes_at + max_wait_for_targets;
+    return (enough && inputs.routes_confirmed) || now >= m_first_routes_at + max_wait;
 }
 
 } // namespace tamarack
--- a/tests/membership/directory_admission_test.cpp
+++ b/tests/membership/directory_admission_test.cpp
@@ -26,6 +26,7 @@
     route_table m_routes;
     std::set<std::string> m_with_targets;
     bool m_others_listed = false;
+    bool m_confirmed = true;
 
     directory_admission_test() {
         m_routes.routes = {route_to(route_destination::shards, {"s1", "s2", "s3"}, 0.6),
@@ -38,6 +39,7 @@
     bool may_enter(time_point now, bool routes_known = true) {
         directory_admission_inputs inputs;
         inputs.routes = routes_known ? &m_routes : nullptr;
+        inputs.routes_confirmed = m_confirmed;
         inputs.has_targets = [this](const service_id& service) {
             return m_with_targets.contains(service.value());
         };
@@ -52,6 +54,24 @@
     EXPECT_TRUE(may_enter(start));
 }
 
+/** Load pattern: all hosts restart at once after several tickets; what is on the disks may be an older one.
+ */
+TEST_F(directory_admission_test, waits_until_the_control_hosts_have_confirmed_the_ticket) {
+    m_confirmed = false;
+    m_with_targets = {"s1", "s2", "s3", "orders"};
+    EXPECT_FALSE(may_enter(start));
+    EXPECT_FALSE(may_enter(start + 1s));
+    m_confirmed = true;
+    EXPECT_TRUE(may_enter(start + 1s));
+}
+
+TEST_F(directory_admission_test, does_not_wait_for_control_hosts_that_are_out_of_reach) {
+    m_confirmed = false;
+    m_with_targets = {"s1", "s2", "s3", "orders"};
+    EXPECT_FALSE(may_enter(start));
+    EXPECT_TRUE(may_enter(start + 2s));
+}
+
 /** Load pattern: all hosts restart at once, after the index was cut into other shards. */
 TEST_F(directory_admission_test, does_not_wait_for_services_that_no_route_uses) {
     m_others_listed = true;
