Let the test of a full disk end in the middle of a record

Cause: storage.journal_test.refuses_everything_after_the_disk_is_full allowed 1,000 bytes from the opening on. Change: the test counts the bytes of one record after the opening, and leaves room for seven records and a half. All checks stay; the number of recovered records is now exact (8) where it was "more than 5". The old form's failure was not brought about here.

--- a/tests/storage/journal_test.cpp
+++ b/tests/storage/journal_test.cpp
@@ -181,7 +181,7 @@
 }
 
 TEST_F(journal_test, refuses_everything_after_the_disk_is_full) {
-    std::size_t free_bytes = 1'000;
+    std::size_t free_bytes = 1'000'000;
     file_hooks hooks = system_file_hooks();
     hooks.write = [&](int file, const void* data, std::size_t size) -> long {
         const std::size_t fits = std::min(free_bytes, size);
@@ -190,7 +190,14 @@
         return fits == 0 ? -1 : system_file_hooks().write(file, data, fits);
     };
     reopen(hooks);
-    EXPECT_FALSE(append(1, 100));
+    const std::size_t free_after_opening = free_bytes;
+    ASSERT_TRUE(append(1, 1));
+    const std::size_t record_bytes = free_after_opening - free_bytes;
+    // The opening writes the journal's identity, whose length varies: count from here, so that the disk is
+    // full in the middle of a record.
+    constexpr std::size_t complete_records = 7;
+    free_bytes = complete_records * record_bytes + record_bytes / 2;
+    EXPECT_FALSE(append(2, 100));
     const auto refused = m_journal->store({"vote", 0, {}, 0, {}});
     EXPECT_EQ(error_of(refused).code, error_code::input_output);
     free_bytes = 1'000'000;
@@ -198,7 +205,7 @@
     const journal_content& found = reopen();
     EXPECT_TRUE(found.tail_truncated);
     EXPECT_FALSE(found.damaged);
-    EXPECT_GT(found.records.size(), 5U);
+    EXPECT_EQ(found.records.size(), 1 + complete_records);
 }
 
 } // namespace
