Log the request limits that targets state, and what is sent to them meanwhile

Cause: logs and metrics could not tell the hypotheses about exceeded limits apart, as no code read the field. Change: the edge decodes a target's limit (requests a second from all hosts together) and does not pass it on to callers; an invalid one is logged and ignored. The engine remembers it, and reports its first statement, a considerable change, its end, and every 4 s the exchanges sent meanwhile and how many of them were hedges or retries. New log line `request_limit`, counters tamarack_request_limit_steps_total and tamarack_exchanges_under_limit_total. No decision uses it yet.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -189,6 +189,7 @@
                 [this](const broadcast_crash_loss& report) { m_hooks.broadcast_crash_loss(report.loss); },
                 [this](const crash_evidence_report& report) { log_crash_evidence(report); },
                 [this](const extra_load_report& report) { log_extra_load(report); },
+                [this](const request_limit_report& report) { log_request_limit(report); },
                 [this](const target_changed& changed) { log_target_change(changed); },
                 [this](const target_leaving& left) {
                     m_hooks.report_target_leaving(left.target, left.incarnation);
@@ -234,6 +235,20 @@
                       {"record_age_ms", std::to_string(report.counting_for / 1ms)}});
 }
 
+void forwarding_worker::log_request_limit(const request_limit_report& report) {
+    m_metrics.count(counter_id::request_limit_steps_total, to_name(report.step));
+    m_metrics.count(counter_id::exchanges_under_limit_total, {}, static_cast<double>(report.use.sent));
+    log_state_change(log_level::info, "request_limit", m_inputs.view->ticket,
+                     {{"step", std::string{to_name(report.step)}},
+                      {"target", report.target.value()},
+                      {"service", report.service.value()},
+                      {"limit_per_s", std::to_string(report.limit)},
+                      {"age_ms", std::to_string(report.age / 1ms)},
+                      {"sent", std::to_string(report.use.sent)},
+                      {"repeats", std::to_string(report.use.extra)},
+                      {"period_ms", std::to_string(report.period / 1ms)}});
+}
+
 void forwarding_worker::deliver(forward_answer answer) {
     m_metrics.count(counter_id::requests_total, to_name(answer.outcome));
     if (answer.reason != forward_reason::none) {
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -77,6 +77,7 @@
     void log_target_change(const target_changed& changed);
     void log_crash_evidence(const crash_evidence_report& report);
     void log_extra_load(const extra_load_report& report);
+    void log_request_limit(const request_limit_report& report);
     void check_drained();
     void apply_limits();
 
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -2,6 +2,7 @@
 
 #include "../crashes/crash_loss.h"
 #include "../crashes/crash_step.h"
+#include "../limits/request_limit.h"
 #include "../payload/forward_answer.h"
 #include "../payload/target_exchange.h"
 
@@ -42,14 +43,15 @@
     replaced, ///< another target answered at its address
     ejected,  ///< failed several times in a row: used only if there is no other
     readmitted,
-    leaving,         ///< announced in a reply that it takes no new work
-    in_backoff,      ///< requested a backoff from this host
-    backoff_invalid, ///< requested a backoff of implausible length, which is ignored
+    leaving,               ///< announced in a reply that it takes no new work
+    in_backoff,            ///< requested a backoff from this host
+    backoff_invalid,       ///< requested a backoff of implausible length, which is ignored
+    request_limit_invalid, ///< stated a limit on requests that is not a valid number, which is ignored
 };
 
 template <>
 struct name_table<target_change> {
-    static constexpr std::array<std::pair<target_change, std::string_view>, 8> entries{{
+    static constexpr std::array<std::pair<target_change, std::string_view>, 9> entries{{
         {target_change::added, "added"},
         {target_change::removed, "removed"},
         {target_change::replaced, "replaced"},
@@ -58,6 +60,7 @@
         {target_change::leaving, "leaving"},
         {target_change::in_backoff, "resting"},
         {target_change::backoff_invalid, "rest_unreadable"},
+        {target_change::request_limit_invalid, "request_limit_invalid"},
     }};
 };
 
@@ -106,10 +109,22 @@
     duration counting_for{};           ///< time since this host began to count for this service
 };
 
+/** What this host knows about a target's request limit, and how it uses the target; for the log. */
+struct request_limit_report {
+    limit_step step = limit_step::stated;
+    target_id target;
+    service_id service;
+    double limit = 0.0; ///< requests a second from all hosts together
+    duration age{};     ///< of the latest statement
+    limit_use use;      ///< since the previous report
+    duration period{};  ///< since the previous report
+};
+
 /** What the caller of the engine has to do after an event, in order. */
-using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
-                                       deliver_answer, target_changed, target_leaving, broadcast_crash_loss,
-                                       crashing_content_found, crash_evidence_report, extra_load_report>;
+using forwarding_action =
+    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
+                 target_changed, target_leaving, broadcast_crash_loss, crashing_content_found,
+                 crash_evidence_report, extra_load_report, request_limit_report>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -49,6 +49,7 @@
     void on_reply(target_connection connection, target_reply reply);
     void observe(engine_connection& held, const target_reply& reply);
     void observe_backoff(engine_target& target, const target_reply& reply);
+    void observe_limit(engine_target& target, time_point sent_at, const target_reply& reply);
     void on_leaving(const engine_target_pointer& target);
     void on_failure(engine_target& target);
     void on_due(const due_item& item);
@@ -233,6 +234,7 @@
     observe_load(target, core.now, reply.load);
     held.idle_limit = reply.idle_limit;
     observe_backoff(target, reply);
+    observe_limit(target, held.since, reply);
     if (reply.backoff) {
         return;
     }
@@ -264,6 +266,23 @@
     }
 }
 
+void forwarding_engine::implementation::observe_limit(engine_target& target, time_point sent_at,
+                                                      const target_reply& reply) {
+    if (reply.request_limit_invalid) {
+        core.report_target_change(target_change::request_limit_invalid, target);
+    }
+    const bool speaks_for_target = reply.verdict == target_verdict::completed ||
+                                   (reply.request_limit && reply.verdict != target_verdict::wrong_target &&
+                                    reply.verdict != target_verdict::malformed);
+    if (!speaks_for_target || reply.request_limit_invalid) {
+        return;
+    }
+    if (const auto step = target.limit.on_reply(core.now, sent_at, reply.request_limit)) {
+        core.report_limit(*step, target);
+        core.schedule_limit_reports();
+    }
+}
+
 void forwarding_engine::implementation::on_leaving(const engine_target_pointer& target) {
     core.withheld.on_leaving(target->info.id, target->info.incarnation);
     core.actions.emplace_back(target_leaving{target->info.id, target->info.incarnation});
@@ -358,6 +377,9 @@
     case due_kind::extra_load:
         core.report_extra_load();
         break;
+    case due_kind::limit_reports:
+        core.report_limits_in_force();
+        break;
     case due_kind::crash_reports:
         losses.broadcast_due_losses();
         break;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -166,6 +166,10 @@
     ++target->busy;
     ++target->sent_since_load;
     target->running_since.push_back(m_core.now);
+    if (target->limit.in_force()) {
+        ++target->use_under_limit.sent;
+        target->use_under_limit.extra += step == trace_step::sent ? 0 : 1;
+    }
     part.exchanges.push_back({connection, target, m_core.now});
     part.tried.push_back(target);
     part.progress = part_progress::running;
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -2,6 +2,7 @@
 
 #include "../budget/extra_budget.h"
 #include "../explain/request_trace.h"
+#include "../limits/request_limit.h"
 #include "../payload/target_exchange.h"
 #include "../view/forwarding_view.h"
 #include "../withheld/target_backoff.h"
@@ -38,6 +39,9 @@
     std::uint32_t failures_in_row = 0;
     time_point ejected_until{};
     target_backoff backoff;
+    request_limit limit;
+    limit_use use_under_limit; ///< since the last report
+    time_point limit_reported_at{};
     std::vector<time_point> running_since; ///< start times of this host's exchanges, oldest first
 
     std::size_t connections() const { return idle.size() + opening + busy; }
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 15> counters{{
+constexpr std::array<metric_description, 17> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -18,6 +18,9 @@
     {"tamarack_connections_opened_total", "Connections opened to targets.", ""},
     {"tamarack_connections_closed_total", "Connections to targets closed, by reason.", "reason"},
     {"tamarack_target_changes_total", "Changes of what this host believes of a target, by kind.", "change"},
+    {"tamarack_request_limit_steps_total", "Steps in what this host knows of targets' request limits.",
+     "step"},
+    {"tamarack_exchanges_under_limit_total", "Exchanges sent to targets while their limit was in force.", ""},
     {"tamarack_announcements_total", "Announcements of targets received, by result.", "result"},
     {"tamarack_tickets_total", "Tickets received, by verdict.", "verdict"},
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -17,8 +17,10 @@
     crash_evidence_total, ///< label: step
     refusals_total,       ///< label: reason
     connections_opened_total,
-    connections_closed_total, ///< label: reason
-    target_changes_total,     ///< label: change
+    connections_closed_total,  ///< label: reason
+    target_changes_total,      ///< label: change
+    request_limit_steps_total, ///< label: step
+    exchanges_under_limit_total,
     announcements_total,      ///< label: result
     tickets_total,            ///< label: verdict
     claims_total,             ///< label: verdict
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -166,6 +166,33 @@
     EXPECT_FALSE(wire::read_reply(id, std::move(message)).leaving);
 }
 
+TEST(read_reply, reads_the_request_limit_of_any_answer) {
+    for (const unsigned status : {200U, 500U, 503U}) {
+        http_response message = good_reply();
+        message.status = status;
+        EXPECT_FALSE(wire::read_reply(id, http_response{message}).request_limit);
+        message.fields.emplace_back("server-limit", " 30.4 ");
+        const target_reply reply = wire::read_reply(id, std::move(message));
+        EXPECT_EQ(reply.request_limit, 30.4) << status;
+        EXPECT_FALSE(reply.request_limit_invalid);
+        EXPECT_EQ(field(reply.fields, "Server-Limit"), "") << "it is meant for this host, not for the caller";
+    }
+}
+
+TEST(read_reply, rejects_a_request_limit_that_is_not_a_valid_number) {
+    for (const char* text : {"-1", "nan", "inf", "1e999", "7 a second", "1,5", "0x10"}) {
+        http_response message = good_reply();
+        message.fields.emplace_back("Server-Limit", text);
+        const target_reply reply = wire::read_reply(id, std::move(message));
+        EXPECT_FALSE(reply.request_limit) << text;
+        EXPECT_TRUE(reply.request_limit_invalid) << text;
+        EXPECT_EQ(reply.verdict, target_verdict::completed) << text;
+    }
+    http_response message = good_reply();
+    message.fields.emplace_back("Server-Limit", "0");
+    EXPECT_EQ(wire::read_reply(id, std::move(message)).request_limit, 0.0);
+}
+
 TEST(read_reply, reads_the_backoff_of_a_refusal) {
     http_response message = good_reply();
     message.status = 503;
