Add a failing test of targets' request limits

Nine hosts in virtual time send 180 requests a second to three replicas; the nearest one states a limit of 30 a second. No code changes.

--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -33,6 +33,7 @@
         --m_targets.at(id).open_connections;
     }
     std::erase_if(m_open_requests, [host](const auto& item) { return item.second.host == host; });
+    m_request_limits.on_host_restarted(host);
     simulated_host next;
     next.incarnation = m_hosts[host].incarnation + 1;
     next.on_standby = m_hosts[host].on_standby;
@@ -62,6 +63,13 @@
     std::erase_if(m_table.routes, [&name](const route& item) { return item.name == name; });
 }
 
+void forwarding_world::limit_requests(const std::string& id, std::optional<double> per_second) {
+    m_targets.at(target_id{id}).behaviour.request_limit = per_second;
+    if (!per_second) {
+        m_request_limits.on_lifted(id);
+    }
+}
+
 void forwarding_world::resume_reading(const std::string& id) {
     simulated_target& target = m_targets.at(target_id{id});
     target.behaviour.reads = true;
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -2,6 +2,7 @@
 
 #include "support/checks/crashing_request_check.h"
 #include "support/checks/extra_load_check.h"
+#include "support/checks/request_limit_check.h"
 
 #include <tamarack_forwarding/tamarack_forwarding.h>
 
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -27,16 +29,17 @@
     duration pause{0};       ///< length of its periodic pauses
     duration pause_every{0}; ///< period of the pauses; zero: none
     duration pause_phase{0};
-    double slow = 1.0;              ///< factor on the time of its work
-    double failure_share = 0.0;     ///< share of exchanges that fail
-    double lost_reply_share = 0.0;  ///< share whose connection breaks after the work, before the reply
-    bool unresponsive = false;      ///< answers neither exchanges nor connection attempts
-    bool full = false;              ///< refuses all exchanges as not run
-    bool announces_leaving = false; ///< announces in each reply that it takes no new work
-    duration requested_backoff{0};  ///< sent with each refusal
-    bool reads = true;              ///< processes what arrives; connections are accepted in any case
-    duration crash_time = 2s;       ///< time until it is back after a crash
-    bool crashes_silently = false;  ///< connections to it hang after a crash instead of being reset
+    double slow = 1.0;                   ///< factor on the time of its work
+    double failure_share = 0.0;          ///< share of exchanges that fail
+    double lost_reply_share = 0.0;       ///< share whose connection breaks after the work, before the reply
+    bool unresponsive = false;           ///< answers neither exchanges nor connection attempts
+    bool full = false;                   ///< refuses all exchanges as not run
+    bool announces_leaving = false;      ///< announces in each reply that it takes no new work
+    duration requested_backoff{0};       ///< sent with each refusal
+    std::optional<double> request_limit; ///< stated in each reply: requests a second from all hosts
+    bool reads = true;                   ///< processes what arrives; connections are accepted in any case
+    duration crash_time = 2s;            ///< time until it is back after a crash
+    bool crashes_silently = false;       ///< connections to it hang after a crash instead of being reset
 };
 
 /** Result of one request. */
@@ -72,6 +75,8 @@
     void partition_hosts(duration lease_left);
     /** Removes a route with the next publish. */
     void remove_route(const std::string& name);
+    /** Makes a target state a limit on requests in its replies, or no longer. */
+    void limit_requests(const std::string& id, std::optional<double> per_second);
     /** Lets a target resume reading, starting with what has arrived in the meantime. */
     void resume_reading(const std::string& id);
 
@@ -119,6 +124,12 @@
     const testing_support::crashing_request_check& crashing_request() const { return m_crashing; }
     /** @return services that received more extra exchanges in a sliding window than the options allow */
     std::vector<testing_support::extra_load_breach> extra_load_breaches() const;
+    /** @return windows in which targets received more requests than their stated limits allow */
+    std::vector<testing_support::request_limit_breach> request_limit_breaches() const {
+        return m_request_limits.breaches();
+    }
+    /** @return number of exchanges that a target has received */
+    std::size_t arrivals_at(const std::string& id) const { return m_targets.at(target_id{id}).arrivals; }
     /** @return total extra exchanges that a service received */
     std::size_t extra_load(const std::string& service) const { return m_extra_load.extra(service); }
     std::size_t unanswered() const;
@@ -204,6 +215,7 @@
     random_source m_random;
     std::vector<simulated_host> m_hosts;
     testing_support::extra_load_check m_extra_load;
+    testing_support::request_limit_check m_request_limits;
     testing_support::crashing_request_check m_crashing;
     std::set<std::string> m_crashing_requests; ///< by id
     time_point m_crash_reports_lost_until{};
--- a/tests/forwarding/forwarding_world_targets.cpp
+++ b/tests/forwarding/forwarding_world_targets.cpp
@@ -50,6 +50,7 @@
         m_crashing.on_arrival(m_now.time_since_epoch(), target.behaviour.info.service.value(),
                               work.id.value());
     }
+    m_request_limits.on_arrival(m_now.time_since_epoch(), id.value(), work.host);
     record_withheld_arrival(target, work.host);
     if (target.behaviour.unresponsive || m_now < target.down_until) {
         return;
@@ -166,6 +167,11 @@
                                   static_cast<std::uint32_t>(target.waiting.size()),
                                   static_cast<std::uint32_t>(target.behaviour.slots), 1.0};
         add_withheld_fields(target, work.host, answer);
+        answer.request_limit = target.behaviour.request_limit;
+        if (answer.request_limit) {
+            m_request_limits.on_stated(m_now.time_since_epoch(), id.value(), work.host,
+                                       *answer.request_limit);
+        }
         carry_out(work.host, m_hosts[work.host].engine->on_reply(m_now, work.connection, std::move(answer)));
     });
 }
