Keep to the request limits that targets state

What callers saw: nothing yet; a target in need got up to three times the requests that it had stated, from all hosts together, and would have got slower or failed. Cause: no decision used the limit; class of fault: a limit that all hosts share, and no host's part of it. Change: - request_limit: a token bucket for each target that fills at this host's share of the stated limit. It starts empty. - limit_share: the hosts that rank first for the target get at least one request a second each, so that limits below the number of hosts hold, too. Departed hosts count for 5 s, and on an isolated host for as long as it is isolated (limit_sharing). - Hosts report to each other when a limit is stated, changes considerably or ends, and every 10 s while it is in force, so that hosts that send nothing there learn of the end. - Placement passes over a target without a token; the expected wait, and with it admission, counts the tokens of a service whose available targets all have limits: what can't be served in time is refused at once, reason targets_limited.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -20,6 +20,7 @@
 
 forwarding_options options_of(const settings& host_settings) {
     forwarding_options options;
+    options.host = host_settings.host;
     options.data_center = host_settings.data_center;
     options.extra = {host_settings.forwarding.extra_ratio, host_settings.forwarding.extra_allowance,
                      host_settings.forwarding.extra_window};
@@ -117,6 +118,12 @@
     });
 }
 
+bool forwarding_worker::post_remote_request_limit(target_incarnation target, limit_statement statement) {
+    return m_thread.try_post([this, target = std::move(target), statement] {
+        carry_out(m_engine.on_remote_request_limit(steady_now(), target, statement));
+    });
+}
+
 bool forwarding_worker::post_leaving() {
     return m_thread.try_post([this] {
         m_leaving = true;
@@ -189,6 +196,7 @@
                 [this](const broadcast_crash_loss& report) { m_hooks.broadcast_crash_loss(report.loss); },
                 [this](const crash_evidence_report& report) { log_crash_evidence(report); },
                 [this](const extra_load_report& report) { log_extra_load(report); },
+                [this](const broadcast_request_limit& report) { m_hooks.report_request_limit(report); },
                 [this](const request_limit_report& report) { log_request_limit(report); },
                 [this](const target_changed& changed) { log_target_change(changed); },
                 [this](const target_leaving& left) {
@@ -243,9 +251,11 @@
                       {"target", report.target.value()},
                       {"service", report.service.value()},
                       {"limit_per_s", std::to_string(report.limit)},
+                      {"share", std::to_string(report.share)},
                       {"age_ms", std::to_string(report.age / 1ms)},
                       {"sent", std::to_string(report.use.sent)},
                       {"repeats", std::to_string(report.use.extra)},
+                      {"withheld", std::to_string(report.use.withheld)},
                       {"period_ms", std::to_string(report.period / 1ms)}});
 }
 
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -122,6 +122,9 @@
     hooks.report_target_leaving = [this](const target_id& target, incarnation_id incarnation) {
         m_hosts->post_target_leaving(target, incarnation);
     };
+    hooks.report_request_limit = [this](const broadcast_request_limit& report) {
+        m_hosts->post_request_limit(report);
+    };
     m_forwarding = std::make_unique<forwarding_worker>(m_settings, m_edge, m_metrics, std::move(hooks));
     m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
                                                     control_edge_hooks{m_hosts.get(), m_control.get()});
@@ -300,6 +303,9 @@
     hooks.crash_suspicion = [this](broadcast_crash_suspicion suspicion) {
         return !m_serving || m_serving->post_crash_suspicion(std::move(suspicion));
     };
+    hooks.request_limit = [this](target_incarnation target, limit_statement statement) {
+        return !m_forwarding || m_forwarding->post_remote_request_limit(std::move(target), statement);
+    };
     hooks.exchange_count = [this] { return m_forwarding ? m_forwarding->exchange_count() : 0; };
     hooks.quarantine = [this](const crash_loss& loss) {
         if (m_forwarding) {
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -20,7 +20,8 @@
                   host_settings.formation.first_start ? earlier_processes::none
                                                       : earlier_processes::possible) {}
 
-bool forwarding_inputs_builder::on_hosts(time_point now, const std::vector<host_record>& hosts) {
+bool forwarding_inputs_builder::on_hosts(time_point now, const std::vector<host_record>& hosts,
+                                         bool isolated) {
     std::vector<host_record> running;
     for (const host_record& host : hosts) {
         if (host.state == host_state::alive || host.state == host_state::suspect) {
@@ -50,6 +51,7 @@
                           {"load", std::to_string(selection.load)}});
     }
     m_allowance.on_sharing_hosts(now, sharing);
+    m_limit_sharing.on_hosts(now, sharing.active, isolated);
     m_sharing_hosts = std::move(sharing);
     m_is_active =
         std::ranges::find(m_sharing_hosts.standby, m_settings.host) == m_sharing_hosts.standby.end();
@@ -60,7 +62,8 @@
 bool forwarding_inputs_builder::on_time(time_point now) {
     const bool discovery_ended = now >= m_started + discovery_time;
     const bool just_ended = discovery_ended && !std::exchange(m_discovery_ended, true);
-    return m_allowance.part(now) != m_sent_allowance || just_ended;
+    const bool limit_hosts_changed = m_limit_hosts && *m_limit_hosts != m_limit_sharing.hosts(now);
+    return m_allowance.part(now) != m_sent_allowance || just_ended || limit_hosts_changed;
 }
 
 forwarding_inputs forwarding_inputs_builder::build(time_point now, const configuration& current,
@@ -74,6 +77,10 @@
     view->routes = m_routes;
     m_sent_allowance = m_allowance.part(now);
     view->allowance = m_sent_allowance;
+    if (m_discovery_ended) {
+        m_limit_hosts = std::make_shared<const std::vector<host_id>>(m_limit_sharing.hosts(now));
+    }
+    view->limit_hosts = m_limit_hosts;
     view->takes_callers = m_is_active;
     view->targets = list_targets(now, registry);
     return {std::move(view), std::make_shared<const std::vector<host_record>>(m_entries), in_directory};
@@ -100,6 +107,7 @@
                                      ? connection_share(service.connections, m_sharing_hosts, m_settings.host,
                                                         latest.target, now - m_started)
                                      : connections_on_standby;
+            target.connected_hosts = connected_hosts(service.connections, m_sharing_hosts);
             if (target.connections > 0) {
                 targets.push_back(std::move(target));
             }
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -24,8 +24,13 @@
      */
     forwarding_inputs_builder(const settings& host_settings, time_point started);
 
-    /** The records of hosts have changed. @return whether the inputs change */
-    bool on_hosts(time_point now, const std::vector<host_record>& hosts);
+    /**
+     * The records of hosts have changed.
+     *
+     * @param isolated  whether this host has lost contact with most other hosts
+     * @return whether the inputs change
+     */
+    bool on_hosts(time_point now, const std::vector<host_record>& hosts, bool isolated);
 
     /** @return whether the inputs have changed merely because time has passed */
     bool on_time(time_point now);
@@ -50,8 +55,10 @@
     std::vector<host_record> m_entries;
     bool m_is_active = true; ///< false while this host is on standby
     sharing_hosts m_sharing_hosts;
+    limit_sharing m_limit_sharing;
     allowance_share m_allowance;
-    allowance_part m_sent_allowance; ///< as in the last inputs
+    allowance_part m_sent_allowance;                           ///< as in the last inputs
+    std::shared_ptr<const std::vector<host_id>> m_limit_hosts; ///< as in the last inputs
     std::shared_ptr<const route_table> m_routes;
     ticket_number m_routes_ticket;
     directory_admission m_directory_admission;
--- a/apps/tamarackd/hosts/host_methods.cpp
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -96,11 +96,44 @@
     return notice;
 }
 
+Json::Value encode_request_limit(const request_limit_notice& value) {
+    Json::Value parameters;
+    parameters["target"] = value.target.target.value();
+    parameters["life"] = Json::UInt64{value.target.incarnation.value};
+    parameters["age_ms"] = Json::Int64{value.age / 1ms};
+    if (value.per_second) {
+        parameters["per_second"] = *value.per_second;
+    }
+    return parameters;
+}
+
+outcome<request_limit_notice> decode_request_limit(const Json::Value& parameters) {
+    const Json::Value& per_second = parameters["per_second"];
+    const bool valid_limit = per_second.isNull() || (per_second.isNumeric() && per_second.asDouble() >= 0.0);
+    const bool readable = parameters["target"].isString() && parameters["life"].isUInt64() &&
+                          parameters["age_ms"].isUInt64() && valid_limit;
+    if (!readable) {
+        return error{error_code::malformed,
+                     "request limit notification: a member is missing or has the wrong type"};
+    }
+    constexpr std::uint64_t max_age_ms = 2 * request_limit::min_check_interval / 1ms;
+    const std::uint64_t age = std::min<std::uint64_t>(max_age_ms, parameters["age_ms"].asUInt64());
+    request_limit_notice notice;
+    notice.target = {target_id{parameters["target"].asString()},
+                     incarnation_id{parameters["life"].asUInt64()}};
+    if (!per_second.isNull()) {
+        notice.per_second = per_second.asDouble();
+    }
+    notice.age = static_cast<std::int64_t>(age) * 1ms;
+    return notice;
+}
+
 void register_host_methods(host_dispatcher& dispatcher, const host_method_handlers& handlers) {
     on(dispatcher, raft_method, handlers, decode_envelope, handlers.raft);
     on(dispatcher, control_method, handlers, decode_control_message, handlers.control);
     on(dispatcher, membership_method, handlers, decode_membership_message, handlers.membership);
     on(dispatcher, quarantine_method, handlers, decode_quarantine, handlers.quarantine);
+    on(dispatcher, request_limit_method, handlers, decode_request_limit, handlers.request_limit);
     on(dispatcher, identity_method, handlers, decode_identity, handlers.identity);
     on(dispatcher, inquiry_method, handlers, decode_inquiry, handlers.inquiry);
 }
--- a/apps/tamarackd/hosts/host_methods.h
+++ b/apps/tamarackd/hosts/host_methods.h
@@ -6,6 +6,7 @@
 #include <tamarack_transport/tamarack_transport.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace tamarack {
@@ -15,6 +16,7 @@
 inline const std::string control_method = "control.message";
 inline const std::string membership_method = "membership.message";
 inline const std::string quarantine_method = "quarantine.request";
+inline const std::string request_limit_method = "target.request_limit";
 inline const std::string identity_method = "control.identity";
 inline const std::string inquiry_method = "control.inquiry";
 
@@ -39,15 +41,24 @@
     target_incarnation lost;
 };
 
+/** A host reports what a target states about its request limit. */
+struct request_limit_notice {
+    target_incarnation target;
+    std::optional<double> per_second; ///< from all hosts together; absent if no limit is in force
+    duration age{};                   ///< time since a host received the target's reply
+};
+
 /** @return the JSON parameters of the notification */
 Json::Value encode_identity(const host_identity& value);
 Json::Value encode_inquiry(const configuration_inquiry& value);
 Json::Value encode_quarantine(const quarantine_notice& value);
+Json::Value encode_request_limit(const request_limit_notice& value);
 
 /** @return the message, or `malformed` if a member is missing or has the wrong type */
 outcome<host_identity> decode_identity(const Json::Value& parameters);
 outcome<configuration_inquiry> decode_inquiry(const Json::Value& parameters);
 outcome<quarantine_notice> decode_quarantine(const Json::Value& parameters);
+outcome<request_limit_notice> decode_request_limit(const Json::Value& parameters);
 
 /** Handlers of decoded notifications from other hosts. All must be set. */
 struct host_method_handlers {
@@ -55,6 +66,7 @@
     std::function<void(control_message)> control;
     std::function<void(membership_message)> membership;
     std::function<void(quarantine_notice)> quarantine;
+    std::function<void(request_limit_notice)> request_limit;
     std::function<void(host_identity)> identity;
     std::function<void(configuration_inquiry)> inquiry;
     /** Called if a notification can't be decoded. It is dropped, like one lost on the network. */
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -105,6 +105,9 @@
         m_crashes.add(now, loss);
         m_hooks.quarantine(loss);
     };
+    handlers.request_limit = [this](const request_limit_notice& notice) {
+        m_hooks.request_limit(notice.target, {notice.per_second, steady_now() - notice.age});
+    };
     handlers.identity = [this](const host_identity& identity) {
         m_control_hosts.on_identity(steady_now(), identity.member, identity.data_center);
     };
--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -38,6 +38,7 @@
     std::function<bool(request_number)> claim_failed_for;
     std::function<bool(broadcast_crash_suspicion)> crash_suspicion;
     std::function<bool(const crash_loss&)> quarantine;
+    std::function<bool(target_incarnation, limit_statement)> request_limit;
     std::function<std::uint64_t()> exchange_count; ///< exchanges with targets since the start
     target_store* stored_targets = nullptr;        ///< targets kept across restarts; nullptr without a disk
 };
@@ -109,6 +110,9 @@
     /** From any thread: a target was lost while it ran a request with this content. */
     bool post_crash_loss(crash_loss loss);
 
+    /** From any thread: reports to all other hosts what a target states about its request limit. */
+    bool post_request_limit(broadcast_request_limit report);
+
     /** From any thread: the seeds have changed in the settings. */
     bool post_seeds(std::vector<seed_host> seeds);
 
--- a/apps/tamarackd/hosts/hosts_worker_inputs.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_inputs.cpp
@@ -77,7 +77,7 @@
     m_inputs_stale = false;
     m_hosts_stale = false;
     if (m_settings.edge.kind == edge_kind::platform) {
-        const bool hosts_changed = m_inputs_builder->on_hosts(now, m_detector->hosts());
+        const bool hosts_changed = m_inputs_builder->on_hosts(now, m_detector->hosts(), m_isolated);
         if (!stale && !hosts_changed) {
             return;
         }
--- a/apps/tamarackd/hosts/hosts_worker_posts.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_posts.cpp
@@ -87,6 +87,19 @@
     });
 }
 
+bool hosts_worker::post_request_limit(broadcast_request_limit report) {
+    return m_thread.try_post([this, report = std::move(report)] {
+        const limit_statement& statement = report.statement;
+        const Json::Value notice =
+            encode_request_limit({report.target, statement.per_second, steady_now() - statement.heard_at});
+        for (const host_record& host : m_detector->hosts()) {
+            if (host.state == host_state::alive && host.host != m_settings.host) {
+                m_links.send(host.hosts_address, request_limit_method, notice);
+            }
+        }
+    });
+}
+
 bool hosts_worker::post_seeds(std::vector<seed_host> seeds) {
     return m_thread.try_post([this, seeds = std::move(seeds)] {
         m_seeds = seeds;
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -109,12 +109,19 @@
     duration counting_for{};           ///< time since this host began to count for this service
 };
 
+/** Report to all other hosts what a target states about its request limit. */
+struct broadcast_request_limit {
+    target_incarnation target;
+    limit_statement statement;
+};
+
 /** What this host knows about a target's request limit, and how it uses the target; for the log. */
 struct request_limit_report {
     limit_step step = limit_step::stated;
     target_id target;
     service_id service;
     double limit = 0.0; ///< requests a second from all hosts together
+    double share = 0.0; ///< fraction of it that this host may use
     duration age{};     ///< of the latest statement
     limit_use use;      ///< since the previous report
     duration period{};  ///< since the previous report
@@ -124,7 +131,7 @@
 using forwarding_action =
     std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
                  target_changed, target_leaving, broadcast_crash_loss, crashing_content_found,
-                 crash_evidence_report, extra_load_report, request_limit_report>;
+                 crash_evidence_report, extra_load_report, request_limit_report, broadcast_request_limit>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -16,8 +16,6 @@
 constexpr duration lag_decay_time = 150ms;
 /** Charges of exchanges that remain unanswered are closed after this number of windows. */
 constexpr int unread_timeout_windows = 2;
-/** Interval of the reports on a target whose request limit is in force. */
-constexpr duration limit_report_interval = 4s;
 /** Used when limit_connections is off, in tests. */
 constexpr std::size_t unlimited_connections = 1'000;
 
@@ -172,30 +170,6 @@
     }
 }
 
-void forwarding_core::report_limit(limit_step step, engine_target& target) {
-    const time_point since = std::exchange(target.limit_reported_at, now);
-    const duration period = since == time_point{} ? duration{0} : now - since;
-    actions.emplace_back(request_limit_report{step, target.info.id, target.info.service, target.limit.rate(),
-                                              now - target.limit.heard_at(),
-                                              std::exchange(target.use_under_limit, {}), period});
-}
-
-void forwarding_core::schedule_limit_reports() {
-    if (!std::exchange(limit_reports_scheduled, true)) {
-        schedule(now + limit_report_interval, due_kind::limit_reports, 0);
-    }
-}
-
-void forwarding_core::report_limits_in_force() {
-    limit_reports_scheduled = false;
-    for (const auto& [id, target] : targets) {
-        if (target->limit.in_force()) {
-            report_limit(limit_step::in_force, *target);
-            schedule_limit_reports();
-        }
-    }
-}
-
 void forwarding_core::report_target_change(target_change change, const engine_target& target) {
     const time_point withheld_until = std::max(target.ejected_until, target.backoff.ends_at());
     const duration until = std::max(withheld_until - now, duration{0});
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -53,6 +53,7 @@
     connection,    ///< the timeout of an abandoned reply
     warming,       ///< connections may be opened again, or a backoff has ended
     extra_load,    ///< extra load is to be reported
+    limits,        ///< a request limit allows another exchange
     limit_reports, ///< the targets with a request limit are to be reported
     crash_reports, ///< losses are to be reported to other hosts
 };
@@ -95,7 +96,7 @@
     bool extra_load_scheduled = false; ///< a due item for it is scheduled
     /** Delay of the extra-load report; short at first for short-lived processes, and grows to a window. */
     duration extra_load_report_delay = 1s;
-    bool limit_reports_scheduled = false;
+    time_point limits_at = time_point::max(); ///< time for which await_limits has set its timer
     std::size_t opening = 0;
     time_point warming_at = time_point::max(); ///< time for which keep_warm has set its timer
     target_connection last_connection = 0;
@@ -141,11 +142,6 @@
     void schedule_extra_load_report();
     /** Reports the extra load, and closes the charges of exchanges that are considered lost. */
     void report_extra_load();
-    /** Reports a step of a target's request limit, and the target's use since the last report. */
-    void report_limit(limit_step step, engine_target& target);
-    /** Schedules the next periodic report of limits in force. */
-    void schedule_limit_reports();
-    void report_limits_in_force();
     void report_target_change(target_change change, const engine_target& target);
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -2,6 +2,7 @@
 
 #include "../targets/target_observations.h"
 #include "exchange_losses.h"
+#include "limit_tracker.h"
 #include "request_flow.h"
 
 #include <algorithm>
@@ -24,6 +25,7 @@
     part_dispatcher dispatcher{core};
     request_flow flow{core, dispatcher};
     exchange_losses losses{core};
+    limit_tracker limits{core};
 
     implementation(forwarding_options options, random_source random) : core(std::move(options), random) {}
 
@@ -49,7 +51,7 @@
     void on_reply(target_connection connection, target_reply reply);
     void observe(engine_connection& held, const target_reply& reply);
     void observe_backoff(engine_target& target, const target_reply& reply);
-    void observe_limit(engine_target& target, time_point sent_at, const target_reply& reply);
+    void on_remote_limit(const target_incarnation& named, const limit_statement& statement);
     void on_leaving(const engine_target_pointer& target);
     void on_failure(engine_target& target);
     void on_due(const due_item& item);
@@ -125,6 +127,8 @@
             existing->info.slots = item.slots;
             existing->info.warm_at = item.warm_at;
             existing->info.connections = item.connections;
+            existing->info.connected_hosts = item.connected_hosts;
+            limits.update_share(*existing);
         }
     }
     std::vector<engine_target_pointer> gone;
@@ -143,6 +147,7 @@
     target->info = listed;
     target->far = listed.data_center != core.options.data_center;
     target->backoff = core.withheld.backoff_of(listed.id, listed.incarnation);
+    limits.on_added(*target);
     engine_service& service = *core.services.at(listed.service);
     target->service = &service;
     service.targets.push_back(target);
@@ -158,6 +163,7 @@
     if (target->backoff.is_in_backoff(core.now)) {
         core.withheld.save_backoff(target->info.id, target->info.incarnation, target->backoff);
     }
+    limits.on_removed(*target);
     target->usable = false;
     if (target->service != nullptr) {
         std::erase(target->service->targets, target);
@@ -234,7 +240,7 @@
     observe_load(target, core.now, reply.load);
     held.idle_limit = reply.idle_limit;
     observe_backoff(target, reply);
-    observe_limit(target, held.since, reply);
+    limits.on_reply(target, held.since, reply);
     if (reply.backoff) {
         return;
     }
@@ -266,20 +272,11 @@
     }
 }
 
-void forwarding_engine::implementation::observe_limit(engine_target& target, time_point sent_at,
-                                                      const target_reply& reply) {
-    if (reply.request_limit_invalid) {
-        core.report_target_change(target_change::request_limit_invalid, target);
-    }
-    const bool speaks_for_target = reply.verdict == target_verdict::completed ||
-                                   (reply.request_limit && reply.verdict != target_verdict::wrong_target &&
-                                    reply.verdict != target_verdict::malformed);
-    if (!speaks_for_target || reply.request_limit_invalid) {
-        return;
-    }
-    if (const auto step = target.limit.on_reply(core.now, sent_at, reply.request_limit)) {
-        core.report_limit(*step, target);
-        core.schedule_limit_reports();
+void forwarding_engine::implementation::on_remote_limit(const target_incarnation& named,
+                                                        const limit_statement& statement) {
+    if (const engine_target_pointer target = limits.on_report(named, statement)) {
+        flow.give_up_unservable(*target->service);
+        dispatcher.serve_waiting(*target->service);
     }
 }
 
@@ -314,7 +311,8 @@
                       reply.verdict != target_verdict::wrong_target;
     const bool wrong_target = reply.verdict == target_verdict::wrong_target;
     const engine_service_pointer service = core.service_of(*target);
-    const bool now_unavailable = target->usable && (reply.leaving || reply.backoff);
+    const bool now_unavailable =
+        target->usable && (reply.leaving || reply.backoff || !target->limit.has_share());
     dispatcher.release(connection, held, keep);
     if (reply.leaving && target->usable && !wrong_target && core.options.protections.honour_leaving) {
         on_leaving(target);
@@ -377,8 +375,14 @@
     case due_kind::extra_load:
         core.report_extra_load();
         break;
+    case due_kind::limits:
+        core.limits_at = time_point::max();
+        for (auto& [id, service] : core.services) {
+            dispatcher.serve_waiting(*service);
+        }
+        break;
     case due_kind::limit_reports:
-        core.report_limits_in_force();
+        limits.report_in_force();
         break;
     case due_kind::crash_reports:
         losses.broadcast_due_losses();
@@ -450,6 +454,12 @@
     m_implementation->core.crashes.on_loss_reported(now, loss);
 }
 
+forwarding_actions forwarding_engine::on_remote_request_limit(time_point now,
+                                                              const target_incarnation& target,
+                                                              const limit_statement& statement) {
+    return m_implementation->handle(now, [&] { m_implementation->on_remote_limit(target, statement); });
+}
+
 std::size_t forwarding_engine::unanswered() const {
     return m_implementation->core.runs.size();
 }
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -44,6 +44,9 @@
     forwarding_actions on_request(time_point now, forward_request request);
     /** Another host reported that a target was lost to a content. */
     void on_remote_crash_loss(time_point now, const crash_loss& loss);
+    /** Another host reported what a target states about its request limit. */
+    forwarding_actions on_remote_request_limit(time_point now, const target_incarnation& target,
+                                               const limit_statement& statement);
     /** A caller closed its connection before it was answered. */
     forwarding_actions on_caller_gone(time_point now, forward_number request);
     forwarding_actions on_connected(time_point now, target_connection connection);
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -18,11 +18,13 @@
     bool single_run_of_crashing = true; ///< a request that crashes targets is sent to one target only
     bool enforce_at_most_once = true;   ///< a request that must not be repeated is sent once
     bool honour_backoff = true;         ///< a target in backoff is sent nothing
+    bool honour_request_limits = true;  ///< a target gets no more requests than the limit that it states
     bool honour_leaving = true;         ///< a target that announced that it is leaving gets no new work
 };
 
 /** Timeouts, limits and protections of the engine. */
 struct forwarding_options {
+    host_id host;               ///< this host
     data_center_id data_center; ///< of this host
     extra_budget_limits extra;  ///< per service, for all hosts together
     duration connect_timeout = 1s;
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -67,6 +67,11 @@
     bool is_under_way() const;
     /** @return whether a target has run the request or may have run it */
     bool may_have_run() const { return sent > not_run; }
+    /** @return time after which an exchange can't be in time: the objective, or the deadline once that has
+     * passed */
+    time_point latest_send(time_point now) const {
+        return times.objective_at > now ? times.objective_at : times.answer_deadline;
+    }
     bool merges() const { return selected_route->destination == route_destination::shards; }
 };
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -24,10 +24,11 @@
 
 } // namespace
 
-bool part_dispatcher::has_untried(const run_part& part) const {
+bool part_dispatcher::has_untried(const run_part& part, time_point latest) const {
     return std::any_of(part.service->targets.begin(), part.service->targets.end(),
                        [&](const engine_target_pointer& target) {
-                           return target->is_available(m_core.now) && !was_tried(part, target);
+                           return target->is_available(m_core.now) && !was_tried(part, target) &&
+                                  target->limit.allowed_at(m_core.now) <= latest;
                        });
 }
 
@@ -36,11 +37,20 @@
                        [&](const engine_target_pointer& target) { return target->is_available(m_core.now); });
 }
 
+bool part_dispatcher::is_limited(const engine_service& service) const {
+    const auto& targets = service.targets;
+    const auto limited = [](const engine_target_pointer& target) { return target->limit.in_force(); };
+    return std::any_of(targets.begin(), targets.end(), limited) &&
+           std::none_of(targets.begin(), targets.end(), [&](const engine_target_pointer& target) {
+               return target->is_available(m_core.now) && !limited(target);
+           });
+}
+
 std::optional<time_point> part_dispatcher::available_at(const engine_service& service) const {
     std::optional<time_point> earliest;
     for (const engine_target_pointer& target : service.targets) {
-        if (target->usable) {
-            const time_point at = std::max(target->backoff.ends_at(), m_core.now);
+        if (target->usable && (target->limit.has_share() || target->limit.allows(m_core.now))) {
+            const time_point at = target->allowed_at(m_core.now);
             earliest = std::min(earliest.value_or(at), at);
         }
     }
@@ -80,19 +90,47 @@
         if (!target->is_available(m_core.now) || candidate.ejected || is_stalled(candidate, demand)) {
             continue;
         }
-        parallel += m_core.connections_allowed(*target);
+        if (!target->limit.in_force()) {
+            parallel += m_core.connections_allowed(*target);
+        }
         const duration wait = queue_wait(candidate, demand);
         shortest = shortest ? std::min(*shortest, wait) : wait;
     }
     if (!shortest) {
         return std::nullopt;
     }
+    if (is_limited(service)) {
+        return std::max(*shortest, wait_for_limits(service));
+    }
     parallel = std::max<std::size_t>(parallel, 1);
     const double rounds = static_cast<double>(service.waiting.size()) / static_cast<double>(parallel);
     return *shortest +
            duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.median_time.count()))};
 }
 
+duration part_dispatcher::wait_for_limits(const engine_service& service) const {
+    std::vector<std::pair<const engine_target*, std::size_t>>
+        next; // with the number of the next exchange there
+    for (const engine_target_pointer& target : service.targets) {
+        if (target->is_available(m_core.now)) {
+            next.emplace_back(target.get(), 1);
+        }
+    }
+    time_point at = m_core.now;
+    for (std::size_t ahead = 0; ahead <= service.waiting.size() && !next.empty(); ++ahead) {
+        const auto allowed_at = [this](const auto& item) {
+            return item.first->limit.allowed_at(m_core.now, item.second);
+        };
+        const auto first =
+            std::min_element(next.begin(), next.end(), [&](const auto& left, const auto& right) {
+                return allowed_at(left) < allowed_at(right);
+            });
+        at = allowed_at(*first);
+        ++first->second;
+    }
+    return at - m_core.now;
+}
+
 void part_dispatcher::list_candidates(const run_part& part, bool include_tried) {
     m_eligible.clear();
     m_candidates.clear();
@@ -103,6 +141,10 @@
         if (unfit || (!include_tried && was_tried(part, target))) {
             continue;
         }
+        if (!target->limit.allows(m_core.now)) {
+            ++target->use_under_limit.withheld;
+            continue;
+        }
         m_eligible.push_back(target);
         m_candidates.push_back(describe(*target));
     }
@@ -128,7 +170,7 @@
     run_part& part = run.parts[part_index];
     const placement_demand demand{run.timing->median(), run.timing->p90(), run.selected_route->objective};
     list_candidates(part, false);
-    if (m_candidates.empty() && !has_untried(part)) {
+    if (m_candidates.empty() && !has_untried(part, m_core.now)) {
         list_candidates(part, true);
     }
     while (!m_candidates.empty()) {
@@ -169,6 +211,7 @@
     if (target->limit.in_force()) {
         ++target->use_under_limit.sent;
         target->use_under_limit.extra += step == trace_step::sent ? 0 : 1;
+        target->limit.on_sent(m_core.now);
     }
     part.exchanges.push_back({connection, target, m_core.now});
     part.tried.push_back(target);
@@ -209,6 +252,20 @@
                (other.priority == item.priority && other.objective_at > item.objective_at);
     });
     waiting.insert(later, item);
+    await_limits(*part.service);
+}
+
+void part_dispatcher::await_limits(const engine_service& service) {
+    time_point next = time_point::max();
+    for (const engine_target_pointer& target : service.targets) {
+        if (target->usable && !target->limit.allows(m_core.now)) {
+            next = std::min(next, target->allowed_at(m_core.now));
+        }
+    }
+    if (next < m_core.limits_at) {
+        m_core.limits_at = next;
+        m_core.schedule(next, due_kind::limits, 0);
+    }
 }
 
 void part_dispatcher::serve_waiting(engine_service& service) {
@@ -228,6 +285,7 @@
             continue;
         }
         if (!try_send(*run, item->part, item->step)) {
+            await_limits(service);
             return;
         }
         run->parts[item->part].queued = false;
@@ -321,8 +379,9 @@
 }
 
 bool part_dispatcher::may_open(const engine_target& target) const {
-    return target.is_available(m_core.now) && target.service != nullptr && target.opening == 0 &&
-           m_core.now >= target.open_after && m_core.opening < m_core.options.max_opening &&
+    return target.is_available(m_core.now) && target.limit.allows(m_core.now) && target.service != nullptr &&
+           target.opening == 0 && m_core.now >= target.open_after &&
+           m_core.opening < m_core.options.max_opening &&
            target.connections() < m_core.connections_allowed(target);
 }
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -28,11 +28,14 @@
      */
     std::optional<duration> expected_wait(const engine_service& service,
                                           const placement_demand& demand) const;
-    /** @return whether there is an available target that has not been tried for this part */
-    bool has_untried(const run_part& part) const;
+    /** @return whether a target that has not been tried for this part may be sent an exchange by `latest` */
+    bool has_untried(const run_part& part, time_point latest) const;
     /** @return whether a service has a target that may be sent exchanges, now or once a connection is free */
     bool has_available(const engine_service& service) const;
-    /** @return when a service has an available target: now, when a backoff ends, or std::nullopt if never */
+    /** @return whether only targets with a request limit in force keep a service available */
+    bool is_limited(const engine_service& service) const;
+    /** @return when a service has an available target: now, when a backoff ends or a request limit allows an
+     * exchange, or std::nullopt if never */
     std::optional<time_point> available_at(const engine_service& service) const;
 
     /** Defers the waiting exchange of a part while its request is suspected of crashing targets. */
@@ -47,6 +50,8 @@
 
     /** Opens connections to targets that have too few of them, or that have to be checked. */
     void keep_warm();
+    /** Sets a timer for the parts that wait until a request limit allows an exchange. */
+    void await_limits(const engine_service& service);
     /** Handles a failed connection attempt. */
     void on_open_failed(engine_target& target);
 
@@ -55,6 +60,8 @@
     std::vector<engine_target_pointer> m_eligible;
     std::vector<placement_candidate> m_candidates;
 
+    /** @return how long a further waiting part waits until the request limits allow its exchange */
+    duration wait_for_limits(const engine_service& service) const;
     void list_candidates(const run_part& part, bool include_tried);
     placement_candidate describe(const engine_target& target) const;
     void send(forwarding_run& run, std::size_t part, trace_step step, const engine_target_pointer& target,
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -52,8 +52,9 @@
         return;
     }
     if (!can_be_covered(run)) {
-        m_answers.failed(run, m_answers.until_coverable(run) ? forward_reason::targets_in_backoff
-                                                             : forward_reason::no_target);
+        m_answers.failed(run, is_limited(run)                  ? forward_reason::targets_limited
+                              : m_answers.until_coverable(run) ? forward_reason::targets_in_backoff
+                                                               : forward_reason::no_target);
         return;
     }
     if (!is_admitted(run)) {
@@ -100,10 +101,14 @@
     return run.covers_enough(static_cast<std::size_t>(reachable));
 }
 
+bool request_flow::is_limited(const forwarding_run& run) const {
+    return std::any_of(run.parts.begin(), run.parts.end(),
+                       [&](const run_part& part) { return m_dispatcher.is_limited(*part.service); });
+}
+
 bool request_flow::is_servable(const forwarding_run& run, const run_part& part) const {
     const std::optional<time_point> at = m_dispatcher.available_at(*part.service);
-    const bool before_objective = run.times.objective_at > m_core.now;
-    return at && *at < (before_objective ? run.times.objective_at : run.times.answer_deadline);
+    return at && *at < run.latest_send(m_core.now);
 }
 
 placement_demand request_flow::demand_of(const forwarding_run& run) const {
@@ -173,7 +178,7 @@
     }
     forward_answer answer;
     answer.outcome = forward_outcome::not_run;
-    answer.reason = forward_reason::overloaded;
+    answer.reason = is_limited(run) ? forward_reason::targets_limited : forward_reason::overloaded;
     answer.retry_after = add_retry_jitter(decision.retry_after, m_core.random);
     m_answers.finish(run, std::move(answer));
     return false;
@@ -274,7 +279,7 @@
     const bool retries = m_core.uses(forwarding_mechanism::retries);
     const bool in_time =
         m_core.now < run.times.answer_deadline && part.possible_runs < run.selected_route->attempts;
-    if (!retries || !may_repeat || !in_time || !m_dispatcher.has_untried(part)) {
+    if (!retries || !may_repeat || !in_time || !m_dispatcher.has_untried(part, run.latest_send(m_core.now))) {
         give_up(run, part, cause);
         return;
     }
@@ -334,10 +339,11 @@
 void request_flow::hedge(forwarding_run& run, std::size_t part_index) {
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
-    const bool wanted =
-        m_core.uses(forwarding_mechanism::hedges) && part.progress == part_progress::running &&
-        part.possible_runs < run.selected_route->attempts &&
-        run.selected_route->repeats != repeatability::at_most_once && m_dispatcher.has_untried(part);
+    const bool wanted = m_core.uses(forwarding_mechanism::hedges) &&
+                        part.progress == part_progress::running &&
+                        part.possible_runs < run.selected_route->attempts &&
+                        run.selected_route->repeats != repeatability::at_most_once &&
+                        m_dispatcher.has_untried(part, m_core.now);
     if (wanted && m_core.judge(run) != crash_verdict::clear) {
         m_core.report_crash_step(crash_step::withheld, run);
         return;
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -32,6 +32,8 @@
 
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
+    /** @return whether a service of the request has no available target without a request limit */
+    bool is_limited(const forwarding_run& run) const;
     /** @return whether a target becomes available for a part before its request is late */
     bool is_servable(const forwarding_run& run, const run_part& part) const;
     duration expected_queue(const forwarding_run& run) const;
--- a/modules/tamarack_forwarding/limits/request_limit.cpp
+++ b/modules/tamarack_forwarding/limits/request_limit.cpp
@@ -1,5 +1,6 @@
 #include "request_limit.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace tamarack {
@@ -8,6 +9,13 @@
 
 /** Relative difference from which a limit counts as changed. */
 constexpr double considerable_change = 0.1;
+/** Time in which an unused bucket fills; at least one exchange always fits. */
+constexpr duration burst_time = 500ms;
+constexpr double microseconds_in_second = 1e6;
+
+double seconds_of(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
 
 } // namespace
 
@@ -17,21 +25,72 @@
  */
 std::optional<limit_step> request_limit::on_reply(time_point now, time_point sent_at,
                                                   std::optional<double> stated) {
-    if (!stated) {
-        if (!m_rate || sent_at <= m_heard_at) {
-            return std::nullopt;
-        }
-        m_rate.reset();
-        m_heard_at = now;
-        return limit_step::lifted;
+    const bool tells_nothing_new = !stated && (!in_force() || sent_at <= m_heard_at);
+    return tells_nothing_new ? std::nullopt : apply(now, {stated, now});
+}
+
+std::optional<limit_step> request_limit::on_report(time_point now, const limit_statement& statement) {
+    m_reported_at = now;
+    if (statement.heard_at <= m_heard_at) {
+        return std::nullopt;
     }
-    const std::optional<double> before = std::exchange(m_rate, stated);
-    m_heard_at = now;
+    return apply(now, statement);
+}
+
+std::optional<limit_step> request_limit::apply(time_point now, const limit_statement& statement) {
+    m_heard_at = statement.heard_at;
+    if (!statement.per_second) {
+        return std::exchange(m_rate, std::nullopt) ? std::optional{limit_step::lifted} : std::nullopt;
+    }
+    m_tokens = in_force() ? tokens_at(now) : 0.0;
+    m_refilled_at = now;
+    const std::optional<double> before = std::exchange(m_rate, statement.per_second);
     if (!before) {
         return limit_step::stated;
     }
-    const bool changed = std::abs(*stated - *before) > considerable_change * *before;
+    const bool changed = std::abs(*m_rate - *before) > considerable_change * *before;
     return changed ? std::optional{limit_step::changed} : std::nullopt;
 }
 
+void request_limit::set_share(time_point now, double share) {
+    m_tokens = tokens_at(now);
+    m_refilled_at = now;
+    m_share = share;
+}
+
+void request_limit::on_sent(time_point now) {
+    m_tokens = std::max(tokens_at(now) - 1.0, 0.0);
+    m_refilled_at = now;
+    m_sent_at = now;
+}
+
+double request_limit::own_rate() const {
+    return m_share * std::max(rate(), min_rate);
+}
+
+double request_limit::capacity() const {
+    return std::max(1.0, own_rate() * seconds_of(burst_time));
+}
+
+double request_limit::tokens_at(time_point now) const {
+    const double added = own_rate() * seconds_of(std::max(now - m_refilled_at, duration{0}));
+    return std::min(m_tokens + added, capacity());
+}
+
+time_point request_limit::allowed_at(time_point now, std::size_t nth) const {
+    if (!in_force()) {
+        return now;
+    }
+    if (m_share <= 0.0) {
+        const double interval = (1.0 + m_spread) * static_cast<double>(min_check_interval.count());
+        const time_point check =
+            std::max(m_heard_at, m_sent_at) + duration{static_cast<std::int64_t>(interval)};
+        return std::max(now, check) + static_cast<duration::rep>(nth - 1) * min_check_interval;
+    }
+    const double missing = static_cast<double>(nth) - tokens_at(now);
+    // Rounded up, so that a timer for this time finds a whole token.
+    const double wait = std::ceil(std::max(missing, 0.0) / own_rate() * microseconds_in_second);
+    return now + duration{static_cast<std::int64_t>(wait)};
+}
+
 } // namespace tamarack
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -38,6 +38,7 @@
     overloaded, ///< it could not have been served in time
     timed_out,
     targets_in_backoff, ///< too few services have a target that is not in backoff
+    targets_limited,    ///< the limits that targets state leave no room for it in time
     targets_refused,    ///< every target that it was sent to refused to run it
     targets_failed,
     connection_lost,
@@ -47,7 +48,7 @@
 
 template <>
 struct name_table<forward_reason> {
-    static constexpr std::array<std::pair<forward_reason, std::string_view>, 12> entries{{
+    static constexpr std::array<std::pair<forward_reason, std::string_view>, 13> entries{{
         {forward_reason::none, "none"},
         {forward_reason::no_configuration, "no_configuration"},
         {forward_reason::no_route, "no_route"},
@@ -55,6 +56,7 @@
         {forward_reason::overloaded, "overloaded"},
         {forward_reason::timed_out, "timed_out"},
         {forward_reason::targets_in_backoff, "targets_resting"},
+        {forward_reason::targets_limited, "targets_limited"},
         {forward_reason::targets_refused, "targets_refused"},
         {forward_reason::targets_failed, "targets_failed"},
         {forward_reason::connection_lost, "connection_lost"},
--- a/modules/tamarack_forwarding/placement/connection_share.h
+++ b/modules/tamarack_forwarding/placement/connection_share.h
@@ -19,6 +19,17 @@
 /** Connections to a target that a standby host may open, for the few requests that it receives. */
 inline constexpr std::size_t connections_on_standby = 1;
 
+/**
+ * @return position of a host when hosts are ranked for a target by rendezvous hashing; 0 ranks first
+ */
+std::size_t host_rank(const std::vector<host_id>& hosts, const host_id& self, const target_id& target);
+
+/**
+ * @param limit  connections that a target accepts from all hosts together
+ * @return number of active hosts that may have connections to the target: those that rank first for it
+ */
+std::size_t connected_hosts(std::uint32_t limit, const sharing_hosts& hosts);
+
 /**
  * Divides the connections that one target accepts between hosts, without coordination.
  *
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -35,6 +35,7 @@
 #include "budget/allowance_share.h"
 #include "budget/extra_budget.h"
 #include "budget/extra_exchange_charge.h"
+#include "limits/limit_share.h"
 #include "limits/request_limit.h"
 #include "placement/abandoned_exchange.h"
 #include "placement/connection_share.h"
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -7,6 +7,7 @@
 #include "../view/forwarding_view.h"
 #include "../withheld/target_backoff.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -45,8 +46,13 @@
     std::vector<time_point> running_since; ///< start times of this host's exchanges, oldest first
 
     std::size_t connections() const { return idle.size() + opening + busy; }
-    /** @return whether exchanges may be sent to it, now or once a connection is free */
-    bool is_available(time_point now) const { return usable && !backoff.is_in_backoff(now); }
+    /** @return whether exchanges may be sent to it, now, or once a connection is free or its limit allows it
+     */
+    bool is_available(time_point now) const {
+        return usable && !backoff.is_in_backoff(now) && (limit.has_share() || limit.allows(now));
+    }
+    /** @return when exchanges may be sent to it: now or later */
+    time_point allowed_at(time_point now) const { return std::max(backoff.ends_at(), limit.allowed_at(now)); }
 };
 
 using engine_target_pointer = std::shared_ptr<engine_target>;
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -19,8 +19,9 @@
     endpoint address;
     data_center_id data_center;
     std::uint32_t slots = 1;
-    time_point warm_at{};        ///< end of its warm-up, during which it is slow
-    std::size_t connections = 1; ///< that this host may open to it; see connection_share
+    time_point warm_at{};            ///< end of its warm-up, during which it is slow
+    std::size_t connections = 1;     ///< that this host may open to it; see connection_share
+    std::size_t connected_hosts = 1; ///< active hosts that may have connections to it
 };
 
 inline target_incarnation incarnation_of(const forwarding_target& target) {
@@ -32,7 +33,9 @@
     ticket_number ticket;
     std::shared_ptr<const route_table> routes; ///< nullptr while no ticket is known
     std::vector<forwarding_target> targets;
-    allowance_part allowance;  ///< of the budget for extra load
+    allowance_part allowance; ///< of the budget for extra load
+    /** Hosts that divide the targets' request limits; nullptr while this host doesn't know the others. */
+    std::shared_ptr<const std::vector<host_id>> limit_hosts;
     bool takes_callers = true; ///< callers are directed to this host, so connections are kept warm
 };
 
--- a/modules/tamarack_forwarding/withheld/withheld_targets.h
+++ b/modules/tamarack_forwarding/withheld/withheld_targets.h
@@ -1,18 +1,21 @@
 #pragma once
 
+#include "../limits/request_limit.h"
 #include "target_backoff.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace tamarack {
 
 /**
- * Remembers targets that are leaving or in backoff while they disappear from the view and return.
+ * Remembers targets that are leaving, in backoff or under a request limit while they disappear from the view
+ * and return.
  *
  * A target that announced that it is leaving gets no new work in that incarnation, even if it is listed as
- * usable afterwards. A backoff stays in effect while the target's record disappears and returns. Bounded: the
- * oldest entry is evicted first.
+ * usable afterwards. A backoff or a request limit stays in effect while the target's record disappears and
+ * returns. Bounded: the oldest entry is evicted first.
  */
 class withheld_targets {
 public:
@@ -28,6 +31,12 @@
     /** @return the backoff saved for this incarnation of a target; if none was saved, one without limits */
     target_backoff backoff_of(const target_id& target, incarnation_id incarnation) const;
 
+    /** Saves the request limit of a target that is no longer usable. */
+    void save_limit(const target_id& target, incarnation_id incarnation, const request_limit& limit);
+
+    /** @return the request limit saved for this incarnation of a target, if any */
+    std::optional<request_limit> limit_of(const target_id& target, incarnation_id incarnation) const;
+
     std::size_t size() const { return m_entries.size(); }
 
     /** Bound on the number of entries: a few for each target of a large deployment. */
@@ -38,6 +47,7 @@
         incarnation_id incarnation;
         bool left = false;
         target_backoff backoff;
+        std::optional<request_limit> limit;
     };
 
     entry& entry_of(const target_id& target, incarnation_id incarnation);
--- a/tests/daemon/host_methods_test.cpp
+++ b/tests/daemon/host_methods_test.cpp
@@ -26,6 +26,21 @@
     EXPECT_EQ(value_of(quarantine).age, 1500ms);
 }
 
+TEST(host_methods, carries_a_request_limit_and_its_end) {
+    const target_incarnation target{target_id{"t"}, incarnation_id{7}};
+    const auto stated = decode_request_limit(encode_request_limit({target, 30.4, 1500ms}));
+    ASSERT_TRUE(succeeded(stated));
+    EXPECT_EQ(value_of(stated).target, target);
+    EXPECT_EQ(value_of(stated).per_second, 30.4);
+    EXPECT_EQ(value_of(stated).age, 1500ms);
+    const auto lifted = decode_request_limit(encode_request_limit({target, std::nullopt, 0ms}));
+    ASSERT_TRUE(succeeded(lifted));
+    EXPECT_FALSE(value_of(lifted).per_second);
+    Json::Value negative = encode_request_limit({target, 1.0, 0ms});
+    negative["per_second"] = -1.0;
+    EXPECT_FALSE(succeeded(decode_request_limit(negative)));
+}
+
 TEST(host_methods, reports_malformed_notifications_and_calls_no_handler) {
     host_dispatcher dispatcher;
     std::vector<std::string> unreadable;
@@ -34,12 +49,14 @@
     handlers.control = [](const control_message&) { FAIL(); };
     handlers.membership = [](const membership_message&) { FAIL(); };
     handlers.quarantine = [](const quarantine_notice&) { FAIL(); };
+    handlers.request_limit = [](const request_limit_notice&) { FAIL(); };
     handlers.identity = [](const host_identity&) { FAIL(); };
     handlers.inquiry = [](const configuration_inquiry&) { FAIL(); };
     handlers.unreadable = [&](const std::string& method, const error&) { unreadable.push_back(method); };
     register_host_methods(dispatcher, handlers);
-    const std::vector<std::string> methods{raft_method,       control_method,  membership_method,
-                                           quarantine_method, identity_method, inquiry_method};
+    const std::vector<std::string> methods{raft_method,       control_method,       membership_method,
+                                           quarantine_method, request_limit_method, identity_method,
+                                           inquiry_method};
     for (const std::string& method : methods) {
         dispatcher.dispatch(R"({"jsonrpc":"2.0","method":")" + method + R"(","params":{"life":"x"}})");
     }
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -22,6 +22,7 @@
 }
 
 void forwarding_world::start_host(std::size_t host) {
+    m_options.host = host_id{"host-" + std::to_string(host)};
     m_hosts[host].engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
     m_hosts[host].engine->on_lease(m_now, time_point::max());
     m_hosts[host].allowance =
@@ -137,10 +138,16 @@
                                                   {m_partitioned ? std::vector{names[host]} : names, {}});
         own->allowance = m_hosts[host].allowance->part(m_now);
         own->takes_callers = !m_hosts[host].on_standby;
+        m_hosts[host].limit_hosts.on_hosts(m_now, m_partitioned ? std::vector{names[host]} : names,
+                                           m_partitioned);
+        own->limit_hosts =
+            std::make_shared<const std::vector<host_id>>(m_hosts[host].limit_hosts.hosts(m_now));
         for (const auto& [id, target] : m_targets) {
             forwarding_target listed = target.behaviour.info;
             listed.connections = connection_share(static_cast<std::uint32_t>(target.behaviour.connections),
                                                   {names, {}}, names[host], id, 1h);
+            listed.connected_hosts =
+                connected_hosts(static_cast<std::uint32_t>(target.behaviour.connections), {names, {}});
             if (!m_hidden.contains(id) && listed.connections > 0) {
                 own->targets.push_back(listed);
             }
@@ -267,11 +274,27 @@
             for (std::size_t other = 0; other < m_hosts.size(); ++other) {
                 report_losses(host, other);
             }
+        } else if (const auto* limit = std::get_if<broadcast_request_limit>(&action)) {
+            report_limit(host, *limit);
         }
     }
     arm_timer(host);
 }
 
+void forwarding_world::report_limit(std::size_t from, const broadcast_request_limit& report) {
+    if (m_partitioned || m_limit_reports_lost) {
+        return;
+    }
+    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+        if (to != from) {
+            schedule(m_now + one_way, [this, to, report] {
+                carry_out(
+                    to, m_hosts[to].engine->on_remote_request_limit(m_now, report.target, report.statement));
+            });
+        }
+    }
+}
+
 void forwarding_world::open_connection(std::size_t host, const open_target_connection& open) {
     const std::size_t incarnation = m_hosts[host].incarnation;
     const target_connection connection = open.connection;
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -90,6 +90,8 @@
     void put_on_standby(std::size_t host) { m_hosts[host].on_standby = true; }
     /** Drops the reports of crash losses between hosts until `until`. */
     void lose_crash_reports(duration until) { m_crash_reports_lost_until = m_start + until; }
+    /** Drops the reports of request limits between hosts. */
+    void lose_limit_reports() { m_limit_reports_lost = true; }
     /** Kills and restarts all hosts at once. */
     void restart_all();
     /** Ends a target's process; it is back after its crash_time. */
@@ -173,6 +175,7 @@
     struct simulated_host {
         std::unique_ptr<forwarding_engine> engine;
         std::unique_ptr<allowance_share> allowance;
+        limit_sharing limit_hosts;
         std::map<target_connection, target_id> connections;
         time_point timer_at = time_point::max();
         std::size_t incarnation = 0; ///< incremented with each restart
@@ -195,6 +198,7 @@
                          duration after);
     void open_connection(std::size_t host, const open_target_connection& open);
     void report_losses(std::size_t from, std::size_t to);
+    void report_limit(std::size_t from, const broadcast_request_limit& report);
     void carry_out(std::size_t host, forwarding_actions actions);
     void arm_timer(std::size_t host);
     void on_exchange(std::size_t host, const send_target_exchange& send);
@@ -228,6 +232,7 @@
     std::uint64_t m_next_event_order = 0;
     time_point m_paused_until{};
     bool m_partitioned = false;
+    bool m_limit_reports_lost = false;
     time_point m_start{1h};
     time_point m_now{1h};
     forward_number m_next_request = 1;
