Test request limits with real processes

The check counts all hosts from the first statement on, which is stricter than the users' rule. Also a finding of the linter (a returned constant).

--- a/modules/tamarack_forwarding/engine/limit_tracker.cpp
+++ b/modules/tamarack_forwarding/engine/limit_tracker.cpp
@@ -92,7 +92,7 @@
         m_core.withheld.save_limit(named.target, named.incarnation, limit);
         return nullptr;
     }
-    const engine_target_pointer target = found->second;
+    engine_target_pointer target = found->second;
     if (target->info.incarnation != named.incarnation) {
         return nullptr;
     }
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -224,6 +224,11 @@
     return m_extra_load.breaches(bound);
 }
 
+std::vector<testing_support::request_limit_breach> platform_deployment::request_limit_breaches() {
+    const std::lock_guard lock{m_records};
+    return m_request_limits.breaches();
+}
+
 std::size_t platform_deployment::extra_load(const std::string& service) {
     const std::lock_guard lock{m_records};
     return m_extra_load.extra(service);
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -2,6 +2,7 @@
 
 #include "fault_proxy/proxy_route.h"
 #include "support/checks/extra_load_check.h"
+#include "support/checks/request_limit_check.h"
 #include "support/net/http_call.h"
 #include "support/net/http_listener.h"
 #include "support/net/persistent_connection.h"
@@ -32,6 +33,8 @@
 
 /** A fake replica that implements the platform's protocol on a thread of its deployment. */
 struct stand_in_replica {
+    static constexpr double no_request_limit = -1.0;
+
     std::string id;
     std::string service;
     std::string address;
@@ -42,11 +45,12 @@
     std::atomic<unsigned> misdirected{0};
     std::atomic<int> work_ms{2};
     std::atomic<bool> fails{false};
-    std::atomic<bool> draining{false};               ///< reported in its heartbeats
-    std::atomic<bool> ended{false};                  ///< it has deregistered and sends no more heartbeats
-    std::unique_ptr<fault_proxy::proxy_route> proxy; ///< on the path from hosts; nullptr if it is direct
-    bool reading_paused = false;                     ///< accessed only on the deployment's event loop
-    std::vector<std::function<void()>> unread;       ///< requests that arrived while reading was paused
+    std::atomic<double> request_limit{no_request_limit}; ///< stated in each reply: requests a second
+    std::atomic<bool> draining{false};                   ///< reported in its heartbeats
+    std::atomic<bool> ended{false};                      ///< it has deregistered and sends no more heartbeats
+    std::unique_ptr<fault_proxy::proxy_route> proxy;     ///< on the path from hosts; nullptr if it is direct
+    bool reading_paused = false;                         ///< accessed only on the deployment's event loop
+    std::vector<std::function<void()>> unread;           ///< requests that arrived while reading was paused
 };
 
 /** A request with this path crashes each replica behind a proxy that runs it. It restarts a moment later. */
@@ -124,6 +128,13 @@
     }
     /** @return services that got more extra exchanges in a sliding window than the hosts' settings allow */
     std::vector<testing_support::extra_load_breach> extra_load_breaches();
+    /**
+     * @return windows in which replicas received more requests than the limits that they stated allow; all
+     * hosts count as told from the first statement to any of them
+     */
+    std::vector<testing_support::request_limit_breach> request_limit_breaches();
+    /** Makes a replica state no limit on requests any more. */
+    void lift_request_limit(stand_in_replica& replica);
     /** @return the total number of extra exchanges that a service got */
     std::size_t extra_load(const std::string& service);
     /** @return the number of crashes of replicas that ran a request for `crashing_path` */
@@ -154,6 +165,7 @@
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
     void crash(stand_in_replica& replica);
+    void state_request_limit(stand_in_replica& replica, plain_response& response);
     void serve(stand_in_replica& replica, const plain_request& request,
                const testing_support::plain_responder& respond);
     void send_heartbeats(stand_in_replica& replica, std::size_t first_host);
@@ -178,6 +190,7 @@
     std::set<std::string> m_refused;
     std::set<std::string> m_unanswered;
     testing_support::extra_load_check m_extra_load;
+    testing_support::request_limit_check m_request_limits;
     std::function<std::vector<std::string>(const std::string&)> m_services_of;
     std::chrono::steady_clock::time_point m_started_at = std::chrono::steady_clock::now();
     std::atomic<bool> m_ending{false};
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds heartbeat_interval{400};
 /** A crashed replica refuses connections for this long. */
 constexpr std::chrono::milliseconds crash_downtime{500};
+/** Replicas don't know which host a request comes from. */
+constexpr std::size_t any_host = 0;
 
 } // namespace
 
@@ -95,6 +97,7 @@
     {
         const std::lock_guard lock{m_records};
         m_extra_load.on_arrival(elapsed(), replica.service, request.field("x-tamarackstand-request-id"));
+        m_request_limits.on_arrival(elapsed(), replica.id, any_host);
     }
     plain_response response;
     response.fields["x-tamarackstand-request-id"] = request.field("x-tamarackstand-request-id");
@@ -115,6 +118,7 @@
         crash(replica);
         return;
     }
+    state_request_limit(replica, response);
     response.status = replica.fails ? 500 : 200;
     response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
     response.body =
@@ -123,6 +127,22 @@
                      [respond, response] { respond(response); });
 }
 
+void platform_deployment::state_request_limit(stand_in_replica& replica, plain_response& response) {
+    const double limit = replica.request_limit;
+    if (limit < 0.0) {
+        return;
+    }
+    response.fields["server-limit"] = std::to_string(limit);
+    const std::lock_guard lock{m_records};
+    m_request_limits.on_stated(elapsed(), replica.id, any_host, limit);
+}
+
+void platform_deployment::lift_request_limit(stand_in_replica& replica) {
+    replica.request_limit = stand_in_replica::no_request_limit;
+    const std::lock_guard lock{m_records};
+    m_request_limits.on_lifted(replica.id);
+}
+
 unsigned platform_deployment::send_heartbeat(stand_in_replica& replica, std::size_t host,
                                              const std::string& state) {
     replica.draining = replica.draining || state == "draining";
