Refuse an announcement that other hosts could not decode

Reported by other operators: one odd entry, with a number too large or a port out of range, and machines that read the list stopped following it. Here: a heartbeat with 4,000,000,000 slots, a warm-up of 46 days, a sequence number beyond 63 bits or a service name of 300 bytes was accepted by the host that got it, and the record that it passed on could not be decoded by any other host, which dropped the whole message with all other records in it, again with each comparison of states. Cause: checks and codecs had bounds of their own.

--- a/modules/tamarack_membership/encoding/update_text.cpp
+++ b/modules/tamarack_membership/encoding/update_text.cpp
@@ -1,5 +1,7 @@
 #include "update_text.h"
 
+#include "../targets/announcement_bounds.h"
+
 #include <charconv>
 #include <limits>
 
@@ -7,11 +9,9 @@
 
 namespace {
 
-constexpr std::size_t max_versions = 16;
 constexpr std::size_t max_name_bytes = 256;
 constexpr std::uint64_t max_number = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t max_field_value = 1'000'000;
-constexpr std::uint64_t max_warmup_ms = 3'600'000;
 
 /** Appends one record, as a line of fields, to a text. */
 class line_writer {
@@ -180,7 +180,7 @@
     announcement& latest = record.latest;
     latest.target = target_id{line.required_name()};
     latest.incarnation = incarnation_id{line.number(1, max_number)};
-    latest.sequence = line.number(0, std::numeric_limits<std::int64_t>::max());
+    latest.sequence = line.number(0, announcement_bounds::sequence);
     latest.address = endpoint{line.required_name()};
     latest.data_center = data_center_id{line.required_name()};
     latest.service = service_id{line.required_name()};
@@ -189,12 +189,12 @@
     latest.slots = line.count();
     latest.connections = line.count();
     latest.state = line.enum_value<target_state>(target_state::starting);
-    latest.remaining_warmup = std::chrono::milliseconds{line.number(0, max_warmup_ms)};
+    latest.remaining_warmup = std::chrono::milliseconds{line.number(0, announcement_bounds::warmup / 1ms)};
     record.registrar = host_id{line.name()};
     record.alive = line.flag();
     record.version = line.number(0, max_number);
     record.incarnation_order = line.number(1, max_number);
-    const std::uint64_t versions = line.number(0, max_versions);
+    const std::uint64_t versions = line.number(0, announcement_bounds::versions);
     for (std::uint64_t index = 0; index < versions; ++index) {
         std::string version = line.required_name();
         latest.versions.push_back({index_version{std::move(version)}, line.name()});
--- a/modules/tamarack_membership/targets/announcement_checks.cpp
+++ b/modules/tamarack_membership/targets/announcement_checks.cpp
@@ -1,5 +1,7 @@
 #include "announcement_checks.h"
 
+#include "announcement_bounds.h"
+
 #include <algorithm>
 #include <charconv>
 #include <string>
@@ -12,8 +14,8 @@
     return error{error_code::malformed, problem};
 }
 
-bool is_name(const std::string& text, const announcement_bounds& bounds) {
-    return !text.empty() && text.size() <= bounds.name_bytes;
+bool is_name(const std::string& text) {
+    return !text.empty() && text.size() <= announcement_bounds::name_bytes;
 }
 
 bool names_a_port(const std::string& address) {
@@ -27,23 +29,37 @@
     return problem == std::errc{} && stopped_at == end && port > 0 && port <= 65'535;
 }
 
-outcome<done> check_form(const announcement& value, const announcement_bounds& bounds) {
-    const bool named = is_name(value.target.value(), bounds) && is_name(value.data_center.value(), bounds);
+outcome<done> check_form(const announcement& value) {
+    const bool named = is_name(value.target.value()) && is_name(value.data_center.value()) &&
+                       is_name(value.service.value()) &&
+                       value.shard.value().size() <= announcement_bounds::name_bytes;
     if (!named) {
-        return malformed("target and data_center must be names of at most " +
-                         std::to_string(bounds.name_bytes) + " bytes");
+        return malformed("target, data_center and service must be names of at most " +
+                         std::to_string(announcement_bounds::name_bytes) + " bytes");
     }
     if (value.incarnation.value == 0) {
         return malformed("life must be greater than zero");
     }
-    if (!is_name(value.address.value(), bounds) || !names_a_port(value.address.value())) {
+    if (!is_name(value.address.value()) || !names_a_port(value.address.value())) {
         return malformed("address must be an IP address and a port");
     }
-    if (value.slots == 0 || value.connections == 0) {
-        return malformed("slots and connections must be at least 1");
+    const auto is_count = [](std::uint32_t count, std::uint32_t least) {
+        return count >= least && count <= announcement_bounds::count;
+    };
+    if (!is_count(value.slots, 1) || !is_count(value.connections, 1) || !is_count(value.replica, 0)) {
+        return malformed("slots and connections must be from 1, replica from 0, to " +
+                         std::to_string(announcement_bounds::count));
+    }
+    if (value.sequence > announcement_bounds::sequence) {
+        return malformed("sequence must be at most " + std::to_string(announcement_bounds::sequence));
+    }
+    if (value.remaining_warmup < duration{0} || value.remaining_warmup > announcement_bounds::warmup) {
+        return malformed("warmup_left_ms must be from 0 to " +
+                         std::to_string(announcement_bounds::warmup / 1ms));
     }
-    if (value.versions.size() > bounds.versions) {
-        return malformed("at most " + std::to_string(bounds.versions) + " versions may be announced");
+    if (value.versions.size() > announcement_bounds::versions) {
+        return malformed("at most " + std::to_string(announcement_bounds::versions) +
+                         " versions may be announced");
     }
     return done{};
 }
@@ -81,9 +97,8 @@
 
 } // namespace
 
-outcome<done> check_announcement(const announcement& value, const configuration& in_force,
-                                 const announcement_bounds& bounds) {
-    outcome<done> form = check_form(value, bounds);
+outcome<done> check_announcement(const announcement& value, const configuration& in_force) {
+    outcome<done> form = check_form(value);
     if (!succeeded(form)) {
         return form;
     }
@@ -101,8 +116,8 @@
     return check_versions(value, service->second);
 }
 
-outcome<done> check_announcement_form(const announcement& value, const announcement_bounds& bounds) {
-    return check_form(value, bounds);
+outcome<done> check_announcement_form(const announcement& value) {
+    return check_form(value);
 }
 
 outcome<done> check_same_incarnation(const announcement& before, const announcement& after) {
--- a/modules/tamarack_membership/targets/announcement_codec.cpp
+++ b/modules/tamarack_membership/targets/announcement_codec.cpp
@@ -1,5 +1,7 @@
 #include "announcement_codec.h"
 
+#include "announcement_bounds.h"
+
 #include "../encoding/json_reader.h"
 
 #include <limits>
@@ -8,11 +10,7 @@
 
 namespace {
 
-constexpr std::size_t max_versions = 16;
-constexpr std::uint64_t max_sequence = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t max_incarnation = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint32_t max_field_value = 1'000'000;
-constexpr std::uint64_t max_warmup_ms = 3'600'000;
 
 Json::Value encode_versions(const std::vector<served_version>& versions) {
     Json::Value list{Json::arrayValue};
@@ -27,7 +25,7 @@
 
 std::vector<served_version> decode_versions(json_reader& reader) {
     std::vector<served_version> versions;
-    for (const Json::Value& item : reader.optional_list("versions", max_versions)) {
+    for (const Json::Value& item : reader.optional_list("versions", announcement_bounds::versions)) {
         json_reader version{item, "announcement.versions"};
         versions.push_back({index_version{version.text("version")}, version.text("map")});
         if (!version.good()) {
@@ -43,8 +41,8 @@
     }
     json_reader load{json["load"], "announcement.load"};
     const reported_load decoded{
-        static_cast<std::uint32_t>(load.optional_number("running", 0, max_field_value)),
-        static_cast<std::uint32_t>(load.optional_number("queued", 0, max_field_value))};
+        static_cast<std::uint32_t>(load.optional_number("running", 0, announcement_bounds::count)),
+        static_cast<std::uint32_t>(load.optional_number("queued", 0, announcement_bounds::count))};
     if (!load.good()) {
         reader.fail_with(load.first_error());
     }
@@ -95,7 +93,7 @@
     target_heartbeat value;
     value.target = target_id{reader.text("target")};
     value.incarnation = incarnation_id{reader.number("life", 1, max_incarnation)};
-    value.sequence = reader.number("sequence", 0, max_sequence);
+    value.sequence = reader.number("sequence", 0, announcement_bounds::sequence);
     value.load = decode_load(reader, json);
     if (!reader.good()) {
         return reader.first_error();
@@ -108,19 +106,20 @@
     announcement value;
     value.target = target_id{reader.text("target")};
     value.incarnation = incarnation_id{reader.number("life", 1, max_incarnation)};
-    value.sequence = reader.number("sequence", 0, max_sequence);
+    value.sequence = reader.number("sequence", 0, announcement_bounds::sequence);
     value.address = endpoint{reader.text("address")};
     value.data_center = data_center_id{reader.text("data_center")};
     value.service = service_id{reader.text("service")};
     value.shard = shard_id{reader.optional_text("shard")};
-    value.replica = static_cast<std::uint32_t>(reader.number("replica", 0, max_field_value));
+    value.replica = static_cast<std::uint32_t>(reader.number("replica", 0, announcement_bounds::count));
     value.versions = decode_versions(reader);
-    value.slots = static_cast<std::uint32_t>(reader.number("slots", 0, max_field_value));
-    value.connections = static_cast<std::uint32_t>(reader.number("connections", 0, max_field_value));
+    value.slots = static_cast<std::uint32_t>(reader.number("slots", 0, announcement_bounds::count));
+    value.connections =
+        static_cast<std::uint32_t>(reader.number("connections", 0, announcement_bounds::count));
     value.state = reader.enum_value<target_state>("state", target_state::starting);
     value.load = decode_load(reader, json);
-    value.remaining_warmup =
-        std::chrono::milliseconds{reader.optional_number("warmup_left_ms", 0, max_warmup_ms)};
+    value.remaining_warmup = std::chrono::milliseconds{
+        reader.optional_number("warmup_left_ms", 0, announcement_bounds::warmup / 1ms)};
     if (!reader.good()) {
         return reader.first_error();
     }
