Survive messages between hosts that are nested too deeply

Reported by other operators: machines ended again and again over a deeply nested entry. Here the platform's edge refuses one, but the same bytes sent to a host's port for other hosts threw an exception through the worker: JSON nested more than 1,000 deep, or parameters that are no object. Cause: the JSON reader and accessors throw, and host_dispatcher passed that on. The same cause in the log's records and the file of stored targets, read in the code; both now give an error as a value.

--- a/apps/tamarackd/hosts/target_store.cpp
+++ b/apps/tamarackd/hosts/target_store.cpp
@@ -1,8 +1,8 @@
 #include "target_store.h"
 
 #include <tamarack_telemetry/tamarack_telemetry.h>
+#include <tamarack_tickets/tamarack_tickets.h>
 
-#include <json/reader.h>
 #include <json/writer.h>
 
 #include <utility>
@@ -28,14 +28,12 @@
 }
 
 outcome<std::vector<target_record>> from_text(const std::string& text) {
-    Json::Value json;
-    const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
-    const bool parsed = reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
-    if (!parsed || !json.isArray()) {
+    const outcome<Json::Value> parsed = read_json(text);
+    if (!succeeded(parsed) || !value_of(parsed).isArray()) {
         return error{error_code::malformed, "the file of stored targets is not a JSON array"};
     }
     std::vector<target_record> records;
-    for (const Json::Value& item : json) {
+    for (const Json::Value& item : value_of(parsed)) {
         auto record = decode_target_record(item);
         if (!succeeded(record)) {
             return error_of(record);
--- a/modules/tamarack_consensus/messages/json_fields.cpp
+++ b/modules/tamarack_consensus/messages/json_fields.cpp
@@ -237,8 +237,12 @@
     const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
     Json::Value json;
     std::string problem;
-    if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem)) {
-        return malformed("invalid JSON: " + problem);
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem)) {
+            return malformed("invalid JSON: " + problem);
+        }
+    } catch (const Json::Exception& failure) {
+        return malformed(failure.what());
     }
     return json;
 }
--- a/modules/tamarack_transport/hosts/host_dispatcher.cpp
+++ b/modules/tamarack_transport/hosts/host_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "host_dispatcher.h"
 
+#include <json/value.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
@@ -10,6 +11,13 @@
 
 namespace tamarack {
 
+namespace {
+
+const std::string unparsable_reply =
+    R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"the request can't be parsed"}})";
+
+} // namespace
+
 struct host_dispatcher::implementation : jsonrpc::IProcedureInvokationHandler {
     implementation()
         : protocol(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this)) {
@@ -37,7 +45,12 @@
 
 std::string host_dispatcher::dispatch(const std::string& body) {
     std::string response;
-    m_implementation->protocol->HandleRequest(body, response);
+    try {
+        m_implementation->protocol->HandleRequest(body, response);
+    } catch (const Json::Exception&) {
+        // The JSON reader throws if a document is nested too deeply.
+        return unparsable_reply;
+    }
     return response;
 }
 
--- a/tests/daemon/host_methods_test.cpp
+++ b/tests/daemon/host_methods_test.cpp
@@ -41,6 +41,19 @@
     EXPECT_FALSE(succeeded(decode_request_limit(negative)));
 }
 
+host_method_handlers handlers_that_ignore_messages() {
+    host_method_handlers handlers;
+    handlers.raft = [](const raft_envelope&) {};
+    handlers.control = [](const control_message&) {};
+    handlers.membership = [](const membership_message&) {};
+    handlers.quarantine = [](const quarantine_notice&) {};
+    handlers.request_limit = [](const request_limit_notice&) {};
+    handlers.identity = [](const host_identity&) {};
+    handlers.inquiry = [](const configuration_inquiry&) {};
+    handlers.unreadable = [](const std::string&, const error&) {};
+    return handlers;
+}
+
 TEST(host_methods, reports_malformed_notifications_and_calls_no_handler) {
     host_dispatcher dispatcher;
     std::vector<std::string> unreadable;
@@ -63,5 +76,20 @@
     EXPECT_EQ(unreadable, methods);
 }
 
+/** Guards against a message that ends the process of each host that receives it. */
+TEST(host_methods, survives_nested_messages_and_parameters_of_another_type) {
+    host_dispatcher dispatcher;
+    register_host_methods(dispatcher, handlers_that_ignore_messages());
+    for (const char* parameters : {"[]", "[1]", "\"x\"", "7", "null", "[{}]"}) {
+        dispatcher.dispatch(R"({"jsonrpc":"2.0","method":")" + quarantine_method + R"(","params":)" +
+                            parameters + "}");
+    }
+    for (const std::size_t depth : {500U, 2'000U, 100'000U}) {
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        dispatcher.dispatch(nested);
+        dispatcher.dispatch(R"({"jsonrpc":"2.0","method":"x","params":{"a":)" + nested + "}}");
+    }
+}
+
 } // namespace
 } // namespace tamarack
