Close idle connections when the wait for running requests begins

What callers saw: in a planned stop, a request on an open connection that came late was read and passed on, and cut off with no answer at the drain limit. Cause: after the time for which callers keep directory answers (3 s here), the host went on reading on open connections for as long as any request ran, up to the drain limit (2 s). Change: idle connections are closed at the beginning of that wait, others after their answer; both engines. A request that crosses the close was not read, so its caller may repeat it.

--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -194,7 +194,10 @@
 bool host_daemon::finish_requests(duration limit) {
     m_requests_end_at = steady_now() + limit;
     return wait_for_callers([this](const std::function<void()>& done) {
-        return m_serving ? m_serving->post_drain(done) : m_forwarding->post_drain(done);
+        // A request that is read from now on might have to be cut off at the limit.
+        const auto ignore_closed = [] {};
+        return m_serving ? m_serving->post_close(ignore_closed) && m_serving->post_drain(done)
+                         : m_forwarding->post_close(ignore_closed) && m_forwarding->post_drain(done);
     });
 }
 
--- a/apps/tamarackd/host_daemon.h
+++ b/apps/tamarackd/host_daemon.h
@@ -46,9 +46,9 @@
     void leave_directory();
 
     /**
-     * Accepts no further connections and waits until all running requests are answered.
+     * Accepts no further connections, closes idle ones, and waits until all running requests are answered.
      *
-     * @param limit  for this wait, and for the requests that still arrive on open connections until stop()
+     * @param limit  for this wait, and for the requests that still run until stop()
      * @return false if the limit passed first
      */
     bool finish_requests(duration limit);
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -214,6 +214,45 @@
     }
 }
 
+/**
+ * Guards against a request that is read late in a shutdown, while another one keeps the host running, and is
+ * cut off at the drain limit.
+ */
+TEST_F(platform_deployment_test, a_shutdown_reads_no_request_that_it_may_have_to_cut_off) {
+    constexpr std::size_t callers = 8;
+    constexpr std::size_t host = 1;
+    constexpr auto between_callers = std::chrono::milliseconds{50};
+    constexpr auto long_request_at = std::chrono::milliseconds{2'900};
+    constexpr auto first_late_use = std::chrono::milliseconds{3'700};
+    for (stand_in_replica* replica : m_replicas["orders"]) {
+        replica->work_ms = 1'700;
+    }
+    std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
+    for (std::size_t caller = 0; caller <= callers; ++caller) {
+        auto connection =
+            std::make_unique<testing_support::persistent_connection>(m_deployment.callers_address(host));
+        ASSERT_TRUE(m_deployment.request(host, "x.example", "/match/1", 2'000, connection.get()));
+        connections.push_back(std::move(connection));
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    std::vector<std::thread> threads;
+    for (std::size_t caller = 0; caller <= callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            const bool late = caller < callers;
+            const std::chrono::milliseconds use_at =
+                late ? first_late_use + static_cast<int>(caller) * between_callers : long_request_at;
+            std::this_thread::sleep_until(begun + use_at);
+            m_deployment.request(host, "y.example", "/fetch/1", 2'400, connections[caller].get());
+        });
+    }
+    m_deployment.process(host).send_signal(SIGTERM);
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    m_deployment.stop_host(host);
+    EXPECT_EQ(m_deployment.requests_run_without_answer(), std::vector<std::string>{});
+}
+
 TEST_F(platform_deployment_test, restores_its_configuration_after_all_hosts_were_killed) {
     EXPECT_EQ(m_deployment.submit(document(9, "stocks")), 200U);
     for (std::size_t host = 0; host < m_deployment.hosts(); ++host) {
