Save the end of a request limit, too, when a target leaves the view

Found on reading the diff: a limit saved while a target was absent stayed saved when the limit ended later, and would have been restored with the next absence, until the first reply.

--- a/modules/tamarack_forwarding/engine/limit_tracker.cpp
+++ b/modules/tamarack_forwarding/engine/limit_tracker.cpp
@@ -45,7 +45,8 @@
 }
 
 void limit_tracker::on_removed(const engine_target& target) {
-    if (target.limit.in_force()) {
+    // A limit that has ended replaces one that was saved earlier.
+    if (target.limit.in_force() || m_core.withheld.limit_of(target.info.id, target.info.incarnation)) {
         m_core.withheld.save_limit(target.info.id, target.info.incarnation, target.limit);
     }
 }
--- a/tests/forwarding/request_limits_test.cpp
+++ b/tests/forwarding/request_limits_test.cpp
@@ -170,6 +170,32 @@
     expect_guarantees(world);
 }
 
+/** A target's record disappears and returns while its limit is in force, and again after the limit ended. */
+TEST(request_limits, outlast_the_absence_of_a_target_and_end_with_the_latest_statement) {
+    forwarding_world world{29, 9};
+    add_lookup(world, 3);
+    const auto disappear = [&world](duration from, duration until) {
+        world.at(from, [&world] {
+            world.hide("s-0");
+            world.publish();
+        });
+        world.at(until, [&world] {
+            world.show("s-0");
+            world.publish();
+        });
+    };
+    world.at(3s, [&world] { world.limit_requests("s-0", 30.0); });
+    disappear(6s, 7s);
+    world.at(12s, [&world] { world.limit_requests("s-0", std::nullopt); });
+    disappear(14s, 15s);
+    std::size_t at_return = 0;
+    world.at(15s, [&] { at_return = world.arrivals_at("s-0"); });
+    world.load("lookup", 180.0, 1s, 16s);
+    world.run_until(20s);
+    expect_guarantees(world);
+    EXPECT_GT(world.arrivals_at("s-0") - at_return, 50U);
+}
+
 constexpr time_point start{1h};
 
 request_limit limited(double per_second, double share) {
