--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -4,9 +4,9 @@
 #include "exchange_losses.h"
 #include "limit_tracker.h"
 #include "request_flow.h"
+#include "target_list.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace tamarack {
@@ -26,6 +26,7 @@
     request_flow flow{core, dispatcher};
     exchange_losses losses{core};
     limit_tracker limits{core};
+    target_list targets{core, dispatcher, losses, limits};
 
     implementation(forwarding_options options, random_source random) : core(std::move(options), random) {}
 
@@ -42,10 +43,6 @@
     }
 
     void on_view(forwarding_view_pointer view);
-    void update_services(const forwarding_view& view);
-    void update_targets(const forwarding_view& view);
-    void remove(const engine_target_pointer& target, target_change change);
-    void add(const forwarding_target& listed);
     void on_connected(target_connection connection);
     void on_connection_lost(target_connection connection);
     void on_reply(target_connection connection, target_reply reply);
@@ -63,121 +60,15 @@
     core.view = std::move(view);
     if (new_routes) {
         core.index.emplace(core.view->routes);
-        update_services(*core.view);
+        targets.update_services(*core.view);
     }
-    update_targets(*core.view);
+    targets.update_targets(*core.view);
     dispatcher.keep_warm();
     for (auto& [id, service] : core.services) {
         dispatcher.serve_waiting(*service);
     }
 }
 
-void forwarding_engine::implementation::update_services(const forwarding_view& view) {
-    std::set<service_id> routed;
-    for (const route& item : view.routes->routes) {
-        for (const route_service& part : item.services) {
-            routed.insert(part.service);
-        }
-    }
-    for (const routed_service& listed : view.routes->services) {
-        if (!routed.contains(listed.id)) {
-            continue;
-        }
-        auto& service = core.services[listed.id];
-        if (!service) {
-            service = std::make_shared<engine_service>(listed.id, core.budget_of(listed.id));
-        }
-    }
-    for (auto item = core.services.begin(); item != core.services.end();) {
-        if (routed.contains(item->first)) {
-            ++item;
-            continue;
-        }
-        const engine_service_pointer left = item->second;
-        item = core.services.erase(item);
-        for (const engine_target_pointer& target : std::vector<engine_target_pointer>{left->targets}) {
-            remove(target, target_change::removed);
-        }
-    }
-    core.drop_idle_budgets();
-}
-
-void forwarding_engine::implementation::update_targets(const forwarding_view& view) {
-    std::set<std::string> listed;
-    for (const forwarding_target& item : view.targets) {
-        if (!core.services.contains(item.service)) {
-            continue;
-        }
-        if (core.withheld.has_left(item.id, item.incarnation)) {
-            continue;
-        }
-        listed.insert(item.id.value());
-        const auto found = core.targets.find(item.id.value());
-        if (found == core.targets.end()) {
-            add(item);
-            continue;
-        }
-        const engine_target_pointer existing = found->second;
-        const bool same = existing->info.incarnation == item.incarnation &&
-                          existing->info.address == item.address && existing->info.service == item.service;
-        if (!same) {
-            remove(existing, target_change::removed);
-            add(item);
-        } else {
-            existing->info.slots = item.slots;
-            existing->info.warm_at = item.warm_at;
-            existing->info.connections = item.connections;
-            existing->info.connected_hosts = item.connected_hosts;
-            limits.update_share(*existing);
-        }
-    }
-    std::vector<engine_target_pointer> gone;
-    for (const auto& [id, target] : core.targets) {
-        if (!listed.contains(id)) {
-            gone.push_back(target);
-        }
-    }
-    for (const engine_target_pointer& target : gone) {
-        remove(target, target_change::removed);
-    }
-}
-
-void forwarding_engine::implementation::add(const forwarding_target& listed) {
-    auto target = std::make_shared<engine_target>();
-    target->info = listed;
-    target->far = listed.data_center != core.options.data_center;
-    target->backoff = core.withheld.backoff_of(listed.id, listed.incarnation);
-    limits.on_added(*target);
-    engine_service& service = *core.services.at(listed.service);
-    target->service = &service;
-    service.targets.push_back(target);
-    core.targets[listed.id.value()] = target;
-    core.report_target_change(target_change::added, *target);
-    losses.on_target_announced(listed);
-}
-
-void forwarding_engine::implementation::remove(const engine_target_pointer& target, target_change change) {
-    if (target->usable) {
-        core.report_target_change(change, *target);
-    }
-    if (target->backoff.is_in_backoff(core.now)) {
-        core.withheld.save_backoff(target->info.id, target->info.incarnation, target->backoff);
-    }
-    limits.on_removed(*target);
-    target->usable = false;
-    if (target->service != nullptr) {
-        std::erase(target->service->targets, target);
-        target->service = nullptr;
-    }
-    for (const target_connection connection : std::vector<target_connection>{target->idle}) {
-        dispatcher.close(connection);
-    }
-    const auto found = core.targets.find(target->info.id.value());
-    if (found != core.targets.end() && found->second == target) {
-        core.targets.erase(found);
-    }
-}
-
 void forwarding_engine::implementation::on_connected(target_connection connection) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end() || found->second.phase != connection_phase::opening) {
@@ -283,7 +174,7 @@
 void forwarding_engine::implementation::on_leaving(const engine_target_pointer& target) {
     core.withheld.on_leaving(target->info.id, target->info.incarnation);
     core.actions.emplace_back(target_leaving{target->info.id, target->info.incarnation});
-    remove(target, target_change::leaving);
+    targets.remove(target, target_change::leaving);
 }
 
 void forwarding_engine::implementation::on_reply(target_connection connection, target_reply reply) {
@@ -318,7 +209,7 @@
         on_leaving(target);
     }
     if (wrong_target && target->usable) {
-        remove(target, target_change::replaced);
+        targets.remove(target, target_change::replaced);
     }
     forwarding_run* run = wanted ? core.find_run(request) : nullptr;
     if (run != nullptr) {
@@ -376,7 +267,9 @@
         core.report_extra_load();
         break;
     case due_kind::limits:
-        core.limits_at = time_point::max();
+        if (item.at >= core.limits_at) {
+            core.limits_at = time_point::max();
+        }
         for (auto& [id, service] : core.services) {
             dispatcher.serve_waiting(*service);
         }
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -7,6 +7,7 @@
 #include "../timing/exchange_timing.h"
 #include "../timing/request_times.h"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -41,6 +42,10 @@
     std::string token;
     std::string body;
     std::optional<target_reply> failure; ///< first reply of a target that ran it and failed
+
+    bool was_tried(const engine_target_pointer& target) const {
+        return std::find(tried.begin(), tried.end(), target) != tried.end();
+    }
 };
 
 /** A request that is being processed. Internal to the module. */
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -13,10 +13,6 @@
 constexpr double idle_share = 0.7;
 constexpr std::uint32_t max_open_doublings = 4;
 
-bool was_tried(const run_part& part, const engine_target_pointer& target) {
-    return std::find(part.tried.begin(), part.tried.end(), target) != part.tried.end();
-}
-
 bool runs_at(const run_part& part, const engine_target_pointer& target) {
     return std::any_of(part.exchanges.begin(), part.exchanges.end(),
                        [&](const running_exchange& running) { return running.target == target; });
@@ -24,113 +20,6 @@
 
 } // namespace
 
-bool part_dispatcher::has_untried(const run_part& part, time_point latest) const {
-    return std::any_of(part.service->targets.begin(), part.service->targets.end(),
-                       [&](const engine_target_pointer& target) {
-                           return target->is_available(m_core.now) && !was_tried(part, target) &&
-                                  target->limit.allowed_at(m_core.now) <= latest;
-                       });
-}
-
-bool part_dispatcher::has_available(const engine_service& service) const {
-    return std::any_of(service.targets.begin(), service.targets.end(),
-                       [&](const engine_target_pointer& target) { return target->is_available(m_core.now); });
-}
-
-bool part_dispatcher::is_limited(const engine_service& service) const {
-    const auto& targets = service.targets;
-    const auto limited = [](const engine_target_pointer& target) { return target->limit.in_force(); };
-    return std::any_of(targets.begin(), targets.end(), limited) &&
-           std::none_of(targets.begin(), targets.end(), [&](const engine_target_pointer& target) {
-               return target->is_available(m_core.now) && !limited(target);
-           });
-}
-
-std::optional<time_point> part_dispatcher::available_at(const engine_service& service) const {
-    std::optional<time_point> earliest;
-    for (const engine_target_pointer& target : service.targets) {
-        if (target->usable && (target->limit.has_share() || target->limit.allows(m_core.now))) {
-            const time_point at = target->allowed_at(m_core.now);
-            earliest = std::min(earliest.value_or(at), at);
-        }
-    }
-    return earliest;
-}
-
-placement_candidate part_dispatcher::describe(const engine_target& target) const {
-    placement_candidate candidate;
-    candidate.slots = target.info.slots;
-    candidate.own_exchanges = static_cast<std::uint32_t>(target.busy);
-    if (target.load && m_core.uses(forwarding_mechanism::load_reports)) {
-        candidate.reported = target.load->running + target.load->waiting + target.sent_since_load;
-        candidate.report_age = m_core.now - target.load_at;
-    }
-    candidate.speed = m_core.uses(forwarding_mechanism::speed_estimate) ? target.speed : 1.0;
-    if (target.load) {
-        candidate.speed *= target.load->slowness;
-    }
-    if (m_core.uses(forwarding_mechanism::error_share)) {
-        candidate.error_share = error_share_of(target, m_core.now);
-    }
-    candidate.far = target.far && m_core.uses(forwarding_mechanism::near_targets);
-    candidate.cold = m_core.now < target.info.warm_at && m_core.uses(forwarding_mechanism::cold_targets);
-    candidate.ejected = m_core.now < target.ejected_until && m_core.uses(forwarding_mechanism::ejection);
-    if (!target.running_since.empty() && m_core.uses(forwarding_mechanism::stall_detection)) {
-        candidate.oldest_exchange = m_core.now - target.running_since.front();
-    }
-    return candidate;
-}
-
-std::optional<duration> part_dispatcher::expected_wait(const engine_service& service,
-                                                       const placement_demand& demand) const {
-    std::optional<duration> shortest;
-    std::size_t parallel = 0;
-    for (const engine_target_pointer& target : service.targets) {
-        const placement_candidate candidate = describe(*target);
-        if (!target->is_available(m_core.now) || candidate.ejected || is_stalled(candidate, demand)) {
-            continue;
-        }
-        if (!target->limit.in_force()) {
-            parallel += m_core.connections_allowed(*target);
-        }
-        const duration wait = queue_wait(candidate, demand);
-        shortest = shortest ? std::min(*shortest, wait) : wait;
-    }
-    if (!shortest) {
-        return std::nullopt;
-    }
-    if (is_limited(service)) {
-        return std::max(*shortest, wait_for_limits(service));
-    }
-    parallel = std::max<std::size_t>(parallel, 1);
-    const double rounds = static_cast<double>(service.waiting.size()) / static_cast<double>(parallel);
-    return *shortest +
-           duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.median_time.count()))};
-}
-
-duration part_dispatcher::wait_for_limits(const engine_service& service) const {
-    std::vector<std::pair<const engine_target*, std::size_t>>
-        next; // with the number of the next exchange there
-    for (const engine_target_pointer& target : service.targets) {
-        if (target->is_available(m_core.now)) {
-            next.emplace_back(target.get(), 1);
-        }
-    }
-    time_point at = m_core.now;
-    for (std::size_t ahead = 0; ahead <= service.waiting.size() && !next.empty(); ++ahead) {
-        const auto allowed_at = [this](const auto& item) {
-            return item.first->limit.allowed_at(m_core.now, item.second);
-        };
-        const auto first =
-            std::min_element(next.begin(), next.end(), [&](const auto& left, const auto& right) {
-                return allowed_at(left) < allowed_at(right);
-            });
-        at = allowed_at(*first);
-        ++first->second;
-    }
-    return at - m_core.now;
-}
-
 void part_dispatcher::list_candidates(const run_part& part, bool include_tried) {
     m_eligible.clear();
     m_candidates.clear();
@@ -138,7 +27,7 @@
         const std::size_t busy = m_core.uses(forwarding_mechanism::gradual_return) ? target->busy : 0;
         const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target) ||
                            !target->backoff.allows(m_core.now, busy);
-        if (unfit || (!include_tried && was_tried(part, target))) {
+        if (unfit || (!include_tried && part.was_tried(target))) {
             continue;
         }
         if (!target->limit.allows(m_core.now)) {
--- /dev/null
+++ b/modules/tamarack_forwarding/engine/target_list.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "exchange_losses.h"
+#include "limit_tracker.h"
+#include "part_dispatcher.h"
+
+namespace tamarack {
+
+/**
+ * Keeps the engine's services and targets in line with the view.
+ *
+ * Internal to the module.
+ */
+class target_list {
+public:
+    target_list(forwarding_core& core, part_dispatcher& dispatcher, exchange_losses& losses,
+                limit_tracker& limits)
+        : m_core(core), m_dispatcher(dispatcher), m_losses(losses), m_limits(limits) {}
+
+    /** Adds and removes services, after a change of the routes. */
+    void update_services(const forwarding_view& view);
+    /** Adds, updates and removes targets. */
+    void update_targets(const forwarding_view& view);
+    /** Withdraws a target from use: it gets no new exchanges, and its idle connections are closed. */
+    void remove(const engine_target_pointer& target, target_change change);
+
+private:
+    void add(const forwarding_target& listed);
+
+    forwarding_core& m_core;
+    part_dispatcher& m_dispatcher;
+    exchange_losses& m_losses;
+    limit_tracker& m_limits;
+};
+
+} // namespace tamarack
