--- a/tests/platform/odd_heartbeats_test.cpp
+++ b/tests/platform/odd_heartbeats_test.cpp
@@ -28,7 +28,8 @@
                    {"born", "1780000000000"}});
     std::string text;
     for (const auto& [name, value] : fields) {
-        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+        text += text.empty() ? "{" : ",";
+        text.append("\"").append(name).append("\":").append(value);
     }
     return text + "}";
 }
