Share the callers of two deployment tests, and the opening of used connections

Cause: request_limit_test repeated the callers of extra_load_test, and one shutdown test the connections of another. steady_callers and open_used_connections hold them once.

--- a/tests/platform_integration/extra_load_test.cpp
+++ b/tests/platform_integration/extra_load_test.cpp
@@ -1,8 +1,9 @@
-#include "platform_deployment.h"
+#include "steady_callers.h"
 
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <optional>
 #include <sstream>
 
 namespace tamarack::platform_integration {
@@ -32,8 +33,7 @@
 struct extra_load_test : ::testing::Test {
     platform_deployment m_deployment{3, 6};
     std::vector<stand_in_replica*> m_replicas;
-    std::atomic<bool> m_stopping{false};
-    std::vector<std::thread> m_callers;
+    std::optional<steady_callers> m_callers;
 
     void SetUp() override {
         for (const char* service : {"orders", "stocks"}) {
@@ -52,24 +52,7 @@
             ASSERT_TRUE(eventually([&] { return m_deployment.known_replicas(host) == m_replicas.size(); }));
             ASSERT_TRUE(eventually([&] { return m_deployment.ready(host); }));
         }
-        for (std::size_t caller = 0; caller < callers; ++caller) {
-            m_callers.emplace_back([this, caller] { call(caller); });
-        }
-    }
-
-    void TearDown() override {
-        m_stopping = true;
-        for (std::thread& caller : m_callers) {
-            caller.join();
-        }
-    }
-
-    void call(std::size_t caller) {
-        std::size_t host = caller;
-        while (!m_stopping) {
-            m_deployment.request(host++ % m_deployment.hosts(), "x.example", "/fetch/1", 700);
-            std::this_thread::sleep_for(caller_pause);
-        }
+        m_callers.emplace(m_deployment, callers, caller_pause);
     }
 
     /** @return the extra-load lines of all hosts' logs */
@@ -83,7 +66,7 @@
     }
 
     void expect_within_bound() {
-        m_stopping = true;
+        m_callers->stop();
         EXPECT_GT(m_deployment.extra_load("orders"), 0U) << "the load caused no extra exchange";
         for (const auto& breach : m_deployment.extra_load_breaches()) {
             ADD_FAILURE() << breach.service << " got " << breach.extra << " extra exchanges, "
--- a/tests/platform_integration/platform_deployment_test.cpp
+++ b/tests/platform_integration/platform_deployment_test.cpp
@@ -55,6 +55,21 @@
         return response ? response->status : 0;
     }
 
+    /** @return connections to a host that have carried a request each; fewer if one was not answered */
+    std::vector<std::unique_ptr<testing_support::persistent_connection>>
+    open_used_connections(std::size_t host, std::size_t count) {
+        std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
+        for (std::size_t opened = 0; opened < count; ++opened) {
+            auto connection =
+                std::make_unique<testing_support::persistent_connection>(m_deployment.callers_address(host));
+            if (!m_deployment.request(host, "x.example", "/match/1", 2'000, connection.get())) {
+                break;
+            }
+            connections.push_back(std::move(connection));
+        }
+        return connections;
+    }
+
     unsigned runs(const std::string& service) const {
         const auto& replicas = m_replicas.at(service);
         return std::accumulate(
@@ -185,13 +200,8 @@
     }
     for (const shutdown_pattern& pattern : patterns) {
         const std::size_t host = pattern.host;
-        std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
-        for (std::size_t caller = 0; caller < callers; ++caller) {
-            auto connection =
-                std::make_unique<testing_support::persistent_connection>(m_deployment.callers_address(host));
-            ASSERT_TRUE(m_deployment.request(host, "x.example", "/match/1", 2'000, connection.get()));
-            connections.push_back(std::move(connection));
-        }
+        const auto connections = open_used_connections(host, callers);
+        ASSERT_EQ(connections.size(), callers);
         const auto begun = std::chrono::steady_clock::now();
         std::vector<std::thread> threads;
         for (std::size_t caller = 0; caller < callers; ++caller) {
@@ -227,13 +237,8 @@
     for (stand_in_replica* replica : m_replicas["orders"]) {
         replica->work_ms = 1'700;
     }
-    std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
-    for (std::size_t caller = 0; caller <= callers; ++caller) {
-        auto connection =
-            std::make_unique<testing_support::persistent_connection>(m_deployment.callers_address(host));
-        ASSERT_TRUE(m_deployment.request(host, "x.example", "/match/1", 2'000, connection.get()));
-        connections.push_back(std::move(connection));
-    }
+    const auto connections = open_used_connections(host, callers + 1);
+    ASSERT_EQ(connections.size(), callers + 1);
     const auto begun = std::chrono::steady_clock::now();
     std::vector<std::thread> threads;
     for (std::size_t caller = 0; caller <= callers; ++caller) {
--- a/tests/platform_integration/request_limit_test.cpp
+++ b/tests/platform_integration/request_limit_test.cpp
@@ -1,7 +1,8 @@
-#include "platform_deployment.h"
+#include "steady_callers.h"
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <thread>
 
 namespace tamarack::platform_integration {
@@ -27,8 +28,7 @@
 struct request_limit_test : ::testing::Test {
     platform_deployment m_deployment{3, 6};
     std::vector<stand_in_replica*> m_replicas;
-    std::atomic<bool> m_stopping{false};
-    std::vector<std::thread> m_callers;
+    std::optional<steady_callers> m_callers;
 
     void SetUp() override {
         for (std::size_t count = 0; count < replicas; ++count) {
@@ -41,23 +41,7 @@
             ASSERT_TRUE(eventually([&] { return m_deployment.known_replicas(host) == replicas; }));
             ASSERT_TRUE(eventually([&] { return m_deployment.ready(host); }));
         }
-        for (std::size_t caller = 0; caller < callers; ++caller) {
-            m_callers.emplace_back([this, caller] { call(caller); });
-        }
-    }
-
-    void TearDown() override {
-        m_stopping = true;
-        for (std::thread& caller : m_callers) {
-            caller.join();
-        }
-    }
-
-    void call(std::size_t caller) {
-        for (std::size_t host = caller; !m_stopping; ++host) {
-            m_deployment.request(host % m_deployment.hosts(), "x.example", "/fetch/1", 700);
-            std::this_thread::sleep_for(caller_pause);
-        }
+        m_callers.emplace(m_deployment, callers, caller_pause);
     }
 };
 
