--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,8 +3,6 @@
 #include "../support/deployment.h"
 
 #include <algorithm>
-#include <exception>
-#include <iostream>
 #include <set>
 
 namespace review {
@@ -39,7 +37,7 @@
     unsigned spoiled = 0;
 };
 
-/** Serves a connection; the faulty replica sends some of its rejections once more, before its next response. */
+/** Serves a connection. The faulty replica sends some rejections once more, before its next response. */
 class desk {
 public:
     desk(record& log, observations& seen, bool faulty) : m_log(log), m_seen(seen), m_faulty(faulty) {}
@@ -150,8 +148,7 @@
     return broken > 0 ? rule_broken : rule_held;
 }
 
-int run_case(const std::string& folder) {
-    record log{folder + "/record.txt"};
+int run_case(record& log) {
     observations seen;
     desk sound{log, seen, false};
     desk faulty{log, seen, true};
@@ -161,25 +158,10 @@
     };
     replica first{system, "i-1", "order-desk", serve_with(sound)};
     replica second{system, "i-2", "order-desk", serve_with(faulty)};
-    system.start_all();
-    first.start_heartbeats();
-    second.start_heartbeats();
-    if (system.submit(configuration) != 200) {
+    if (!system.start_serving({&first, &second}, configuration)) {
         return could_not_run;
     }
-    for (std::size_t host = 0; host < hosts; ++host) {
-        if (!system.await_ready(host)) {
-            return could_not_run;
-        }
-    }
-    std::this_thread::sleep_for(3s);
-    std::vector<std::thread> running;
-    for (int caller = 0; caller < callers; ++caller) {
-        running.emplace_back([&, caller] { call(system, log, seen, caller); });
-    }
-    for (std::thread& caller : running) {
-        caller.join();
-    }
+    run_callers(callers, [&](int caller) { call(system, log, seen, caller); });
     std::this_thread::sleep_for(500ms);
     return judge(log, seen);
 }
@@ -189,14 +171,5 @@
 } // namespace review
 
 int main(int count, char** arguments) {
-    if (count != 2) {
-        std::cerr << "usage: case FOLDER\n";
-        return review::could_not_run;
-    }
-    try {
-        return review::run_case(arguments[1]);
-    } catch (const std::exception& failure) {
-        std::cerr << failure.what() << '\n';
-        return review::could_not_run;
-    }
+    return review::run_program(count, arguments, review::run_case);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -3,8 +3,6 @@
 #include "../support/deployment.h"
 
 #include <algorithm>
-#include <exception>
-#include <iostream>
 
 namespace review {
 
@@ -27,14 +25,13 @@
 /** A network with the segments of Ethernet and small windows. */
 constexpr listen_options small_windows{1'460, 4'096};
 
-const auto configuration =
-    R"({"version":1,"routes":[{"name":"orders","host":"shop.example",)"
-    R"("path-prefix":"/orders/","type":"safe","timeout-ms":400,)"
-    R"("target-latency-ms":40,"priority":1,"service":"order-desk",)"
-    R"("max-attempts":2}],"services":[{"name":"order-desk",)"
-    R"("health-check-path":"/health","max-connections":45,"protocol":"h1",)"
-    R"("tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,)"
-    R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+const auto configuration = R"({"version":1,"routes":[{"name":"orders","host":"shop.example",)"
+                           R"("path-prefix":"/orders/","type":"safe","timeout-ms":400,)"
+                           R"("target-latency-ms":40,"priority":1,"service":"order-desk",)"
+                           R"("max-attempts":2}],"services":[{"name":"order-desk",)"
+                           R"("health-check-path":"/health","max-connections":45,"protocol":"h1",)"
+                           R"("tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,)"
+                           R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 
 /** @return the body of a request: its id, over and over */
 std::string body_of(const std::string& id, std::size_t size) {
@@ -76,7 +73,8 @@
             }
             const std::string body = stream.read_bytes(size);
             if (body.size() < size) {
-                m_log.write(self.id() + " read " + std::to_string(body.size()) + " bytes of " + id + ", then the connection ended");
+                m_log.write(self.id() + " read " + std::to_string(body.size()) + " bytes of " + id +
+                            ", then the connection ended");
                 return; // allowed
             }
             check(self, id, body);
@@ -130,7 +128,8 @@
         std::string text = body.substr(at, shown);
         std::replace_if(
             text.begin(), text.end(), [](char letter) { return letter < ' ' || letter > '~'; }, '.');
-        report(self, "got other bytes in the body of " + id + " from byte " + std::to_string(at) + ": " + text);
+        report(self,
+               "got other bytes in the body of " + id + " from byte " + std::to_string(at) + ": " + text);
     }
 
     void report(const replica& self, const std::string& what) {
@@ -151,10 +150,9 @@
     for (int number = 0; number < requests_of_a_caller; ++number) {
         const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(number);
         const std::string body = body_of(id, number % long_each == 0 ? long_body : short_body);
-        const auto answer =
-            exchange(connection, address,
-                     write_request("POST", "shop.example", "/orders/new", id, deadline_ms, body),
-                     std::chrono::milliseconds{deadline_ms});
+        const auto answer = exchange(
+            connection, address, write_request("POST", "shop.example", "/orders/new", id, deadline_ms, body),
+            std::chrono::milliseconds{deadline_ms});
         const int status = answer ? answer->head.status() : 0;
         log.write(id + " was answered " + std::to_string(status));
         const std::lock_guard lock{seen.mutex};
@@ -176,8 +174,7 @@
     return seen.wrong.empty() && ends.empty() ? rule_held : rule_broken;
 }
 
-int run_case(const std::string& folder) {
-    record log{folder + "/record.txt"};
+int run_case(record& log) {
     observations seen;
     desk sound{log, seen, false};
     desk faulty{log, seen, true};
@@ -187,25 +184,10 @@
     };
     replica first{system, "i-1", "order-desk", serve_with(sound), small_windows};
     replica second{system, "i-2", "order-desk", serve_with(faulty), small_windows};
-    system.start_all();
-    first.start_heartbeats();
-    second.start_heartbeats();
-    if (system.submit(configuration) != 200) {
+    if (!system.start_serving({&first, &second}, configuration)) {
         return could_not_run;
     }
-    for (std::size_t host = 0; host < hosts; ++host) {
-        if (!system.await_ready(host)) {
-            return could_not_run;
-        }
-    }
-    std::this_thread::sleep_for(3s);
-    std::vector<std::thread> running;
-    for (int caller = 0; caller < callers; ++caller) {
-        running.emplace_back([&, caller] { call(system, log, seen, caller); });
-    }
-    for (std::thread& caller : running) {
-        caller.join();
-    }
+    run_callers(callers, [&](int caller) { call(system, log, seen, caller); });
     std::this_thread::sleep_for(1s);
     const std::vector<std::string> ends = system.unexpected_ends();
     const std::lock_guard lock{seen.mutex};
@@ -217,14 +199,5 @@
 } // namespace review
 
 int main(int count, char** arguments) {
-    if (count != 2) {
-        std::cerr << "usage: case FOLDER\n";
-        return review::could_not_run;
-    }
-    try {
-        return review::run_case(arguments[1]);
-    } catch (const std::exception& failure) {
-        std::cerr << failure.what() << '\n';
-        return review::could_not_run;
-    }
+    return review::run_program(count, arguments, review::run_case);
 }
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -5,7 +5,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
+#include <exception>
 #include <filesystem>
+#include <iostream>
 #include <iterator>
 #include <random>
 #include <stdexcept>
@@ -30,6 +32,8 @@
 constexpr int status_ok = 200;
 constexpr auto retry_pause = 100ms;
 constexpr auto heartbeat_interval = 1'200ms; ///< `heartbeat-interval-ms` of the pages' settings
+/** Time until all hosts know all replicas. */
+constexpr auto settling_time = 3s;
 constexpr std::uint64_t birth = 1'780'000'000'000;
 
 std::string read_file(const std::string& path) {
@@ -59,6 +63,17 @@
                                : "with exit code " + std::to_string(WEXITSTATUS(status));
 }
 
+std::string write_control_call(const socket_address& address, const std::string& method,
+                               const std::string& path, const std::string& body) {
+    std::string text = method;
+    text += " " + path;
+    text += " HTTP/1.1\r\nHost: " + address.text();
+    text += "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: ";
+    text += std::to_string(body.size());
+    text += "\r\n\r\n";
+    return text += body;
+}
+
 std::optional<response> read_response(http_stream& stream) {
     auto head = stream.read_head();
     if (!head) {
@@ -236,8 +251,7 @@
     const std::string text = read_file("/proc/" + std::to_string(found->second) + "/status");
     const std::string name = "VmHWM:";
     const std::size_t at = text.find(name);
-    return at == std::string::npos ? 0
-                                   : std::strtoull(text.c_str() + at + name.size(), nullptr, 10) / 1'024;
+    return at == std::string::npos ? 0 : std::strtoull(text.c_str() + at + name.size(), nullptr, 10) / 1'024;
 }
 
 std::string deployment::last_output(std::size_t host) const {
@@ -257,10 +271,7 @@
             return std::nullopt;
         }
         stream.set_timeout(timeout);
-        const std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + address.text() +
-                                    "\r\nContent-Type: application/json\r\nConnection: close\r\n" +
-                                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        if (!stream.write(request)) {
+        if (!stream.write(write_control_call(address, method, path, body))) {
             return std::nullopt;
         }
         auto answer = read_response(stream);
@@ -305,6 +316,23 @@
     return false;
 }
 
+bool deployment::start_serving(const std::vector<replica*>& replicas, const std::string& document) {
+    start_all();
+    for (replica* item : replicas) {
+        item->start_heartbeats();
+    }
+    if (submit(document) != status_ok) {
+        return false;
+    }
+    for (std::size_t host = 0; host < hosts(); ++host) {
+        if (!await_ready(host)) {
+            return false;
+        }
+    }
+    std::this_thread::sleep_for(settling_time);
+    return true;
+}
+
 replica::replica(deployment& owner, std::string id, std::string service, connection_handler handler,
                  const listen_options& options)
     : m_owner(owner), m_id(std::move(id)), m_service(std::move(service)), m_handler(std::move(handler)),
@@ -367,6 +395,31 @@
     }
 }
 
+void run_callers(int callers, const std::function<void(int)>& call) {
+    std::vector<std::thread> running;
+    running.reserve(static_cast<std::size_t>(callers));
+    for (int caller = 0; caller < callers; ++caller) {
+        running.emplace_back([&call, caller] { call(caller); });
+    }
+    for (std::thread& caller : running) {
+        caller.join();
+    }
+}
+
+int run_program(int count, char** arguments, int (*run_case)(record&)) {
+    if (count != 2) {
+        std::cerr << "usage: case FOLDER\n";
+        return could_not_run;
+    }
+    try {
+        record log{std::string{arguments[1]} + "/record.txt"};
+        return run_case(log);
+    } catch (const std::exception& failure) {
+        std::cerr << failure.what() << '\n';
+        return could_not_run;
+    }
+}
+
 std::string write_response(const std::string& status, const std::vector<std::string>& fields,
                            const std::string& body) {
     std::string text = "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -45,6 +45,8 @@
     std::string body;
 };
 
+class replica;
+
 /** Runs daemons as the platform starts them, each on a loopback address of its own. */
 class deployment {
 public:
@@ -90,6 +92,10 @@
     /** Waits until a host says that it is ready. */
     bool await_ready(std::size_t host, std::chrono::seconds limit = std::chrono::seconds{20}) const;
 
+    /** Starts all hosts and replicas, and waits until they serve the configuration. @return whether they do
+     */
+    bool start_serving(const std::vector<replica*>& replicas, const std::string& document);
+
 private:
     std::string ip_of(std::size_t host) const;
     std::string data_folder(std::size_t host) const;
@@ -142,6 +148,12 @@
     std::thread m_beating;
 };
 
+/** Runs each caller on a thread of its own, and waits for all of them. */
+void run_callers(int callers, const std::function<void(int)>& call);
+
+/** The main function of a case: opens the record in the folder that the arguments name. @return exit code */
+int run_program(int count, char** arguments, int (*run_case)(record&));
+
 /** @return a replica's response with a length */
 std::string write_response(const std::string& status, const std::vector<std::string>& fields,
                            const std::string& body);
--- a/review/support/sockets.cpp
+++ b/review/support/sockets.cpp
@@ -170,7 +170,7 @@
 std::string http_stream::read_bytes(std::size_t size) {
     while (m_buffer.size() < size && receive()) {
     }
-    const std::string bytes = m_buffer.substr(0, size);
+    std::string bytes = m_buffer.substr(0, size);
     m_buffer.erase(0, bytes.size());
     return bytes;
 }
