--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -140,6 +140,22 @@
     EXPECT_EQ(wire::read_reply(id, std::move(encoded)).verdict, target_verdict::malformed);
 }
 
+/** Guards against a rejection that a target sends twice: its second copy arrives where the reply to the next
+ * request is due, which may be running by then. */
+TEST(read_reply, takes_no_rejection_of_another_request_for_one_of_this_request) {
+    for (const unsigned status : {421U, 429U, 503U}) {
+        http_response rejection = good_reply();
+        rejection.status = status;
+        rejection.fields.emplace_back("X-Tamarackstand-Not-Executed", "1");
+        EXPECT_EQ(wire::read_reply(request_id{"next"}, http_response{rejection}).verdict,
+                  target_verdict::malformed)
+            << status;
+        rejection.fields.erase(rejection.fields.begin());
+        EXPECT_EQ(wire::read_reply(id, std::move(rejection)).verdict, target_verdict::malformed)
+            << status << " without an id";
+    }
+}
+
 TEST(read_reply, ignores_malformed_numbers) {
     http_response message = good_reply();
     message.fields[2].second = "3,,x";
