Take part in the log again once a full disk has room

No change was acknowledged and the acknowledged configuration could not be read until processes were restarted.

Cause: a passing fault kept as a lasting state. segmented_journal kept its first error and returned it for each later change, raft_node set a flag that nothing reset, and control_worker did not try again.

A change that would leave a gap is refused. The host tries again each 100 ms, and neither votes nor leads until that very change is durable.

--- a/apps/tamarackd/control/control_worker.cpp
+++ b/apps/tamarackd/control/control_worker.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t texts_of_whole_configurations = 2;
 /** Maximum number of log entries that a restarted host replays; each may hold a whole configuration. */
 constexpr std::uint64_t entries_between_snapshots = 8;
+/** Interval between attempts to store a change. A full disk can have room again within seconds. */
+constexpr duration store_retry_interval = 100ms;
 
 control_options options_of(const settings& host_settings) {
     control_options options;
@@ -157,7 +159,7 @@
         std::visit(overloaded{
                        [this](send_raft_message& send) { m_hooks.send_raft(std::move(send.envelope)); },
                        [this](send_control_message& send) { m_hooks.send_control(std::move(send)); },
-                       [this](const store_change& store) { carry_out(store); },
+                       [this](store_change& store) { carry_out(std::move(store)); },
                        [this](const answer_ticket& answer) { carry_out(answer); },
                        [this](const answer_read& answer) { carry_out(answer); },
                        [this](const control_changed& changed) { carry_out(changed); },
@@ -167,27 +169,44 @@
     m_timer.rearm();
 }
 
-void control_worker::carry_out(const store_change& action) {
-    auto store = [this, change = action.change] {
-        const time_point before = steady_now();
-        const auto stored = m_journal->store(to_journal_write(change));
-        m_metrics.observe(histogram_id::sync_duration_seconds, steady_now() - before);
-        const bool posted = m_thread.try_post([this, number = change.number, stored] {
-            if (succeeded(stored)) {
-                carry_out(m_node.on_persisted(steady_now(), number));
-                return;
-            }
-            log_state_change(log_level::error, "journal_failed", m_last.latest,
-                             {{"reason", error_of(stored).message}});
-            carry_out(m_node.on_persist_failed(steady_now()));
-        });
-        require_invariant(posted, "the control worker's queue has room for the results of stored changes");
-    };
-    const bool posted = m_storage.try_post(std::move(store));
+void control_worker::carry_out(store_change&& action) {
+    const auto change = std::make_shared<const persist_change>(std::move(action.change));
+    const bool posted = m_storage.try_post([this, change] { store(change); });
     require_invariant(posted,
                       "the storage thread's queue has room, because pending proposals bound the changes");
 }
 
+void control_worker::store(const std::shared_ptr<const persist_change>& change) {
+    const time_point before = steady_now();
+    auto stored = m_journal->store(to_journal_write(*change));
+    m_metrics.observe(histogram_id::sync_duration_seconds, steady_now() - before);
+    if (!succeeded(stored)) {
+        m_storage.run_at(steady_now() + store_retry_interval, [this, change] { store(change); });
+    }
+    const bool posted = m_thread.try_post(
+        [this, number = change->number, stored = std::move(stored)] { on_stored(number, stored); });
+    require_invariant(posted, "the control worker's queue has room for the results of stored changes");
+}
+
+void control_worker::on_stored(std::uint64_t change, const outcome<done>& stored) {
+    if (!succeeded(stored)) {
+        if (!m_journal_failed_at) {
+            m_journal_failed_at = steady_now();
+            log_state_change(log_level::error, "journal_failed", m_last.latest,
+                             {{"reason", error_of(stored).message}});
+        }
+        carry_out(m_node.on_persist_failed(steady_now()));
+        return;
+    }
+    if (m_journal_failed_at) {
+        const auto failing_for = (steady_now() - *m_journal_failed_at) / 1ms;
+        m_journal_failed_at.reset();
+        log_state_change(log_level::info, "journal_restored", m_last.latest,
+                         {{"failing_for_ms", std::to_string(failing_for)}});
+    }
+    carry_out(m_node.on_persisted(steady_now(), change));
+}
+
 void control_worker::carry_out(const answer_ticket& action) {
     const auto found = m_operations.find(action.operation);
     if (found == m_operations.end()) {
--- a/apps/tamarackd/control/control_worker.h
+++ b/apps/tamarackd/control/control_worker.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace tamarack {
 
@@ -73,10 +74,13 @@
 
 private:
     void carry_out(control_actions actions);
-    void carry_out(const store_change& action);
+    void carry_out(store_change&& action);
     void carry_out(const answer_ticket& action);
     void carry_out(const answer_read& action);
     void carry_out(const control_changed& action);
+    /** Stores a change, on the storage thread; tries again until the disk takes it. */
+    void store(const std::shared_ptr<const persist_change>& change);
+    void on_stored(std::uint64_t change, const outcome<done>& stored);
     control_overview overview() const;
 
     using ticket_answerer = std::function<void(outcome<ticket_answer>, host_id)>;
@@ -94,6 +98,7 @@
     voter_plan_options m_voter_options;
     std::uint64_t m_next_operation = 1;
     control_changed m_last;
+    std::optional<time_point> m_journal_failed_at; ///< since when changes can't be stored
 };
 
 } // namespace tamarack
--- a/modules/tamarack_consensus/node/election.cpp
+++ b/modules/tamarack_consensus/node/election.cpp
@@ -13,7 +13,7 @@
 namespace tamarack {
 
 bool raft_node::implementation::allowed_to_vote() const {
-    return !m_failed && (m_may_vote || m_fresh || !m_options.protections.incarnation_check);
+    return !m_storage_failed && (m_may_vote || m_fresh || !m_options.protections.incarnation_check);
 }
 
 bool raft_node::implementation::same_member(const member_id& left, const member_id& right) const {
--- a/modules/tamarack_consensus/node/membership.cpp
+++ b/modules/tamarack_consensus/node/membership.cpp
@@ -56,7 +56,7 @@
 
 outcome<done> raft_node::implementation::bootstrap(std::vector<member_id> voters) {
     const bool voted = m_vote.term > 1 || (m_vote.term == 1 && m_vote.voted_for != m_self);
-    if (m_failed || !m_log.empty() || voted || m_has_seen_history) {
+    if (m_storage_failed || !m_log.empty() || voted || m_has_seen_history) {
         return error{error_code::conflict, "this host already belongs to a history"};
     }
     if (!allowed_to_vote() || !contains(voters, m_self) || !hosts_are_distinct(voters)) {
--- a/modules/tamarack_consensus/node/persistence.cpp
+++ b/modules/tamarack_consensus/node/persistence.cpp
@@ -43,7 +43,7 @@
 }
 
 void raft_node::implementation::flush() {
-    if (m_failed || m_change_in_flight || !has_unsaved()) {
+    if (m_storage_failed || m_change_in_flight || !has_unsaved()) {
         return;
     }
     persist_change change;
@@ -73,9 +73,14 @@
 }
 
 void raft_node::implementation::on_persisted(std::uint64_t number) {
-    if (m_failed || !m_change_in_flight || number != m_last_change) {
+    if (!m_change_in_flight || number != m_last_change) {
         return;
     }
+    if (m_storage_failed) {
+        m_storage_failed = false;
+        reset_election_timer();
+        refresh_role();
+    }
     m_change_in_flight = false;
     m_durable = std::max(m_durable, m_durable_after_change);
     std::deque<held_message> ready;
@@ -92,11 +97,11 @@
 }
 
 void raft_node::implementation::on_persist_failed() {
-    if (m_failed) {
+    if (m_storage_failed) {
         return;
     }
     step_down(m_vote.term);
-    m_failed = true;
+    m_storage_failed = true;
     m_held_messages.clear();
     refresh_role();
 }
--- a/modules/tamarack_consensus/node/raft_actions.h
+++ b/modules/tamarack_consensus/node/raft_actions.h
@@ -32,7 +32,10 @@
     raft_envelope envelope;
 };
 
-/** Make a change durable, then call raft_node::on_persisted with its number. Changes are stored in order. */
+/**
+ * Make a change durable, then call raft_node::on_persisted with its number. Changes are stored in order. If
+ * that fails, call raft_node::on_persist_failed and try again.
+ */
 struct persist_change {
     std::uint64_t number = 0;
     std::optional<durable_vote> vote;
--- a/modules/tamarack_consensus/node/raft_implementation.h
+++ b/modules/tamarack_consensus/node/raft_implementation.h
@@ -165,7 +165,7 @@
     entry_log m_log;
     bool m_may_vote;
     bool m_fresh;
-    bool m_failed = false;
+    bool m_storage_failed = false; ///< the change in flight failed and is being tried again
 
     raft_role m_role = raft_role::follower;
     std::optional<member_id> m_leader;
--- a/modules/tamarack_consensus/node/raft_node.cpp
+++ b/modules/tamarack_consensus/node/raft_node.cpp
@@ -23,7 +23,7 @@
 }
 
 void raft_node::implementation::dispatch(const raft_envelope& envelope) {
-    if (m_failed || envelope.to.host != m_self.host) {
+    if (m_storage_failed || envelope.to.host != m_self.host) {
         return;
     }
     const member_id& from = envelope.from;
@@ -98,7 +98,7 @@
 raft_actions raft_node::on_timer(time_point now) {
     implementation& node = *m_implementation;
     node.m_now = now;
-    if (node.m_failed) {
+    if (node.m_storage_failed) {
         return {};
     }
     if (node.m_role == raft_role::leader) {
@@ -167,7 +167,7 @@
 
 time_point raft_node::next_timer() const {
     const implementation& node = *m_implementation;
-    if (node.m_failed) {
+    if (node.m_storage_failed) {
         return time_point::max();
     }
     if (node.m_role == raft_role::leader) {
--- a/modules/tamarack_consensus/node/raft_node.h
+++ b/modules/tamarack_consensus/node/raft_node.h
@@ -64,7 +64,10 @@
     /** The persist_change with this number is durable. */
     raft_actions on_persisted(time_point now, std::uint64_t number);
 
-    /** A persist_change failed. The member stops voting and leading until it is constructed again. */
+    /**
+     * The persist_change in flight failed, and will be tried again. The member neither votes nor leads until
+     * on_persisted reports that it is durable.
+     */
     raft_actions on_persist_failed(time_point now);
 
     /**
--- a/modules/tamarack_consensus/node/snapshots.cpp
+++ b/modules/tamarack_consensus/node/snapshots.cpp
@@ -11,7 +11,7 @@
 
 void raft_node::implementation::on_snapshot(log_index applied, std::string state) {
     require_invariant(applied <= m_committed, "a snapshot covers only applied entries");
-    if (m_failed || m_snapshot_replaces || applied <= m_log.snapshot()->last.index) {
+    if (m_storage_failed || m_snapshot_replaces || applied <= m_log.snapshot()->last.index) {
         return;
     }
     m_log.compact(applied, std::move(state));
--- a/modules/tamarack_storage/journal/journal.h
+++ b/modules/tamarack_storage/journal/journal.h
@@ -53,8 +53,8 @@
 /**
  * A segmented journal in a data folder; each record is stored with its length and checksums.
  *
- * After a failed write or sync, the journal rejects all further changes: the state of its files is unknown
- * until the journal is opened again.
+ * A change that fails, for example because the disk is full, leaves the stored content as it was and can be
+ * stored again.
  */
 class journal {
 public:
@@ -66,8 +66,8 @@
     /**
      * Applies a change and syncs it.
      *
-     * @return done once the change would survive a loss of power, or the error after which the journal
-     * rejects changes
+     * @return done once the change would survive a loss of power; `input_output` if it was not applied and
+     * can be stored again; `conflict` if a record doesn't follow the last one; `damaged` if the journal is
      */
     virtual outcome<done> store(const journal_write& change) = 0;
 
--- a/modules/tamarack_storage/journal/segmented_journal.cpp
+++ b/modules/tamarack_storage/journal/segmented_journal.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <system_error>
+#include <unistd.h>
 #include <utility>
 
 namespace tamarack {
@@ -20,25 +21,73 @@
 segmented_journal::segmented_journal(std::string directory, journal_files found, file_hooks hooks)
     : m_directory(std::move(directory)), m_hooks(std::move(hooks)), m_recovered(std::move(found.content)),
       m_segments(std::move(found.segments)), m_vote(m_recovered.vote),
-      m_snapshot_index(m_recovered.snapshot_index), m_snapshot_bytes(found.snapshot_bytes) {
+      m_last_index(m_recovered.records.empty() ? m_recovered.snapshot_index
+                                               : m_recovered.records.back().index),
+      m_snapshot_index(m_recovered.snapshot_index), m_snapshot_bytes(found.snapshot_bytes) {}
+
+outcome<done> segmented_journal::store(const journal_write& change) {
     if (m_recovered.damaged) {
-        m_failure = error{error_code::damaged, "the journal in " + m_directory + " is damaged"};
+        return error{error_code::damaged, "the journal in " + m_directory + " is damaged"};
+    }
+    const auto last_index = index_after(change);
+    if (!succeeded(last_index)) {
+        return error_of(last_index);
+    }
+    if (auto finished = finish_failed_store(); !succeeded(finished)) {
+        return finished;
+    }
+    m_write_failed = true;
+    if (auto applied = apply(change); !succeeded(applied)) {
+        return applied;
     }
+    m_write_failed = false;
+    m_last_index = value_of(last_index);
+    return done{};
 }
 
-outcome<done> segmented_journal::store(const journal_write& change) {
-    if (m_failure) {
-        return *m_failure;
+outcome<std::uint64_t> segmented_journal::index_after(const journal_write& change) const {
+    std::uint64_t last = m_last_index;
+    if (change.truncate_from > 0) {
+        last = std::min(last, change.truncate_from - 1);
     }
-    auto applied = apply(change);
-    if (!succeeded(applied)) {
-        m_failure = error_of(applied);
+    const std::uint64_t covered = std::max(m_snapshot_index, change.snapshot_index);
+    last = std::max(last, covered);
+    for (const journal_record& record : change.records) {
+        if (record.index <= covered) {
+            continue;
+        }
+        if (record.index != last + 1) {
+            return error{error_code::conflict, "record " + std::to_string(record.index) +
+                                                   " does not follow record " + std::to_string(last)};
+        }
+        last = record.index;
     }
-    return applied;
+    return last;
+}
+
+outcome<done> segmented_journal::finish_failed_store() {
+    if (m_covered_files_left) {
+        if (auto removed = remove_covered_files(); !succeeded(removed)) {
+            return removed;
+        }
+        m_covered_files_left = false;
+    }
+    if (!m_write_failed || !m_newest_segment.is_open()) {
+        return done{};
+    }
+    const segment_file& segment = m_segments.back();
+    const auto end = static_cast<off_t>(segment.bytes);
+    // Synced by itself: after a loss of power, bytes of the failed write must not stand within a later one.
+    const bool discarded = ::ftruncate(m_newest_segment.descriptor(), end) == 0 &&
+                           ::lseek(m_newest_segment.descriptor(), end, SEEK_SET) == end &&
+                           m_hooks.sync(m_newest_segment.descriptor()) == 0;
+    return discarded ? outcome<done>{done{}}
+                     : system_error("can't remove the incomplete write at the end of", segment.path);
 }
 
 outcome<done> segmented_journal::apply(const journal_write& change) {
-    if (!change.snapshot.empty()) {
+    const bool new_snapshot = !change.snapshot.empty() && change.snapshot_index != m_snapshot_index;
+    if (new_snapshot) {
         if (auto written = write_snapshot(change); !succeeded(written)) {
             return written;
         }
@@ -46,7 +95,11 @@
     if (auto appended = append_records(change); !succeeded(appended)) {
         return appended;
     }
-    return change.snapshot.empty() ? outcome<done>{done{}} : remove_covered_files();
+    if (!change.snapshot.empty()) {
+        // The change is durable now and must not be appended again, so a failure is left to the next store.
+        m_covered_files_left = !succeeded(remove_covered_files());
+    }
+    return done{};
 }
 
 outcome<done> segmented_journal::write_snapshot(const journal_write& change) {
@@ -65,6 +118,11 @@
         m_vote = change.vote;
     }
     if (!m_newest_segment.is_open() || m_segments.back().bytes >= segment_bytes) {
+        if (auto created = create_segment(); !succeeded(created)) {
+            return created;
+        }
+    }
+    if (m_segments.back().bytes == 0) {
         if (auto begun = begin_segment(); !succeeded(begun)) {
             return begun;
         }
@@ -93,27 +151,35 @@
     return done{};
 }
 
-outcome<done> segmented_journal::begin_segment() {
+outcome<done> segmented_journal::create_segment() {
     const std::uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
     const std::string path = segment_path(m_directory, number);
     auto file = create_file(path);
     if (!succeeded(file)) {
         return error_of(file);
     }
-    const auto fingerprint = segment_fingerprint(path);
+    m_newest_segment = value_of(std::move(file));
+    m_segments.push_back({path, number, 0, 0});
+    return done{};
+}
+
+outcome<done> segmented_journal::begin_segment() {
+    segment_file& segment = m_segments.back();
+    const auto fingerprint = segment_fingerprint(segment.path);
     if (!succeeded(fingerprint)) {
         return error_of(fingerprint);
     }
-    m_newest_segment = value_of(std::move(file));
-    m_segments.push_back({path, number, 0, 0});
     std::string bytes;
     add_record(bytes, {record_kind::segment_start, 0, value_of(fingerprint)});
     add_record(bytes, {record_kind::vote, 0, m_vote});
-    if (auto written = write_all(m_newest_segment, bytes, m_hooks, path); !succeeded(written)) {
+    if (auto written = write_all(m_newest_segment, bytes, m_hooks, segment.path); !succeeded(written)) {
         return written;
     }
-    m_segments.back().bytes = bytes.size();
-    return sync_directory(m_directory, m_hooks);
+    if (auto synced = sync_directory(m_directory, m_hooks); !succeeded(synced)) {
+        return synced;
+    }
+    segment.bytes = bytes.size();
+    return done{};
 }
 
 void segmented_journal::add_record(std::string& bytes, const file_record& record) {
@@ -122,8 +188,10 @@
 
 outcome<done> segmented_journal::remove_covered_files() {
     std::error_code failure;
-    while (m_segments.size() > 1 && m_segments.front().last_index <= m_snapshot_index && !failure) {
-        files::remove(m_segments.front().path, failure);
+    while (m_segments.size() > 1 && m_segments.front().last_index <= m_snapshot_index) {
+        if (files::remove(m_segments.front().path, failure); failure) {
+            break;
+        }
         m_segments.erase(m_segments.begin());
     }
     const std::string current = snapshot_name(m_snapshot_index);
@@ -132,7 +200,7 @@
         return error_of(names);
     }
     for (const std::string& name : value_of(names)) {
-        if (name.starts_with("snapshot-") && name != current) {
+        if (!failure && name.starts_with("snapshot-") && name != current) {
             files::remove(m_directory + "/" + name, failure);
         }
     }
--- a/modules/tamarack_storage/journal/segmented_journal.h
+++ b/modules/tamarack_storage/journal/segmented_journal.h
@@ -4,7 +4,6 @@
 #include "journal.h"
 #include "journal_reader.h"
 
-#include <optional>
 #include <string>
 
 namespace tamarack {
@@ -12,6 +11,8 @@
 /**
  * Implements the journal with segment files and one snapshot file.
  *
+ * After a failed write, the newest segment is cut back to its last synced record before the next one.
+ *
  * store() first writes and syncs a new snapshot, if there is one, then appends everything else to the newest
  * segment with one write and one sync. After a crash between the two steps, the segments hold entries that
  * the new snapshot already covers; replay skips them. Segments whose entries are all covered by the snapshot
@@ -26,9 +27,15 @@
     std::uint64_t size_on_disk() const override;
 
 private:
+    /** @return the index of the last record after a change, or `conflict` if it would leave a gap */
+    outcome<std::uint64_t> index_after(const journal_write& change) const;
+    /** Removes what an earlier store left: bytes of a failed write, and files that it could not remove. */
+    outcome<done> finish_failed_store();
     outcome<done> apply(const journal_write& change);
     outcome<done> write_snapshot(const journal_write& change);
     outcome<done> append_records(const journal_write& change);
+    outcome<done> create_segment();
+    /** Writes the first records of the newest segment. */
     outcome<done> begin_segment();
     void add_record(std::string& bytes, const file_record& record);
     outcome<done> remove_covered_files();
@@ -39,10 +46,12 @@
     std::vector<segment_file> m_segments;
     /** The newest segment, open for appending; closed after the start and after a snapshot. */
     unique_file m_newest_segment;
-    std::string m_vote; ///< repeated in each new segment, since older segments may be removed
+    std::string m_vote;         ///< repeated in each new segment, since older segments may be removed
+    std::uint64_t m_last_index; ///< of the last record, or of the snapshot
     std::uint64_t m_snapshot_index;
     std::uint64_t m_snapshot_bytes;
-    std::optional<error> m_failure; ///< returned by each further store()
+    bool m_write_failed = false;       ///< the newest segment may end with bytes of a failed write
+    bool m_covered_files_left = false; ///< files that the snapshot covers could not be removed yet
 };
 
 } // namespace tamarack
--- a/tests/consensus/raft_node_test.cpp
+++ b/tests/consensus/raft_node_test.cpp
@@ -209,6 +209,44 @@
     EXPECT_EQ(node(m_leader).next_timer(), time_point::max());
     m_cluster.run(5s);
     EXPECT_TRUE(m_cluster.leader().has_value());
+    EXPECT_EQ(node(m_leader).role(), raft_role::learner);
+}
+
+/** Guards against a member that stays out of the log after a disk that was full for some seconds: a second
+ * such disk then leaves no majority. */
+TEST_F(raft_node_test, leads_again_after_each_disk_in_turn_has_failed_for_some_seconds) {
+    for (int round = 0; round < 4; ++round) {
+        const std::size_t failing = *m_cluster.leader();
+        m_cluster.at(failing).disk_fails = true;
+        EXPECT_TRUE(m_cluster.propose(failing, "content"));
+        m_cluster.run(4'500ms);
+        ASSERT_TRUE(m_cluster.leader().has_value()) << "round " << round;
+        propose_some(5);
+        m_cluster.at(failing).disk_fails = false;
+        m_cluster.run(5s);
+        EXPECT_TRUE(node(failing).may_vote());
+        EXPECT_TRUE(m_cluster.all_applied(node(*m_cluster.leader()).last().index)) << "round " << round;
+    }
+    m_cluster.crash(m_second);
+    EXPECT_TRUE(m_cluster.run_until([&] { return m_cluster.leader().has_value(); }, 5s));
+    propose_some(5);
+    EXPECT_GE(m_cluster.checker().acknowledged(), 25U);
+}
+
+/** A change that could not be stored is what the member counted on: it must be stored before it votes again.
+ */
+TEST_F(raft_node_test, stores_what_it_could_not_store_before_it_takes_part_again) {
+    m_cluster.at(m_second).disk_fails = true;
+    m_cluster.at(m_third).disk_fails = true;
+    EXPECT_TRUE(m_cluster.propose(m_leader, "content"));
+    m_cluster.run(2s);
+    const log_index proposed = node(m_leader).last().index;
+    EXPECT_LT(node(m_leader).committed(), proposed);
+    m_cluster.at(m_second).disk_fails = false;
+    m_cluster.run(5s);
+    EXPECT_TRUE(m_cluster.leader().has_value());
+    EXPECT_GE(m_cluster.at(m_second).disk.content().entries.back().index, proposed);
+    EXPECT_FALSE(node(m_third).may_vote());
 }
 
 TEST_F(raft_node_test, adds_and_removes_voters_one_host_at_a_time) {
--- a/tests/consensus/scenario.cpp
+++ b/tests/consensus/scenario.cpp
@@ -108,6 +108,12 @@
     case scenario_step::transfer_leadership:
         return cluster.act(host,
                            [](raft_node& node, time_point now) { return node.transfer_leadership(now); });
+    case scenario_step::fail_disk:
+        cluster.at(host).disk_fails = true;
+        return;
+    case scenario_step::restore_disk:
+        cluster.at(host).disk_fails = false;
+        return;
     }
 }
 
@@ -196,6 +202,7 @@
     cluster.heal();
     cluster.conditions() = {};
     for (std::size_t host = 0; host < cluster.size(); ++host) {
+        cluster.at(host).disk_fails = false;
         cluster.start(host);
     }
     wait_until_converged(cluster, "after the faults");
