End a connection whose response came before its request was written

Cause: http_connection handed over a complete response whether or not its request had been written, and took the next request at once. send() then replaced the message that the pending write was still reading, and began a second write on the same socket. Ruled out: bodies shared between requests (each connection copies its message), and two exchanges on one connection by the engine's choice.

Change: such a response says that it ends the connection; nothing else is sent on it, and it is closed. So does a response of HTTP/1.0 or one whose body ends with its connection. All users of the class follow: the platform's edge, links between hosts, the query engine, liveness probes and cancellations.

Test: transport.early_response.ends_the_connection_while_its_request_is_still_being_written; with the old client it fails, as the connection stays in use and the server reads foreign bytes.

--- a/apps/tamarackd/serving/exchange_codec.cpp
+++ b/apps/tamarackd/serving/exchange_codec.cpp
@@ -59,6 +59,7 @@
 
 exchange_reply read_run_response(http_response response, incarnation_id incarnation) {
     exchange_reply reply;
+    reply.ends_connection = response.ends_connection;
     const auto number = read_exchange_id(find_field(response.fields, "Exchange-Id"), incarnation);
     const auto status = from_name<exchange_status>(find_field(response.fields, "Exchange-Status"));
     if (response.status != status_ok || !number || !status) {
--- a/apps/tamarackd/serving/target_cancellations.cpp
+++ b/apps/tamarackd/serving/target_cancellations.cpp
@@ -59,7 +59,10 @@
     connection.waiting.pop_front();
     connection.sending = true;
     connection.connection->send(to_cancel_request(number, m_incarnation),
-                                [this, target](const http_response& /*response*/) {
+                                [this, target](const http_response& response) {
+                                    if (response.ends_connection) {
+                                        return;
+                                    }
                                     m_connections[target].sending = false;
                                     send_next(target);
                                 });
--- a/apps/tamarackd/serving/target_connections.cpp
+++ b/apps/tamarackd/serving/target_connections.cpp
@@ -45,7 +45,11 @@
     const connection_number number = action.connection;
     const time_point limit = steady_now() + action.limit;
     m_probes[number] = limit;
-    connection->send(to_liveness_request(), [this, number](const http_response& /*response*/) {
+    connection->send(to_liveness_request(), [this, number](const http_response& response) {
+        if (response.ends_connection) {
+            drop_connection(number);
+            return;
+        }
         m_probes.erase(number);
         m_events.live(number);
     });
--- a/modules/tamarack_query/engine/exchange_events.cpp
+++ b/modules/tamarack_query/engine/exchange_events.cpp
@@ -163,8 +163,13 @@
     if (m_core.crashes.has_losses()) {
         m_core.mark_changed(m_core.crashes.on_target_alive(target->number));
     }
-    m_core.pool.release(used);
-    m_core.pool.trim(*target, m_core.out);
+    if (reply.ends_connection) {
+        m_core.pool.close(used.number, m_core.out);
+        m_dispatcher.keep_warm(target);
+    } else {
+        m_core.pool.release(used);
+        m_core.pool.trim(*target, m_core.out);
+    }
     m_dispatcher.free_slot(*target);
     record_reply(*target, carried, reply);
     end_attempt(carried, target->number, std::move(reply));
--- a/modules/tamarack_query/exchange/exchange.h
+++ b/modules/tamarack_query/exchange/exchange.h
@@ -58,7 +58,8 @@
     index_version version;
     std::string body;
     std::uint32_t reported_load = 0;
-    duration retry_after{}; ///< set if shed
+    duration retry_after{};       ///< set if shed
+    bool ends_connection = false; ///< the connection can't carry another exchange
 };
 
 } // namespace tamarack
--- a/modules/tamarack_transport/hosts/host_link.cpp
+++ b/modules/tamarack_transport/hosts/host_link.cpp
@@ -81,9 +81,13 @@
         counts.bytes += request.body.size();
         batch_in_flight = true;
         const std::uint64_t number = ++batches_sent;
-        connection->send(request, [weak = weak_from_this()](const http_response& /*response*/) {
+        connection->send(request, [weak = weak_from_this()](const http_response& response) {
             if (const auto self = weak.lock()) {
                 self->batch_in_flight = false;
+                if (response.ends_connection) {
+                    self->connection.reset();
+                    self->connected = false;
+                }
                 self->advance();
             }
         });
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -103,24 +103,30 @@
             return;
         }
         beast_response response = parser->release();
-        const bool keep_alive = response.keep_alive();
+        // A server may respond before it has read the whole request. Whatever follows on this connection
+        // would be read as the rest of that request.
+        const bool reusable = response.keep_alive() && !writing;
         const auto receive = std::exchange(handler, nullptr);
-        if (keep_alive) {
+        if (reusable) {
             read_next();
         }
         const auto self = shared_from_this();
-        receive(from_beast(std::move(response)));
-        if (!keep_alive && !closed) {
+        http_response received = from_beast(std::move(response));
+        received.ends_connection = !reusable;
+        receive(std::move(received));
+        if (!reusable && !closed) {
             fail();
         }
     }
 
     void send(const http_request& request, http_response_handler on_response) {
-        require_invariant(!handler, "a connection carries one request at a time");
+        require_invariant(!handler && !writing, "a connection carries one request at a time");
         handler = std::move(on_response);
         outgoing.emplace(to_beast(request, host_field));
+        writing = true;
         http::async_write(stream, *outgoing,
                           [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
+                              self->writing = false;
                               if (failure && !self->closed) {
                                   self->fail();
                               }
@@ -151,6 +157,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     std::optional<beast_request> outgoing;
     http_response_handler handler;
+    bool writing = false; ///< a request is being written
     bool closed = false;
 };
 
--- a/modules/tamarack_transport/http/http_client.h
+++ b/modules/tamarack_transport/http/http_client.h
@@ -16,7 +16,8 @@
         lost; ///< the connection failed or was closed, or could not be opened; no callback follows
 };
 
-/** Receives the response; not called when the connection is lost first. */
+/** Receives the response; not called when the connection is lost first. If the response ends the connection,
+ * no other request may be sent on it, and `lost` follows. */
 using http_response_handler = std::function<void(http_response)>;
 
 /**
--- a/modules/tamarack_transport/http/http_message.h
+++ b/modules/tamarack_transport/http/http_message.h
@@ -34,6 +34,7 @@
     unsigned status = 200;
     http_fields fields;
     std::string body;
+    bool ends_connection = false; ///< received: the connection can't carry another request
 };
 
 /** The parts of a request target. */
