--- a/modules/tamarack_consensus/state/entry_log.cpp
+++ b/modules/tamarack_consensus/state/entry_log.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 /**
- * Number of entries before the snapshot that stay in memory, so that a follower that lags slightly needs no
- * snapshot.
+ * Entries before the snapshot that stay in memory, so that a follower that lags slightly needs no snapshot.
+ * An entry may hold a whole configuration, so their size is limited as well as their number.
  */
 constexpr log_index entries_kept_before_snapshot = 1'024;
+constexpr std::size_t bytes_kept_before_snapshot = 2 * mebibyte;
 
 } // namespace
 
@@ -111,9 +112,20 @@
     require_invariant(term.has_value(), "the last entry of a snapshot is in memory");
     m_snapshot = std::make_shared<const log_snapshot>(
         log_snapshot{{*term, index}, members_at(index), std::move(state)});
-    if (index > entries_kept_before_snapshot) {
-        drop_front(index - entries_kept_before_snapshot);
+    drop_front(last_dropped_before(index));
+}
+
+log_index entry_log::last_dropped_before(log_index snapshot_index) const {
+    std::size_t bytes = 0;
+    log_index kept_from = snapshot_index + 1;
+    while (kept_from > first() && snapshot_index - kept_from + 1 < entries_kept_before_snapshot) {
+        bytes += at(kept_from - 1).content.size();
+        if (bytes > bytes_kept_before_snapshot) {
+            break;
+        }
+        --kept_from;
     }
+    return kept_from - 1;
 }
 
 bool entry_log::install(log_snapshot snapshot) {
--- a/modules/tamarack_consensus/state/entry_log.h
+++ b/modules/tamarack_consensus/state/entry_log.h
@@ -71,6 +71,8 @@
     bool install(log_snapshot snapshot);
 
 private:
+    /** @return the last entry that need not stay in memory once there is a snapshot at this index */
+    log_index last_dropped_before(log_index snapshot_index) const;
     void drop_front(log_index last_dropped);
 
     std::shared_ptr<const log_snapshot> m_snapshot;
