Compress large commands of the log

Cause: an entry of the log must fit into one message between hosts (8 MiB), but a ticket is text within JSON within JSON, and the operators' edge accepts documents of up to 8 MiB. The leader took such a ticket into its log and could not send it.

Plain commands of earlier versions are still read; control hosts of earlier versions can't read compressed ones.

--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -22,6 +22,38 @@
     }
 }
 
+/** A ticket as large as a configuration of the users' platform with a thousand routes. */
+ticket large_ticket() {
+    ticket result = sample_ticket(3);
+    for (int number = 1'000; number < 2'000; ++number) {
+        service_definition service = result.services.front();
+        service.id = service_id{"service-" + std::to_string(number)};
+        result.services.push_back(std::move(service));
+    }
+    return result;
+}
+
+/** Guards against control hosts that run out of memory, and against log entries that no message between hosts
+ * can hold: a ticket can contain a whole configuration. */
+TEST(control_command, compresses_large_tickets) {
+    const ticket large = large_ticket();
+    const std::string text = encode_command({wall_time{9}, large});
+    EXPECT_LT(text.size(), write_json(encode_ticket(large)).size() / 5);
+    const auto read = decode_command(text);
+    ASSERT_TRUE(succeeded(read));
+    EXPECT_EQ(value_of(read).change, control_change{large});
+    EXPECT_FALSE(succeeded(decode_command(text.substr(0, text.size() / 2))));
+}
+
+TEST(control_command, reads_large_tickets_of_earlier_versions) {
+    const ticket large = large_ticket();
+    const std::string text =
+        R"({"proposed_at":9,"kind":"ticket","change":)" + write_json(encode_ticket(large)) + "}";
+    const auto read = decode_command(text);
+    ASSERT_TRUE(succeeded(read));
+    EXPECT_EQ(value_of(read).change, control_change{large});
+}
+
 TEST(control_command, refuses_other_text) {
     for (const std::string text : {"", "{}", R"({"proposed_at":1,"kind":"party","change":{}})",
                                    R"({"proposed_at":-1,"kind":"ticket","change":{"number":1}})",
--- /dev/null
+++ b/tests/platform_integration/large_configuration_test.cpp
@@ -0,0 +1,40 @@
+#include "platform_deployment.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarack::platform_integration {
+namespace {
+
+constexpr std::size_t hosts_with_disk = 3;
+constexpr int versions = 3;
+
+/** @return a configuration of this number of routes */
+std::string configuration(int version, int routes) {
+    std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+    for (int route = 0; route < routes; ++route) {
+        const std::string number = std::to_string(route);
+        text += route == 0 ? "" : ",";
+        text += R"({"name":"r-)" + number + R"(","host":"h)" + number + R"(.example","path-prefix":"/p)";
+        text += number + R"(/","type":"safe","timeout-ms":2500,"target-latency-ms":250,"priority":1,)";
+        text += R"("service":"orders","max-attempts":2})";
+    }
+    return text + R"(],"services":[{"name":"orders","health-check-path":"/health","max-connections":45}]})";
+}
+
+/** Guards against a configuration that the leader accepts into its log and can't send to the other control
+ * hosts, as its message is too long: no later change is acknowledged then. */
+TEST(large_configuration, is_acknowledged_and_read_back_like_any_other) {
+    constexpr int routes = 20'000;
+    platform_deployment deployment{hosts_with_disk, 0};
+    deployment.start_all();
+    for (int version = 1; version <= versions; ++version) {
+        ASSERT_EQ(deployment.submit(configuration(version, version == 2 ? routes : 1)), 200U)
+            << "version " << version << deployment.logs();
+    }
+    const auto held = deployment.describe();
+    ASSERT_TRUE(held);
+    EXPECT_NE(held->body.find(R"("version":3)"), std::string::npos) << held->body;
+}
+
+} // namespace
+} // namespace tamarack::platform_integration
