Test replicas that send part of their replies twice with real processes

Replicas fail, reject and repeat part of their replies, the second copy where the next reply is due; callers check that each answer is their replica's own reply to their request.

--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -24,6 +24,8 @@
 constexpr const char* extra_window_seconds = "10";
 constexpr std::size_t max_seeds = 3;
 constexpr unsigned redirect = 307;
+constexpr const char* stamp_field = "x-tamarackstand-response-stamp";
+constexpr const char* part_stamps_field = "x-tamarackstand-shard-stamps";
 
 /** Replaces every occurrence of a placeholder in the template. */
 void replace_placeholder(std::string& text, const std::string& name, const std::string& value) {
@@ -206,6 +208,9 @@
     auto response = connection != nullptr
                         ? connection->call(request, std::chrono::milliseconds{deadline_ms} + callers_margin)
                         : testing_support::call_and_wait(callers_address(host), request, call_limit);
+    if (response) {
+        check_answer(request.fields["x-tamarackstand-request-id"], *response);
+    }
     if (response && response->status == status_not_run) {
         const std::lock_guard lock{m_records};
         m_refused.insert(request.fields["x-tamarackstand-request-id"]);
@@ -242,6 +247,24 @@
     return requests_run_of(m_unanswered);
 }
 
+void platform_deployment::check_answer(const std::string& request, const plain_response& answer) {
+    const std::string stamp = answer.field(stamp_field);
+    const std::lock_guard lock{m_records};
+    const auto reply = m_replies.find(stamp);
+    const bool is_own =
+        reply != m_replies.end() && reply->second == replica_reply{request, answer.status, answer.body};
+    const bool needs_stamp = answer.status == status_ok && answer.field(part_stamps_field).empty();
+    if (!is_own && (needs_stamp || !stamp.empty())) {
+        m_answered_wrongly.push_back(request + " status " + std::to_string(answer.status) + " stamp " +
+                                     stamp);
+    }
+}
+
+std::vector<std::string> platform_deployment::requests_answered_wrongly() {
+    const std::lock_guard lock{m_records};
+    return m_answered_wrongly;
+}
+
 std::vector<std::string> platform_deployment::requests_run_of(const std::set<std::string>& requests) {
     const std::lock_guard lock{m_records};
     std::vector<std::string> found;
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -45,6 +45,11 @@
     std::atomic<unsigned> misdirected{0};
     std::atomic<int> work_ms{2};
     std::atomic<bool> fails{false};
+    std::atomic<unsigned> fails_each{0};   ///< answers 500 to each n-th request that it runs; 0: to none
+    std::atomic<unsigned> rejects_each{0}; ///< rejects each n-th request
+    std::atomic<unsigned> repeats_each{
+        0}; ///< sends each n-th reply once more, before the connection's next one
+    std::atomic<unsigned> received{0};
     std::atomic<double> request_limit{no_request_limit}; ///< stated in each reply: requests a second
     std::atomic<bool> draining{false};                   ///< reported in its heartbeats
     std::atomic<bool> ended{false};                      ///< it has deregistered and sends no more heartbeats
@@ -56,6 +61,15 @@
 /** A request with this path crashes each replica behind a proxy that runs it. It restarts a moment later. */
 inline const std::string crashing_path = "/fetch/crash";
 
+/** A reply of a replica to a request that it has run. */
+struct replica_reply {
+    std::string request;
+    unsigned status = 0;
+    std::string body;
+
+    bool operator==(const replica_reply&) const = default;
+};
+
 /** How hosts reach the replicas. */
 enum class replica_path {
     direct,
@@ -145,6 +159,8 @@
     std::vector<std::string> requests_run_without_answer();
     /** @return requests that the replicas of a service ran more than once */
     std::vector<std::string> requests_run_twice(const std::string& service);
+    /** @return requests whose answer was not their replica's own reply to them */
+    std::vector<std::string> requests_answered_wrongly();
     /** @return the id of the last request sent */
     std::string last_request() const { return "r" + std::to_string(m_next_request - 1); }
     /** Waits until a host has logged the end of a request. @return the output of `tamarackctl explain` */
@@ -172,6 +188,8 @@
     std::chrono::microseconds elapsed() const;
     void run_on_loop(const std::function<void()>& work);
     std::vector<std::string> requests_run_of(const std::set<std::string>& requests);
+    /** Compares an answer that names a replica's reply with that reply. */
+    void check_answer(const std::string& request, const plain_response& answer);
 
     std::size_t m_disk_hosts;
     std::size_t m_entry_hosts;
@@ -187,6 +205,8 @@
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
+    std::map<std::string, replica_reply> m_replies;                 ///< by stamp
+    std::vector<std::string> m_answered_wrongly;
     std::set<std::string> m_refused;
     std::set<std::string> m_unanswered;
     testing_support::extra_load_check m_extra_load;
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -18,6 +18,10 @@
 /** Replicas don't know which host a request comes from. */
 constexpr std::size_t any_host = 0;
 
+bool is_due(unsigned each, unsigned number) {
+    return each > 0 && number % each == 0;
+}
+
 } // namespace
 
 stand_in_replica& platform_deployment::add_replica(const std::string& service) {
@@ -109,6 +113,14 @@
         respond(response);
         return;
     }
+    const unsigned number = ++replica.received;
+    response.sent_twice = is_due(replica.repeats_each, number);
+    if (is_due(replica.rejects_each, number)) {
+        response.status = 503;
+        response.fields["x-tamarackstand-not-executed"] = "1";
+        respond(response);
+        return;
+    }
     ++replica.runs;
     {
         const std::lock_guard lock{m_records};
@@ -119,10 +131,15 @@
         return;
     }
     state_request_limit(replica, response);
-    response.status = replica.fails ? 500 : 200;
-    response.fields["x-tamarackstand-response-stamp"] = replica.id + "." + std::to_string(replica.runs);
+    response.status = replica.fails || is_due(replica.fails_each, number) ? 500 : 200;
+    const std::string stamp = replica.id + "." + std::to_string(replica.runs);
+    response.fields["x-tamarackstand-response-stamp"] = stamp;
     response.body =
         std::string(16, static_cast<char>('a' + replica.service.size() % 26)) + std::string(16, 'b');
+    {
+        const std::lock_guard lock{m_records};
+        m_replies[stamp] = {request.field("x-tamarackstand-request-id"), response.status, response.body};
+    }
     m_loop.run_after(std::chrono::milliseconds{replica.work_ms.load()},
                      [respond, response] { respond(response); });
 }
--- a/tests/support/net/http_listener.cpp
+++ b/tests/support/net/http_listener.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cctype>
 #include <optional>
+#include <utility>
 
 namespace tamarack::testing_support {
 
@@ -69,6 +70,8 @@
     }
 
 private:
+    using response_message = http::response<http::string_body>;
+
     void read() {
         m_parser.emplace();
         m_parser->body_limit(max_body_bytes);
@@ -108,6 +111,25 @@
         m_response.body() = std::move(response.body);
         m_response.keep_alive(keep);
         m_response.prepare_payload();
+        const std::optional<response_message> late_copy = std::exchange(m_late_copy, std::nullopt);
+        if (response.sent_twice) {
+            m_late_copy = m_response;
+        }
+        if (!late_copy) {
+            write_response(keep);
+            return;
+        }
+        m_written_first = *late_copy;
+        http::async_write(
+            m_stream, m_written_first,
+            [self = this->shared_from_this(), keep](const beast::error_code& failure, std::size_t) {
+                if (!failure) {
+                    self->write_response(keep);
+                }
+            });
+    }
+
+    void write_response(bool keep) {
         http::async_write(
             m_stream, m_response,
             [self = this->shared_from_this(), keep](const beast::error_code& failure, std::size_t) {
@@ -133,7 +155,9 @@
     std::uint64_t m_number;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_response;
+    response_message m_response;
+    response_message m_written_first;            ///< the copy that precedes m_response
+    std::optional<response_message> m_late_copy; ///< of the previous response
 };
 
 template <typename Listener>
