--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -1,5 +1,6 @@
 #include "hosts_worker.h"
 
+#include "../process_memory.h"
 #include "../system_random.h"
 #include "hosts_options.h"
 
@@ -13,6 +14,8 @@
 constexpr std::size_t ring_capacity = 8'192;
 constexpr duration periodic_work_interval = 1s;
 constexpr duration periodic_work_interval_without_leader = 200ms;
+/** Time after a change of the configuration in which its copies are freed. */
+constexpr duration memory_return_delay = 500ms;
 constexpr duration base_inputs_interval = 20ms;
 /** With more hosts, building the inputs takes longer, and while hundreds of hosts start, each message changes
  * the inputs. Therefore the interval grows with the number of hosts. */
@@ -259,6 +262,17 @@
     }
 }
 
+/** Changes can come in quick succession, so one call serves all of a short time. */
+void hosts_worker::return_memory_later() {
+    if (std::exchange(m_memory_return_pending, true)) {
+        return;
+    }
+    m_thread.run_at(steady_now() + memory_return_delay, [this] {
+        m_memory_return_pending = false;
+        return_free_memory();
+    });
+}
+
 void hosts_worker::carry_out(control_client_actions actions) {
     for (control_client_action& action : actions) {
         std::visit(
@@ -270,6 +284,7 @@
                     apply_drain_order(steady_now());
                     m_inputs_stale = true;
                     send_inputs(steady_now());
+                    return_memory_later();
                 },
                 [this](const lease_changed& lease) { m_hooks.lease(lease.ends_at); },
                 [this](claim_answered& answered) {
--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -172,6 +172,8 @@
     void update_control_hosts();
     void query_peer(time_point now);
     void answer_peer(const configuration_inquiry& inquiry);
+    /** Returns the memory that the handling of a changed configuration has freed. */
+    void return_memory_later();
 
     std::vector<seed_host> m_seeds;              ///< as last set
     std::map<host_id, host_record> m_seen_hosts; ///< as last reported by the detector
@@ -187,6 +189,7 @@
     serving_view_pointer m_view;
     readiness_gate m_readiness;
     peer_inquiry m_inquiry;
+    bool m_memory_return_pending = false;
     bool m_in_directory = false;
     bool m_leaving = false;
     bool m_drain_ordered = false;
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -1,4 +1,5 @@
 #include "host_daemon.h"
+#include "process_memory.h"
 
 #include <tamarack_platform.h>
 
@@ -162,6 +163,7 @@
 }
 
 int run(const settings& host_settings, const std::string& path) {
+    share_one_arena();
     const sigset_t signals = block_stop_signals();
     start_state_log(host_settings.host);
     start_log_writer();
--- /dev/null
+++ b/apps/tamarackd/process_memory.cpp
@@ -0,0 +1,15 @@
+#include "process_memory.h"
+
+#include <malloc.h>
+
+namespace tamarack {
+
+void share_one_arena() {
+    mallopt(M_ARENA_MAX, 1);
+}
+
+void return_free_memory() {
+    malloc_trim(0);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/apps/tamarackd/process_memory.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace tamarack {
+
+/**
+ * Makes all threads allocate from one arena. A large configuration passes through several threads, and each
+ * further arena would keep what it took there. Call before other threads start.
+ */
+void share_one_arena();
+
+/** Returns the pages of freed memory to the system. */
+void return_free_memory();
+
+} // namespace tamarack
--- a/modules/tamarack_control/state/control_command.cpp
+++ b/modules/tamarack_control/state/control_command.cpp
@@ -1,5 +1,7 @@
 #include "control_command.h"
 
+#include "packed_text.h"
+
 #include <string_view>
 
 namespace tamarack {
@@ -10,16 +12,6 @@
 constexpr std::string_view claim_kind = "claim";
 constexpr std::string_view result_kind = "claim_result";
 constexpr std::string_view assignment_kind = "assignment";
-/** A ticket can hold a whole configuration. Each control host keeps, stores and sends it, so it is
- * compressed. */
-constexpr std::size_t min_compressed_bytes = 4 * kibibyte;
-/** Maximum size of a decompressed command; the edges accept less. */
-constexpr std::size_t max_command_bytes = 64 * mebibyte;
-
-/** JSON, and not the Base64 of a compressed text. */
-bool is_plain(const std::string& text) {
-    return text.starts_with('{');
-}
 
 struct change_encoder {
     Json::Value& json;
@@ -65,12 +57,11 @@
     Json::Value json{Json::objectValue};
     json["proposed_at"] = Json::Value::Int64{command.proposed_at.count()};
     std::visit(change_encoder{json}, command.change);
-    std::string text = write_json(json);
-    return text.size() < min_compressed_bytes ? text : compress_text(text);
+    return pack_text(write_json(json));
 }
 
 outcome<control_command> decode_command(const std::string& text) {
-    const auto plain = is_plain(text) ? outcome<std::string>{text} : decompress_text(text, max_command_bytes);
+    const auto plain = unpack_text(text);
     if (!succeeded(plain)) {
         return error_of(plain);
     }
--- a/modules/tamarack_control/state/control_state.cpp
+++ b/modules/tamarack_control/state/control_state.cpp
@@ -1,5 +1,7 @@
 #include "control_state.h"
 
+#include "packed_text.h"
+
 #include <utility>
 
 namespace tamarack {
@@ -66,10 +68,15 @@
 
 std::string control_state::save() const {
     const std::string tickets = m_tickets.save();
-    return encode_head({m_assigned, tickets.size()}) + "\n" + tickets + m_claims.save();
+    return pack_text(encode_head({m_assigned, tickets.size()}) + "\n" + tickets + m_claims.save());
 }
 
-outcome<done> control_state::restore(const std::string& text) {
+outcome<done> control_state::restore(const std::string& saved) {
+    const auto unpacked = unpack_text(saved);
+    if (!succeeded(unpacked)) {
+        return error_of(unpacked);
+    }
+    const std::string& text = value_of(unpacked);
     const std::size_t head_end = text.find('\n');
     const auto head = decode_head(text.substr(0, head_end));
     if (!succeeded(head)) {
--- a/modules/tamarack_control/state/control_state.h
+++ b/modules/tamarack_control/state/control_state.h
@@ -28,7 +28,7 @@
     /** @return the serialised state; equal states give equal text */
     std::string save() const;
     /** Replaces the state with one that was serialised by save; unchanged on an error. */
-    outcome<done> restore(const std::string& text);
+    outcome<done> restore(const std::string& saved);
 
 private:
     /** Applies an assignment only if its epoch directly follows the one that it was planned from. */
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -90,5 +90,18 @@
     EXPECT_EQ(restored.save(), state.save());
 }
 
+/** Guards against control hosts that run out of memory: a saved state holds the last configurations. */
+TEST(control_state, is_compressed_when_it_holds_large_tickets) {
+    control_state state;
+    state.apply({wall_time{1}, large_ticket()});
+    const std::string saved = state.save();
+    EXPECT_LT(saved.size(), write_json(encode_ticket(large_ticket())).size() / 5);
+    control_state restored;
+    ASSERT_TRUE(succeeded(restored.restore(saved)));
+    EXPECT_EQ(restored.tickets().current(), state.tickets().current());
+    EXPECT_FALSE(succeeded(restored.restore(saved.substr(0, saved.size() / 2))));
+    EXPECT_EQ(restored.save(), saved);
+}
+
 } // namespace
 } // namespace tamarack
