--- a/tests/platform_integration/large_configuration_test.cpp
+++ b/tests/platform_integration/large_configuration_test.cpp
@@ -14,11 +14,14 @@
     for (int route = 0; route < routes; ++route) {
         const std::string number = std::to_string(route);
         text += route == 0 ? "" : ",";
-        text += R"({"name":"r-)" + number + R"(","host":"h)" + number + R"(.example","path-prefix":"/p)";
-        text += number + R"(/","type":"safe","timeout-ms":2500,"target-latency-ms":250,"priority":1,)";
+        text += R"({"name":"r-)" + number;
+        text += R"(","host":"h)" + number;
+        text += R"(.example","path-prefix":"/p)" + number;
+        text += R"(/","type":"safe","timeout-ms":2500,"target-latency-ms":250,"priority":1,)";
         text += R"("service":"orders","max-attempts":2})";
     }
-    return text + R"(],"services":[{"name":"orders","health-check-path":"/health","max-connections":45}]})";
+    text += R"(],"services":[{"name":"orders","health-check-path":"/health","max-connections":45}]})";
+    return text;
 }
 
 /** Guards against a configuration that the leader accepts into its log and can't send to the other control
