--- a/apps/tamarackd/control/control_worker.cpp
+++ b/apps/tamarackd/control/control_worker.cpp
@@ -180,6 +180,9 @@
     const time_point before = steady_now();
     auto stored = m_journal->store(to_journal_write(*change));
     m_metrics.observe(histogram_id::sync_duration_seconds, steady_now() - before);
+    if (const auto& failure = m_journal->cleanup_failure()) {
+        log_state_change(log_level::warning, "journal_files_left", {}, {{"reason", failure->message}});
+    }
     if (!succeeded(stored)) {
         m_storage.run_at(steady_now() + store_retry_interval, [this, change] { store(change); });
     }
--- a/modules/tamarack_storage/journal/journal.h
+++ b/modules/tamarack_storage/journal/journal.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,10 @@
      */
     virtual outcome<done> store(const journal_write& change) = 0;
 
+    /** @return why files that the snapshot covers could not be removed, if they are still there; the next
+     * store tries again */
+    virtual const std::optional<error>& cleanup_failure() const = 0;
+
     /** @return the total size of the journal's files in bytes */
     virtual std::uint64_t size_on_disk() const = 0;
 };
--- a/modules/tamarack_storage/journal/segmented_journal.cpp
+++ b/modules/tamarack_storage/journal/segmented_journal.cpp
@@ -33,8 +33,8 @@
     if (!succeeded(last_index)) {
         return error_of(last_index);
     }
-    if (auto finished = finish_failed_store(); !succeeded(finished)) {
-        return finished;
+    if (auto discarded = discard_failed_write(); !succeeded(discarded)) {
+        return discarded;
     }
     m_write_failed = true;
     if (auto applied = apply(change); !succeeded(applied)) {
@@ -42,6 +42,9 @@
     }
     m_write_failed = false;
     m_last_index = value_of(last_index);
+    if (!change.snapshot.empty() || m_cleanup_failure) {
+        remove_covered_files();
+    }
     return done{};
 }
 
@@ -65,13 +68,7 @@
     return last;
 }
 
-outcome<done> segmented_journal::finish_failed_store() {
-    if (m_covered_files_left) {
-        if (auto removed = remove_covered_files(); !succeeded(removed)) {
-            return removed;
-        }
-        m_covered_files_left = false;
-    }
+outcome<done> segmented_journal::discard_failed_write() {
     if (!m_write_failed || !m_newest_segment.is_open()) {
         return done{};
     }
@@ -92,14 +89,7 @@
             return written;
         }
     }
-    if (auto appended = append_records(change); !succeeded(appended)) {
-        return appended;
-    }
-    if (!change.snapshot.empty()) {
-        // The change is durable now and must not be appended again, so a failure is left to the next store.
-        m_covered_files_left = !succeeded(remove_covered_files());
-    }
-    return done{};
+    return append_records(change);
 }
 
 outcome<done> segmented_journal::write_snapshot(const journal_write& change) {
@@ -186,7 +176,14 @@
     bytes += format_record(record, m_segments.back().bytes + bytes.size());
 }
 
-outcome<done> segmented_journal::remove_covered_files() {
+void segmented_journal::remove_covered_files() {
+    m_cleanup_failure.reset();
+    if (const auto removed = try_remove_covered_files(); !succeeded(removed)) {
+        m_cleanup_failure = error_of(removed);
+    }
+}
+
+outcome<done> segmented_journal::try_remove_covered_files() {
     std::error_code failure;
     while (m_segments.size() > 1 && m_segments.front().last_index <= m_snapshot_index) {
         if (files::remove(m_segments.front().path, failure); failure) {
--- a/modules/tamarack_storage/journal/segmented_journal.h
+++ b/modules/tamarack_storage/journal/segmented_journal.h
@@ -4,6 +4,7 @@
 #include "journal.h"
 #include "journal_reader.h"
 
+#include <optional>
 #include <string>
 
 namespace tamarack {
@@ -24,13 +25,13 @@
 
     const journal_content& recovered() const override { return m_recovered; }
     outcome<done> store(const journal_write& change) override;
+    const std::optional<error>& cleanup_failure() const override { return m_cleanup_failure; }
     std::uint64_t size_on_disk() const override;
 
 private:
     /** @return the index of the last record after a change, or `conflict` if it would leave a gap */
     outcome<std::uint64_t> index_after(const journal_write& change) const;
-    /** Removes what an earlier store left: bytes of a failed write, and files that it could not remove. */
-    outcome<done> finish_failed_store();
+    outcome<done> discard_failed_write();
     outcome<done> apply(const journal_write& change);
     outcome<done> write_snapshot(const journal_write& change);
     outcome<done> append_records(const journal_write& change);
@@ -38,7 +39,9 @@
     /** Writes the first records of the newest segment. */
     outcome<done> begin_segment();
     void add_record(std::string& bytes, const file_record& record);
-    outcome<done> remove_covered_files();
+    /** The change that is being stored is durable by then, so a failure must not fail it. */
+    void remove_covered_files();
+    outcome<done> try_remove_covered_files();
 
     std::string m_directory;
     file_hooks m_hooks;
@@ -50,8 +53,8 @@
     std::uint64_t m_last_index; ///< of the last record, or of the snapshot
     std::uint64_t m_snapshot_index;
     std::uint64_t m_snapshot_bytes;
-    bool m_write_failed = false;       ///< the newest segment may end with bytes of a failed write
-    bool m_covered_files_left = false; ///< files that the snapshot covers could not be removed yet
+    bool m_write_failed = false; ///< the newest segment may end with bytes of a failed write
+    std::optional<error> m_cleanup_failure;
 };
 
 } // namespace tamarack
--- a/tests/daemon/control_worker_test.cpp
+++ b/tests/daemon/control_worker_test.cpp
@@ -29,10 +29,12 @@
         }
         return done{};
     }
+    const std::optional<error>& cleanup_failure() const override { return m_cleanup_failure; }
     std::uint64_t size_on_disk() const override { return 0; }
 
 private:
     journal_content m_content;
+    std::optional<error> m_cleanup_failure;
     const std::atomic<bool>& m_is_full;
     std::atomic<int>& m_refused;
 };
--- a/tests/storage/journal_test.cpp
+++ b/tests/storage/journal_test.cpp
@@ -290,5 +290,29 @@
     }
 }
 
+/** A file that can't be removed must neither fail the change that is already stored nor be forgotten: a gap
+ * between the files that remain would read as damage. */
+TEST_F(journal_test, removes_with_a_later_change_what_it_could_not_remove) {
+    reopen();
+    EXPECT_TRUE(append(1, 2));
+    const files::path covered = m_folder.data() + "/journal/segment-00000000000000000001";
+    files::remove(covered);
+    files::create_directories(covered / "not empty");
+    EXPECT_TRUE(store({"vote 1", 0, {{3, content_of(3)}}, 2, "snapshot 2"}));
+    ASSERT_TRUE(m_journal->cleanup_failure());
+    EXPECT_EQ(m_journal->cleanup_failure()->code, error_code::input_output);
+    EXPECT_TRUE(append(4, 4));
+    EXPECT_TRUE(m_journal->cleanup_failure());
+    files::remove(covered / "not empty");
+    EXPECT_TRUE(append(5, 5));
+    EXPECT_FALSE(m_journal->cleanup_failure());
+    EXPECT_FALSE(files::exists(covered));
+    const journal_content& found = reopen();
+    EXPECT_FALSE(found.damaged);
+    EXPECT_EQ(found.snapshot, "snapshot 2");
+    EXPECT_EQ(found.records,
+              (std::vector<journal_record>{{3, content_of(3)}, {4, content_of(4)}, {5, content_of(5)}}));
+}
+
 } // namespace
 } // namespace tamarack
