Derive whether a request is being written from the request itself

Cause: http_connection held a flag beside the request that the flag told of, and kept a written request's body until the next one.

Change: the request is dropped once it is written; its presence is the flag.

Result: test_transport 34 passed, early_response.* among them. No behaviour changes.

--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -105,7 +105,7 @@
         beast_response response = parser->release();
         // A server may respond before it has read the whole request. Whatever follows on this connection
         // would be read as the rest of that request.
-        const bool reusable = response.keep_alive() && !writing;
+        const bool reusable = response.keep_alive() && !outgoing;
         const auto receive = std::exchange(handler, nullptr);
         if (reusable) {
             read_next();
@@ -120,13 +120,12 @@
     }
 
     void send(const http_request& request, http_response_handler on_response) {
-        require_invariant(!handler && !writing, "a connection carries one request at a time");
+        require_invariant(!handler && !outgoing, "a connection carries one request at a time");
         handler = std::move(on_response);
         outgoing.emplace(to_beast(request, host_field));
-        writing = true;
         http::async_write(stream, *outgoing,
                           [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
-                              self->writing = false;
+                              self->outgoing.reset();
                               if (failure && !self->closed) {
                                   self->fail();
                               }
@@ -155,9 +154,8 @@
     http_connection_events events;
     boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::response_parser<http::string_body>> parser;
-    std::optional<beast_request> outgoing;
+    std::optional<beast_request> outgoing; ///< the request that is being written
     http_response_handler handler;
-    bool writing = false; ///< a request is being written
     bool closed = false;
 };
 
