Log if the C library refuses the limit on arenas

Cause: share_one_arena() dropped mallopt()'s result.

Change: the result is returned, and main logs arenas_not_limited.

--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -163,9 +163,12 @@
 }
 
 int run(const settings& host_settings, const std::string& path) {
-    share_one_arena();
+    const bool shares_arena = share_one_arena();
     const sigset_t signals = block_stop_signals();
     start_state_log(host_settings.host);
+    if (!shares_arena) {
+        log_state_change(log_level::warning, "arenas_not_limited", {}, {});
+    }
     start_log_writer();
     const int code = serve(host_settings, path, signals);
     stop_log_writer();
--- a/apps/tamarackd/process_memory.cpp
+++ b/apps/tamarackd/process_memory.cpp
@@ -4,8 +4,8 @@
 
 namespace tamarack {
 
-void share_one_arena() {
-    mallopt(M_ARENA_MAX, 1);
+bool share_one_arena() {
+    return mallopt(M_ARENA_MAX, 1) == 1;
 }
 
 void return_free_memory() {
