Test that connections ended by a response carry no further request

Both pass on the landed code; the fault that they guard against was fixed there. The loopback servers of the transport tests share one class, and so does the polling of the tests with processes; the checks are the same.

--- a/tests/daemon/control_worker_test.cpp
+++ b/tests/daemon/control_worker_test.cpp
@@ -1,19 +1,16 @@
 #include "control/control_worker.h"
 
+#include "support/checks/eventually.h"
+
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <chrono>
 #include <future>
-#include <thread>
 
 namespace tamarack {
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr int polls = 200;
-constexpr auto poll_interval = 25ms;
+using testing_support::eventually;
 
 /** A journal in memory whose disk can be full. */
 class full_disk_journal final : public journal {
@@ -67,13 +64,7 @@
         return asked.get_future().get();
     }
     bool becomes(raft_role wanted) {
-        for (int poll = 0; poll < polls; ++poll) {
-            if (role() == wanted) {
-                return true;
-            }
-            std::this_thread::sleep_for(poll_interval);
-        }
-        return false;
+        return eventually([this, wanted] { return role() == wanted; });
     }
     void submit(std::uint64_t number) {
         ticket candidate;
@@ -99,10 +90,7 @@
         m_is_full = true;
         submit(round);
         ASSERT_TRUE(becomes(raft_role::learner));
-        for (int poll = 0; poll < polls && m_refused < 3; ++poll) {
-            std::this_thread::sleep_for(poll_interval);
-        }
-        EXPECT_GE(m_refused, 3) << "it tries again while the disk is full";
+        EXPECT_TRUE(eventually([this] { return m_refused >= 3; })) << "it tries again while the disk is full";
         EXPECT_EQ(role(), raft_role::learner);
         m_is_full = false;
         EXPECT_TRUE(becomes(raft_role::leader)) << "round " << round;
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -9,7 +9,6 @@
 #include <filesystem>
 #include <memory>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 namespace tamarack::integration {
@@ -21,7 +20,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds poll_interval{20};
 constexpr std::chrono::milliseconds call_limit{10'000};
 constexpr unsigned status_ok = 200;
 
@@ -37,17 +35,6 @@
 
 } // namespace
 
-bool eventually(const std::function<bool()>& condition) {
-    const auto deadline = std::chrono::steady_clock::now() + test_timeout;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > deadline) {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return true;
-}
-
 Json::Value to_json(const std::string& text) {
     Json::Value value;
     const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "support/checks/eventually.h"
 #include "support/net/http_types.h"
 #include "support/net/port_reservation.h"
 #include "support/process/process_group.h"
@@ -7,13 +8,14 @@
 #include <json/value.h>
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace tamarack::integration {
 
+using testing_support::eventually;
+
 /** Topology and settings of a test cluster. */
 struct cluster_options {
     std::vector<std::string> control_hosts{"host-a", "host-b", "host-c"}; ///< hosts with the role "both"
@@ -103,9 +105,6 @@
     unsigned m_tool_runs = 0;
 };
 
-/** Polls a condition until it holds. @return whether it held within test_timeout */
-bool eventually(const std::function<bool()>& condition);
-
 /** @return the parsed JSON text, or null if it is invalid */
 Json::Value to_json(const std::string& text);
 
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds poll_interval{20};
 /** A caller with a persistent connection gives up this long after its deadline. */
 constexpr std::chrono::milliseconds callers_margin{100};
 constexpr std::size_t ports_of_a_host = 6;
@@ -69,17 +68,6 @@
 
 } // namespace
 
-bool eventually(const std::function<bool()>& holds) {
-    const auto ends = std::chrono::steady_clock::now() + testing_support::test_timeout;
-    while (!holds()) {
-        if (std::chrono::steady_clock::now() > ends) {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return true;
-}
-
 platform_deployment::platform_deployment(std::size_t disk_hosts, std::size_t entry_hosts, replica_path path)
     : m_disk_hosts(disk_hosts), m_entry_hosts(entry_hosts), m_path(path), m_ports(ports_of_a_host),
       m_loop_thread([this] { m_loop.run(); }) {}
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fault_proxy/proxy_route.h"
+#include "support/checks/eventually.h"
 #include "support/checks/extra_load_check.h"
 #include "support/checks/request_limit_check.h"
 #include "support/net/http_call.h"
@@ -23,6 +24,7 @@
 
 namespace tamarack::platform_integration {
 
+using testing_support::eventually;
 using testing_support::plain_request;
 using testing_support::plain_response;
 
@@ -217,7 +219,4 @@
     std::vector<std::thread> m_heartbeats; ///< one thread per replica
 };
 
-/** Polls until a condition holds. @return false if it did not hold within the time-out */
-bool eventually(const std::function<bool()>& holds);
-
 } // namespace tamarack::platform_integration
--- a/tests/query/query_engine_test.cpp
+++ b/tests/query/query_engine_test.cpp
@@ -50,6 +50,7 @@
     std::vector<query_answer> m_answers;
     std::vector<commit_claim> m_claims;
     std::vector<probe_connection> m_probes;
+    std::vector<connection_number> m_closed;
     std::vector<claim_result> m_recorded;
 
     void SetUp() override {
@@ -61,6 +62,8 @@
         for (const auto& action : actions) {
             if (const auto* open = std::get_if<open_connection>(&action)) {
                 run(m_engine.on_connected(start, open->connection));
+            } else if (const auto* close = std::get_if<close_connection>(&action)) {
+                m_closed.push_back(close->connection);
             } else if (const auto* send = std::get_if<send_exchange>(&action)) {
                 m_sent.push_back(*send);
             } else if (const auto* claimed = std::get_if<commit_claim>(&action)) {
@@ -111,6 +114,24 @@
     EXPECT_EQ(m_engine.unanswered(), 0U);
 }
 
+/** Guards against an exchange on a connection whose previous request is still being written. */
+TEST_F(engine_fixture, sends_nothing_on_a_connection_that_a_reply_has_ended) {
+    caller_request request = make_request(1);
+    request.only_shard = shard_id{"a"};
+    run(m_engine.on_request(start, request));
+    ASSERT_EQ(m_sent.size(), 1U);
+    exchange_reply ending = reply_to(m_sent[0], exchange_status::completed);
+    ending.ends_connection = true;
+    run(m_engine.on_reply(start + 5ms, m_sent[0].connection, ending));
+    ASSERT_EQ(m_answers.size(), 1U);
+    EXPECT_EQ(m_answers[0].outcome, request_outcome::answered);
+    EXPECT_EQ(m_closed, std::vector<connection_number>{m_sent[0].connection});
+    request.number = 2;
+    run(m_engine.on_request(start + 6ms, request));
+    ASSERT_EQ(m_sent.size(), 2U);
+    EXPECT_NE(m_sent[1].connection, m_sent[0].connection);
+}
+
 TEST_F(engine_fixture, ends_by_the_deadline_as_unknown_when_it_may_have_run) {
     run(m_engine.on_request(start, make_request(1)));
     run(m_engine.on_timer(start + 1s));
--- a/tests/transport/early_response_test.cpp
+++ b/tests/transport/early_response_test.cpp
@@ -1,9 +1,9 @@
 #include <utility>
 
+#include "loopback_server.h"
+
 #include <tamarack_transport/tamarack_transport.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -12,7 +12,6 @@
 #include <array>
 #include <future>
 #include <string>
-#include <thread>
 
 namespace tamarack {
 namespace {
@@ -35,33 +34,18 @@
 class early_server {
 public:
     explicit early_server(std::string response)
-        : m_thread([this, response = std::move(response)] { serve(response); }) {}
-    ~early_server() { m_thread.join(); }
-    early_server(const early_server&) = delete;
-    early_server& operator=(const early_server&) = delete;
-    early_server(early_server&&) = delete;
-    early_server& operator=(early_server&&) = delete;
-
-    endpoint address() const {
-        return endpoint{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
-    }
+        : m_server(
+              [this, response = std::move(response)](tcp::acceptor& acceptor) { serve(acceptor, response); },
+              receive_buffer_bytes) {}
+
+    endpoint address() const { return m_server.address(); }
     void read_on() { m_reads_on.set_value(); }
     /** Waits until the peer has closed the connection. */
     received_body received() { return m_received.get_future().get(); }
 
 private:
-    static tcp::acceptor listen(boost::asio::io_context& context) {
-        const tcp::endpoint any_port{boost::asio::ip::address_v4::loopback(), 0};
-        tcp::acceptor acceptor{context, any_port.protocol()};
-        acceptor.set_option(boost::asio::socket_base::receive_buffer_size{receive_buffer_bytes});
-        acceptor.bind(any_port);
-        acceptor.listen();
-        return acceptor;
-    }
-
-    void serve(const std::string& response) {
-        tcp::socket socket{m_context};
-        m_acceptor.accept(socket);
+    void serve(tcp::acceptor& acceptor, const std::string& response) {
+        tcp::socket socket = acceptor.accept();
         std::string head;
         boost::system::error_code failure;
         const std::size_t head_bytes =
@@ -83,11 +67,9 @@
         seen.foreign_bytes += bytes.size() - static_cast<std::size_t>(std::ranges::count(bytes, 'a'));
     }
 
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor{listen(m_context)};
     std::promise<void> m_reads_on;
     std::promise<received_body> m_received;
-    std::thread m_thread;
+    testing_support::loopback_server m_server;
 };
 
 http_request request_with(char content, std::size_t bytes) {
--- a/tests/transport/endless_response_test.cpp
+++ b/tests/transport/endless_response_test.cpp
@@ -1,16 +1,15 @@
 #include <utility>
 
+#include "loopback_server.h"
+
 #include <tamarack_transport/tamarack_transport.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <future>
 #include <string>
-#include <thread>
 
 namespace tamarack {
 namespace {
@@ -26,27 +25,16 @@
 class endless_server {
 public:
     endless_server(std::string beginning, std::string piece)
-        : m_acceptor(m_context, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}),
-          m_thread([this, beginning = std::move(beginning), piece = std::move(piece)] {
-              serve(beginning, piece);
-          }) {}
-
-    ~endless_server() { m_thread.join(); }
-    endless_server(const endless_server&) = delete;
-    endless_server& operator=(const endless_server&) = delete;
-    endless_server(endless_server&&) = delete;
-    endless_server& operator=(endless_server&&) = delete;
-
-    endpoint address() const {
-        return endpoint{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
-    }
+        : m_server([this, beginning = std::move(beginning), piece = std::move(piece)](
+                       tcp::acceptor& acceptor) { serve(acceptor, beginning, piece); }) {}
+
+    endpoint address() const { return m_server.address(); }
     /** @return bytes written until the peer closed, or until max_written_bytes were reached */
     std::size_t written() const { return m_written; }
 
 private:
-    void serve(const std::string& beginning, const std::string& piece) {
-        tcp::socket socket{m_context};
-        m_acceptor.accept(socket);
+    void serve(tcp::acceptor& acceptor, const std::string& beginning, const std::string& piece) {
+        tcp::socket socket = acceptor.accept();
         boost::system::error_code failure;
         m_written = boost::asio::write(socket, boost::asio::buffer(beginning), failure);
         while (!failure && m_written < max_written_bytes) {
@@ -54,10 +42,8 @@
         }
     }
 
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
     std::atomic<std::size_t> m_written{0};
-    std::thread m_thread;
+    testing_support::loopback_server m_server;
 };
 
 /** Sends a request and waits for the response or the loss of the connection. @return whether it was answered
--- a/tests/transport/host_link_test.cpp
+++ b/tests/transport/host_link_test.cpp
@@ -1,7 +1,11 @@
 #include <utility>
 
+#include "loopback_server.h"
+
 #include <tamarack_transport/tamarack_transport.h>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <future>
@@ -12,6 +16,8 @@
 namespace tamarack {
 namespace {
 
+using boost::asio::ip::tcp;
+
 constexpr duration test_timeout = 10s;
 
 /** Receives notifications of one method and signals when the expected number has arrived. */
@@ -108,6 +114,40 @@
     EXPECT_EQ(link.counts().failures, 1U);
 }
 
+/** Guards against a batch that is sent on a connection whose response has just ended it, and lost with it. */
+TEST(host_link, takes_a_new_connection_after_a_response_that_ends_one) {
+    std::promise<void> first_arrived;
+    std::promise<void> second_queued;
+    std::promise<std::string> second;
+    testing_support::loopback_server peer{[&](tcp::acceptor& acceptor) {
+        const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        for (const bool is_first : {true, false}) {
+            tcp::socket socket = acceptor.accept();
+            std::string request;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "}}]");
+            if (is_first) {
+                first_arrived.set_value();
+                second_queued.get_future().wait();
+            } else {
+                second.set_value(request);
+            }
+            boost::asio::write(socket, boost::asio::buffer(response));
+        }
+    }};
+    worker_thread sender{"sender", 64};
+    host_link link{sender, peer.address()};
+    link.send("test.number", number(1));
+    sender.start();
+    first_arrived.get_future().wait();
+    sender.try_post([&] {
+        link.send("test.number", number(2));
+        second_queued.set_value();
+    });
+    EXPECT_NE(second.get_future().get().find(R"("number":2)"), std::string::npos);
+    sender.stop();
+    EXPECT_EQ(link.counts().failures, 0U);
+}
+
 TEST(host_link, drops_the_oldest_message_when_the_queue_is_full) {
     worker_thread sender{"sender", 64};
     host_link_options options;
--- a/tests/transport/truncated_response_test.cpp
+++ b/tests/transport/truncated_response_test.cpp
@@ -1,9 +1,9 @@
 #include <utility>
 
+#include "loopback_server.h"
+
 #include <tamarack_transport/tamarack_transport.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -11,7 +11,6 @@
 #include <future>
 #include <optional>
 #include <string>
-#include <thread>
 
 namespace tamarack {
 namespace {
@@ -24,25 +23,17 @@
 class truncating_server {
 public:
     truncating_server(std::string response, std::size_t connections)
-        : m_acceptor(m_context, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}),
-          m_thread([this, response = std::move(response), connections] { serve(response, connections); }) {}
-
-    ~truncating_server() { m_thread.join(); }
-    truncating_server(const truncating_server&) = delete;
-    truncating_server& operator=(const truncating_server&) = delete;
-    truncating_server(truncating_server&&) = delete;
-    truncating_server& operator=(truncating_server&&) = delete;
+        : m_server([response = std::move(response), connections](tcp::acceptor& acceptor) {
+              serve(acceptor, response, connections);
+          }) {}
 
-    endpoint address() const {
-        return endpoint{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
-    }
+    endpoint address() const { return m_server.address(); }
 
 private:
     /** Connection N gets the first N bytes. */
-    void serve(const std::string& response, std::size_t connections) {
+    static void serve(tcp::acceptor& acceptor, const std::string& response, std::size_t connections) {
         for (std::size_t bytes = 0; bytes < connections; ++bytes) {
-            tcp::socket socket{m_context};
-            m_acceptor.accept(socket);
+            tcp::socket socket = acceptor.accept();
             boost::system::error_code ignored;
             std::string request;
             boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
@@ -51,9 +42,7 @@
         }
     }
 
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::thread m_thread;
+    testing_support::loopback_server m_server;
 };
 
 /** Sends a request. @return the response, if the connection was not lost before it was complete */
