Log what targets send that is not taken for a reply, and why connections to them end

- target_anomaly, with the counter tamarack_target_anomalies_total: bytes that belong to no request, that are no response, or a reply to another request, with the connection, the number of exchanges on it, the request that it names and its status.
- request_step names the connection of each exchange, and step=lost says why it ended.
- Requests that succeed in time after a hedge or a retry are logged with all steps, one in two seconds on a host, ten at once.
- tamarack_connections_closed_total, which nothing counted, counts the ends of connections that the host didn't close itself.

What is served doesn't change. Tests: platform.read_reply.says_why_it_rejects_a_reply_and_which_request_that_names, forwarding.request_sampling.limits_logs_of_successes_that_took_several_exchanges.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -37,11 +37,15 @@
       m_connections(
           m_thread, m_edge, host_settings.limits.reply_bytes,
           {[this](target_connection number) { carry_out(m_engine.on_connected(steady_now(), number)); },
-           [this](target_connection number) { carry_out(m_engine.on_connection_lost(steady_now(), number)); },
+           [this](target_connection number, connection_end end) {
+               m_metrics.count(counter_id::connections_closed_total, to_name(end));
+               carry_out(m_engine.on_connection_lost(steady_now(), number, std::string{to_name(end)}));
+           },
            [this](target_connection number, target_reply reply) {
                m_metrics.count(counter_id::exchanges_total, to_name(reply.verdict));
                carry_out(m_engine.on_reply(steady_now(), number, std::move(reply)));
-           }}),
+           },
+           [this](const exchange_anomaly& anomaly) { log_anomaly(anomaly); }}),
       m_timer(
           m_thread, [this] { return m_engine.next_timer(); },
           [this](time_point now) { carry_out(m_engine.on_timer(now)); }),
@@ -259,6 +263,20 @@
                       {"period_ms", std::to_string(report.period / 1ms)}});
 }
 
+void forwarding_worker::log_anomaly(const exchange_anomaly& anomaly) {
+    m_metrics.count(counter_id::target_anomalies_total, anomaly.cause);
+    log_state_change(log_level::info, "target_anomaly",
+                     m_inputs.view ? m_inputs.view->ticket : ticket_number{},
+                     {{"cause", anomaly.cause},
+                      {"target", anomaly.target.value()},
+                      {"connection", std::to_string(anomaly.connection)},
+                      {"exchanges", std::to_string(anomaly.exchanges)},
+                      {"request", anomaly.request.value()},
+                      {"awaits_reply", anomaly.awaits_reply ? "true" : "false"},
+                      {"named_request", anomaly.named_request.value()},
+                      {"status", std::to_string(anomaly.status)}});
+}
+
 void forwarding_worker::deliver(forward_answer answer) {
     m_metrics.count(counter_id::requests_total, to_name(answer.outcome));
     if (answer.reason != forward_reason::none) {
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -82,6 +82,7 @@
     void log_crash_evidence(const crash_evidence_report& report);
     void log_extra_load(const extra_load_report& report);
     void log_request_limit(const request_limit_report& report);
+    void log_anomaly(const exchange_anomaly& anomaly);
     void check_drained();
     void apply_limits();
 
--- a/apps/tamarackd/forwarding/request_log.cpp
+++ b/apps/tamarackd/forwarding/request_log.cpp
@@ -20,6 +20,7 @@
          {"step", std::string{to_name(entry.step)}},
          {"service", entry.service.value()},
          {"target", entry.target.value()},
+         {"connection", std::to_string(entry.connection)},
          {"result", entry.result},
          {"load", std::to_string(entry.load)},
          {"load_age_ms", entry.load_age < duration{0} ? std::string{"-"} : milliseconds(entry.load_age)},
--- a/apps/tamarackd/serving/target_cancellations.cpp
+++ b/apps/tamarackd/serving/target_cancellations.cpp
@@ -45,7 +45,7 @@
         m_connections[target].open = true;
         send_next(target);
     };
-    events.lost = [this, target] { m_connections.erase(target); };
+    events.lost = [this, target](connection_end) { m_connections.erase(target); };
     m_connections[target].connection = std::make_unique<http_connection>(m_thread, address, connect_timeout,
                                                                          reply_body_limit, std::move(events));
 }
--- a/apps/tamarackd/serving/target_connections.cpp
+++ b/apps/tamarackd/serving/target_connections.cpp
@@ -20,7 +20,7 @@
     const connection_number number = action.connection;
     http_connection_events events;
     events.opened = [this, number] { m_events.opened(number); };
-    events.lost = [this, number] { drop_connection(number); };
+    events.lost = [this, number](connection_end) { drop_connection(number); };
     m_connections[number] = std::make_unique<http_connection>(m_thread, action.address, connect_timeout,
                                                               reply_body_limit, std::move(events));
 }
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -97,7 +97,8 @@
 }
 
 void forwarding_core::trace(forwarding_run& run, trace_step step, const service_id& service,
-                            const engine_target* target, std::string result, std::size_t candidates) const {
+                            const engine_target* target, std::string result, std::size_t candidates,
+                            target_connection connection) const {
     if (run.trace.entries.size() >= max_trace_entries) {
         return;
     }
@@ -107,6 +108,7 @@
     entry.service = service;
     entry.result = std::move(result);
     entry.candidates = static_cast<std::uint32_t>(candidates);
+    entry.connection = connection;
     entry.load_age = duration{-1};
     if (target != nullptr) {
         entry.target = target->info.id;
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -129,7 +129,7 @@
     /** @return the service of a target, or nullptr if it has left the routes */
     engine_service_pointer service_of(const engine_target& target) const;
     void trace(forwarding_run& run, trace_step step, const service_id& service, const engine_target* target,
-               std::string result = {}, std::size_t candidates = 0) const;
+               std::string result = {}, std::size_t candidates = 0, target_connection connection = 0) const;
     /** @return the budget of a service, created if there is none */
     std::shared_ptr<extra_budget> budget_of(const service_id& service);
     /** Keeps open the charges of an exchange that this host ends without a reply. */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -44,7 +44,7 @@
 
     void on_view(forwarding_view_pointer view);
     void on_connected(target_connection connection);
-    void on_connection_lost(target_connection connection);
+    void on_connection_lost(target_connection connection, std::string cause);
     void on_reply(target_connection connection, target_reply reply);
     void observe(engine_connection& held, const target_reply& reply);
     void observe_backoff(engine_target& target, const target_reply& reply);
@@ -93,7 +93,7 @@
     dispatcher.serve_waiting(*target->service);
 }
 
-void forwarding_engine::implementation::on_connection_lost(target_connection connection) {
+void forwarding_engine::implementation::on_connection_lost(target_connection connection, std::string cause) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end()) {
         return;
@@ -113,7 +113,7 @@
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (run != nullptr) {
-        flow.on_lost(*run, held.part, connection);
+        flow.on_lost(*run, held.part, connection, std::move(cause));
     }
     dispatcher.keep_warm();
 }
@@ -315,8 +315,10 @@
     return m_implementation->handle(now, [&] { m_implementation->on_connected(connection); });
 }
 
-forwarding_actions forwarding_engine::on_connection_lost(time_point now, target_connection connection) {
-    return m_implementation->handle(now, [&] { m_implementation->on_connection_lost(connection); });
+forwarding_actions forwarding_engine::on_connection_lost(time_point now, target_connection connection,
+                                                         std::string cause) {
+    return m_implementation->handle(
+        now, [&] { m_implementation->on_connection_lost(connection, std::move(cause)); });
 }
 
 forwarding_actions forwarding_engine::on_reply(time_point now, target_connection connection,
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -8,6 +8,7 @@
 #include "../view/forwarding_view.h"
 
 #include <memory>
+#include <string>
 
 namespace tamarack {
 
@@ -50,8 +51,13 @@
     /** A caller closed its connection before it was answered. */
     forwarding_actions on_caller_gone(time_point now, forward_number request);
     forwarding_actions on_connected(time_point now, target_connection connection);
-    /** A connection could not be opened, was closed by the target, or broke. */
-    forwarding_actions on_connection_lost(time_point now, target_connection connection);
+    /**
+     * A connection could not be opened, was closed by the target, or broke.
+     *
+     * @param cause  for the log
+     */
+    forwarding_actions on_connection_lost(time_point now, target_connection connection,
+                                          std::string cause = {});
     forwarding_actions on_reply(time_point now, target_connection connection, target_reply reply);
     /** To be called when next_timer is due; earlier or additional calls are harmless. */
     forwarding_actions on_timer(time_point now);
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -108,7 +108,7 @@
     ++part.possible_runs;
     ++run.sent;
     ++m_core.statistics.exchanges;
-    m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size());
+    m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size(), connection);
     if (step == trace_step::sent && part.possible_runs < run.selected_route->attempts) {
         part.hedge_at = m_core.now + hedge_delay(run.timing->p90(), run.times.objective_at - m_core.now);
         m_core.wake(run, part.hedge_at);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -220,13 +220,14 @@
         std::find_if(part.exchanges.begin(), part.exchanges.end(),
                      [connection](const running_exchange& item) { return item.connection == connection; });
     if (running != part.exchanges.end()) {
-        m_core.trace(run, step, part.service->id, running->target.get(), std::move(result));
+        m_core.trace(run, step, part.service->id, running->target.get(), std::move(result), 0, connection);
     }
 }
 
-void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection) {
+void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection,
+                           std::string cause) {
     run_part& part = run.parts[part_index];
-    trace_end(run, part, connection, trace_step::lost, {});
+    trace_end(run, part, connection, trace_step::lost, std::move(cause));
     remove_exchange(part, connection);
     ++run.lost;
     retry_or_give_up(run, part_index, false, "connection_lost");
@@ -235,7 +236,8 @@
 
 void request_flow::cover(forwarding_run& run, run_part& part, target_reply reply) {
     for (const running_exchange& superseded : part.exchanges) {
-        m_core.trace(run, trace_step::abandoned, part.service->id, superseded.target.get());
+        m_core.trace(run, trace_step::abandoned, part.service->id, superseded.target.get(), {}, 0,
+                     superseded.connection);
         m_dispatcher.abandon(superseded);
     }
     part.exchanges.clear();
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -15,7 +15,7 @@
     /** A target replied to an exchange of a request. */
     void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
     /** The connection of a request's exchange was lost. */
-    void on_lost(forwarding_run& run, std::size_t part, target_connection connection);
+    void on_lost(forwarding_run& run, std::size_t part, target_connection connection, std::string cause);
     /** Gives up those of the waiting parts that no target of the service can serve in time. */
     void give_up_unservable(engine_service& service);
     /** Retries or gives up the deferred parts of requests whose losses have been confirmed or refuted. */
--- a/modules/tamarack_forwarding/explain/request_sampling.h
+++ b/modules/tamarack_forwarding/explain/request_sampling.h
@@ -20,10 +20,12 @@
  *
  * Load pattern: hundreds of requests a second fail for one reason, and a single one among them for another.
  * Logs with all steps are rate-limited per reason, so that many requests of one kind do not hide the first of
- * another. Requests that succeed in time are sampled.
+ * another. Requests that succeed in time are sampled; those that took several exchanges are logged more
+ * often, as they are the ones whose answer a caller may question.
  */
 class request_sampling {
 public:
+    request_sampling();
     /** A request ended. @return how much of it to log */
     log_detail on_end(time_point now, const forward_answer& answer);
 
@@ -31,6 +33,7 @@
     bool allows_all_steps(time_point now, forward_reason reason);
 
     std::map<forward_reason, rate_limiter> m_all_steps_limiters;
+    rate_limiter m_repeated_limiter;
     std::uint64_t m_success_count = 0;
 };
 
--- a/modules/tamarack_forwarding/explain/request_trace.h
+++ b/modules/tamarack_forwarding/explain/request_trace.h
@@ -46,6 +46,7 @@
     trace_step step = trace_step::routed;
     service_id service;
     target_id target;
+    std::uint64_t connection = 0; ///< to the target; 0 if the step concerns none
     std::string result;           ///< verdict of a reply, or the cause of the step
     std::uint32_t load = 0;       ///< estimated number of exchanges at the target
     duration load_age{};          ///< age of the target's last load report; negative if there is none
--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -40,6 +40,26 @@
     }};
 };
 
+/** Why a reply is not taken for the reply to its exchange. */
+enum class reply_defect {
+    none,
+    other_request, ///< it names another request
+    no_request,    ///< it names no request
+    encoded,       ///< its body is encoded, which no caller asks for
+    success_without_token,
+};
+
+template <>
+struct name_table<reply_defect> {
+    static constexpr std::array<std::pair<reply_defect, std::string_view>, 5> entries{{
+        {reply_defect::none, "none"},
+        {reply_defect::other_request, "other_request"},
+        {reply_defect::no_request, "no_request"},
+        {reply_defect::encoded, "encoded"},
+        {reply_defect::success_without_token, "success_without_token"},
+    }};
+};
+
 /** Load of a target, as reported with a reply. */
 struct target_load {
     std::uint32_t running = 0;
@@ -51,6 +71,8 @@
 /** A target's reply, as read from a connection. */
 struct target_reply {
     target_verdict verdict = target_verdict::malformed;
+    reply_defect defect = reply_defect::none; ///< of a malformed reply
+    request_id named_request;                 ///< of a malformed reply: the request that it names
     unsigned status = 0;
     message_fields fields; ///< fields to pass on to the caller
     std::string body;
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -19,6 +19,7 @@
     connections_opened_total,
     connections_closed_total,  ///< label: reason
     target_changes_total,      ///< label: change
+    target_anomalies_total,    ///< label: cause
     request_limit_steps_total, ///< label: step
     exchanges_under_limit_total,
     announcements_total,      ///< label: result
--- a/modules/tamarack_transport/hosts/host_link.cpp
+++ b/modules/tamarack_transport/hosts/host_link.cpp
@@ -55,7 +55,7 @@
                 self->advance();
             }
         };
-        events.lost = [weak = weak_from_this()] {
+        events.lost = [weak = weak_from_this()](connection_end) {
             if (const auto self = weak.lock()) {
                 self->on_failure();
             }
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -29,6 +29,15 @@
  * at once. It also bounds chunk extensions and trailers, for which the parser has no limit of its own. */
 constexpr std::size_t max_unparsed_bytes = 128 * kibibyte;
 
+/** @return why a connection ended whose read failed */
+connection_end end_of(const boost::system::error_code& failure) {
+    if (failure == http::error::end_of_stream || failure == http::error::partial_message) {
+        return connection_end::closed;
+    }
+    const bool is_parse_error = failure.category() == make_error_code(http::error::bad_method).category();
+    return is_parse_error ? connection_end::malformed_response : connection_end::failed;
+}
+
 } // namespace
 
 struct http_connection::implementation : std::enable_shared_from_this<implementation> {
@@ -40,7 +49,8 @@
     void connect(const endpoint& address, duration timeout) {
         const auto parsed = parse_socket_address(address);
         if (!succeeded(parsed)) {
-            boost::asio::post(stream.get_executor(), [self = shared_from_this()] { self->fail(); });
+            boost::asio::post(stream.get_executor(),
+                              [self = shared_from_this()] { self->end(connection_end::unreachable); });
             return;
         }
         stream.expires_after(timeout);
@@ -55,7 +65,7 @@
             return;
         }
         if (failure) {
-            fail();
+            end(connection_end::unreachable);
             return;
         }
         stream.expires_never();
@@ -98,14 +108,19 @@
         if (closed) {
             return;
         }
-        if (failure || !handler) {
-            fail();
+        if (failure) {
+            end(end_of(failure));
+            return;
+        }
+        if (!handler) {
+            end(connection_end::unexpected_bytes);
             return;
         }
         beast_response response = parser->release();
         // A server may respond before it has read the whole request. Whatever follows on this connection
         // would be read as the rest of that request.
         const bool reusable = response.keep_alive() && !outgoing;
+        const bool has_extra_bytes = buffer.size() > 0;
         const auto receive = std::exchange(handler, nullptr);
         if (reusable) {
             read_next();
@@ -113,9 +128,10 @@
         const auto self = shared_from_this();
         http_response received = from_beast(std::move(response));
         received.ends_connection = !reusable;
+        received.followed_by_bytes = has_extra_bytes;
         receive(std::move(received));
         if (!reusable && !closed) {
-            fail();
+            end(connection_end::ended_by_response);
         }
     }
 
@@ -127,16 +143,16 @@
                           [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
                               self->outgoing.reset();
                               if (failure && !self->closed) {
-                                  self->fail();
+                                  self->end(connection_end::failed);
                               }
                           });
     }
 
-    void fail() {
+    void end(connection_end cause) {
         const auto lost = std::move(events.lost);
         close();
         if (lost) {
-            lost();
+            lost(cause);
         }
     }
 
@@ -207,7 +223,7 @@
         pending->connection->send(
             request, [pending](http_response response) { pending->finish(std::move(response)); });
     };
-    events.lost = [pending, address] {
+    events.lost = [pending, address](connection_end) {
         pending->finish(error{error_code::unavailable, "no answer from " + address.value()});
     };
     pending->connection = std::make_unique<http_connection>(thread, address, timeout, max_fetched_body_bytes,
--- a/modules/tamarack_transport/http/http_client.h
+++ b/modules/tamarack_transport/http/http_client.h
@@ -3,17 +3,41 @@
 #include "../threads/worker_thread.h"
 #include "http_message.h"
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
+#include <utility>
 
 namespace tamarack {
 
+/** Why a client connection ended. */
+enum class connection_end {
+    unreachable,        ///< it could not be opened
+    closed,             ///< by the peer, also within a response
+    failed,             ///< reset by the peer, or a read or write failed
+    malformed_response, ///< the peer sent bytes that are no response, or a response that is too long
+    unexpected_bytes,   ///< the peer sent bytes that belong to no request
+    ended_by_response,  ///< a response said so, or came before its request was written
+};
+
+template <>
+struct name_table<connection_end> {
+    static constexpr std::array<std::pair<connection_end, std::string_view>, 6> entries{{
+        {connection_end::unreachable, "unreachable"},
+        {connection_end::closed, "closed"},
+        {connection_end::failed, "failed"},
+        {connection_end::malformed_response, "malformed_response"},
+        {connection_end::unexpected_bytes, "unexpected_bytes"},
+        {connection_end::ended_by_response, "ended_by_response"},
+    }};
+};
+
 /** Callbacks of a client connection, called on the connection's thread. */
 struct http_connection_events {
     std::function<void()> opened;
-    std::function<void()>
-        lost; ///< the connection failed or was closed, or could not be opened; no callback follows
+    std::function<void(connection_end)> lost; ///< it ended, or could not be opened; no callback follows
 };
 
 /** Receives the response; not called when the connection is lost first. If the response ends the connection,
--- a/tests/forwarding/request_sampling_test.cpp
+++ b/tests/forwarding/request_sampling_test.cpp
@@ -54,5 +54,18 @@
     EXPECT_EQ(sampling.on_end(start + 10s, partial), log_detail::all_steps);
 }
 
+TEST(request_sampling, limits_logs_of_successes_that_took_several_exchanges) {
+    request_sampling sampling;
+    forward_answer repeated = good;
+    repeated.trace.retries = 1;
+    int with_all_steps = 0;
+    for (int request = 0; request < 1'000; ++request) {
+        const log_detail detail = sampling.on_end(start + request * 10ms, repeated);
+        with_all_steps += detail == log_detail::all_steps ? 1 : 0;
+    }
+    EXPECT_LE(with_all_steps, 16) << "a burst of ten and one in two seconds";
+    EXPECT_GE(with_all_steps, 14);
+}
+
 } // namespace
 } // namespace tamarack
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -140,6 +140,22 @@
     EXPECT_EQ(wire::read_reply(id, std::move(encoded)).verdict, target_verdict::malformed);
 }
 
+TEST(read_reply, says_why_it_rejects_a_reply_and_which_request_that_names) {
+    const target_reply other = wire::read_reply(request_id{"other"}, good_reply());
+    EXPECT_EQ(other.defect, reply_defect::other_request);
+    EXPECT_EQ(other.named_request, id);
+    http_response unnamed = good_reply();
+    unnamed.fields.erase(unnamed.fields.begin());
+    EXPECT_EQ(wire::read_reply(id, std::move(unnamed)).defect, reply_defect::no_request);
+    http_response without_token = good_reply();
+    without_token.fields.erase(without_token.fields.begin() + 1);
+    EXPECT_EQ(wire::read_reply(id, std::move(without_token)).defect, reply_defect::success_without_token);
+    http_response encoded = good_reply();
+    encoded.fields.emplace_back("Content-Encoding", "gzip");
+    EXPECT_EQ(wire::read_reply(id, std::move(encoded)).defect, reply_defect::encoded);
+    EXPECT_EQ(wire::read_reply(id, good_reply()).defect, reply_defect::none);
+}
+
 /** Guards against a rejection that a target sends twice: its second copy arrives where the reply to the next
  * request is due, which may be running by then. */
 TEST(read_reply, takes_no_rejection_of_another_request_for_one_of_this_request) {
--- a/tests/transport/early_response_test.cpp
+++ b/tests/transport/early_response_test.cpp
@@ -97,7 +97,7 @@
             answered.set_value(std::move(response));
         });
     };
-    events.lost = [&] { lost.set_value(); };
+    events.lost = [&](connection_end) { lost.set_value(); };
     connection =
         std::make_unique<http_connection>(thread, server.address(), 10s, response_limit, std::move(events));
     thread.start();
--- a/tests/transport/endless_response_test.cpp
+++ b/tests/transport/endless_response_test.cpp
@@ -58,7 +58,7 @@
         request.target = "/";
         connection->send(request, [&](const http_response&) { ended.set_value(true); });
     };
-    events.lost = [&] { ended.set_value(false); };
+    events.lost = [&](connection_end) { ended.set_value(false); };
     connection = std::make_unique<http_connection>(thread, address, 10s, body_limit, std::move(events));
     thread.start();
     const bool answered = ended.get_future().get();
--- a/tests/transport/truncated_response_test.cpp
+++ b/tests/transport/truncated_response_test.cpp
@@ -61,7 +61,7 @@
         request.target = "/";
         connection->send(request, [&](http_response response) { end(std::move(response)); });
     };
-    events.lost = [&] { end(std::nullopt); };
+    events.lost = [&](connection_end) { end(std::nullopt); };
     std::promise<void> opened;
     thread.try_post([&] {
         connection = std::make_unique<http_connection>(thread, address, 10s, body_limit, std::move(events));
