Send a request to a target once only, and not twice in a row on a connection

Cause: the id in a reply is the caller's, the same for a request's first exchange, its retries and its hedges, and for what the caller sends again under that id. try_send fell back to targets that had been tried, and took the connection that was used last: a retry that waited for a connection went back to the target that had just failed when the other one left, and at once when the other one stated a request limit. A late second reply to the first exchange then passes for the reply to the second one.

Evidence: forwarding.repeated_request.is_not_sent_to_the_same_target_when_* and with_the_id_of_the_last_exchange_is_not_sent_on_its_connection fail before: the same target gets the request on the same connection.

Change: a part is sent to a target once, whatever happens to the others. Waiting extra exchanges that no other target can get in time are given up at once, also when targets leave; before, such a request waited for its deadline. A connection whose last exchange had the same id is closed rather than used.

--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -33,6 +33,7 @@
     connection_phase phase = connection_phase::opening;
     forward_number request = 0;
     std::size_t part = 0;
+    std::size_t last_request_hash = 0;  ///< of the id of its latest exchange's request
     time_point since;                   ///< start of the phase
     std::optional<duration> idle_limit; ///< as the target last stated
     duration median_time{};             ///< of the route's exchanges, when its exchange was sent
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -65,6 +65,7 @@
     targets.update_targets(*core.view);
     dispatcher.keep_warm();
     for (auto& [id, service] : core.services) {
+        flow.give_up_unservable(*service);
         dispatcher.serve_waiting(*service);
     }
 }
@@ -203,7 +204,7 @@
     const bool wrong_target = reply.verdict == target_verdict::wrong_target;
     const engine_service_pointer service = core.service_of(*target);
     const bool now_unavailable =
-        target->usable && (reply.leaving || reply.backoff || !target->limit.has_share());
+        target->usable && (wrong_target || reply.leaving || reply.backoff || !target->limit.has_share());
     dispatcher.release(connection, held, keep);
     if (reply.leaving && target->usable && !wrong_target && core.options.protections.honour_leaving) {
         on_leaving(target);
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include "../targets/target_observations.h"
 
 #include <algorithm>
+#include <functional>
+#include <string>
 
 namespace tamarack {
 
@@ -13,21 +15,20 @@
 constexpr double idle_share = 0.7;
 constexpr std::uint32_t max_open_doublings = 4;
 
-bool runs_at(const run_part& part, const engine_target_pointer& target) {
-    return std::any_of(part.exchanges.begin(), part.exchanges.end(),
-                       [&](const running_exchange& running) { return running.target == target; });
+std::size_t hash_of(const request_id& request) {
+    return std::hash<std::string>{}(request.value());
 }
 
 } // namespace
 
-void part_dispatcher::list_candidates(const run_part& part, bool include_tried) {
+void part_dispatcher::list_candidates(const run_part& part) {
     m_eligible.clear();
     m_candidates.clear();
     for (const engine_target_pointer& target : part.service->targets) {
         const std::size_t busy = m_core.uses(forwarding_mechanism::gradual_return) ? target->busy : 0;
-        const bool unfit = !target->usable || target->idle.empty() || runs_at(part, target) ||
+        const bool unfit = !target->usable || target->idle.empty() || part.was_tried(target) ||
                            !target->backoff.allows(m_core.now, busy);
-        if (unfit || (!include_tried && part.was_tried(target))) {
+        if (unfit) {
             continue;
         }
         if (!target->limit.allows(m_core.now)) {
@@ -39,14 +40,15 @@
     }
 }
 
-target_connection part_dispatcher::take_idle(engine_target& target) {
+target_connection part_dispatcher::take_idle(engine_target& target, const request_id& request) {
+    const std::size_t request_hash = hash_of(request);
     while (!target.idle.empty()) {
         const target_connection connection = target.idle.back();
         const engine_connection& held = m_core.connections.at(connection);
         const bool fresh =
             !held.idle_limit || std::chrono::duration<double>(m_core.now - held.since).count() <
                                     idle_share * std::chrono::duration<double>(*held.idle_limit).count();
-        if (fresh) {
+        if (fresh && held.last_request_hash != request_hash) {
             target.idle.pop_back();
             return connection;
         }
@@ -58,14 +60,11 @@
 bool part_dispatcher::try_send(forwarding_run& run, std::size_t part_index, trace_step step) {
     run_part& part = run.parts[part_index];
     const placement_demand demand{run.timing->median(), run.timing->p90(), run.selected_route->objective};
-    list_candidates(part, false);
-    if (m_candidates.empty() && !has_untried(part, m_core.now)) {
-        list_candidates(part, true);
-    }
+    list_candidates(part);
     while (!m_candidates.empty()) {
         const std::size_t chosen = place(m_candidates, demand, m_core.random);
         const engine_target_pointer target = m_eligible[chosen];
-        if (const target_connection connection = take_idle(*target); connection != 0) {
+        if (const target_connection connection = take_idle(*target, run.request.id); connection != 0) {
             send(run, part_index, step, target, connection);
             return true;
         }
@@ -82,6 +81,7 @@
     engine_connection& held = m_core.connections.at(connection);
     held.phase = connection_phase::busy;
     held.request = run.request.number;
+    held.last_request_hash = hash_of(run.request.id);
     held.part = part_index;
     held.since = m_core.now;
     held.median_time = run.timing->median();
@@ -292,7 +292,7 @@
     engine_target_pointer chosen;
     for (const engine_target_pointer& target : service.targets) {
         const bool better = chosen == nullptr || target->connections() < chosen->connections();
-        if (may_open(*target) && better && !runs_at(part, target)) {
+        if (may_open(*target) && better && !part.was_tried(target)) {
             chosen = target;
         }
     }
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -62,12 +62,17 @@
 
     /** @return how long a further waiting part waits until the request limits allow its exchange */
     duration wait_for_limits(const engine_service& service) const;
-    void list_candidates(const run_part& part, bool include_tried);
+    void list_candidates(const run_part& part);
     placement_candidate describe(const engine_target& target) const;
     void send(forwarding_run& run, std::size_t part, trace_step step, const engine_target_pointer& target,
               target_connection connection);
-    /** Takes an idle connection, but none that the target is about to close. @return 0 if there is none */
-    target_connection take_idle(engine_target& target);
+    /**
+     * Takes an idle connection for a request, but none that the target is about to close. A connection whose
+     * last exchange had the same id is closed: a second reply to that exchange would pass for the next one's.
+     *
+     * @return 0 if there is none
+     */
+    target_connection take_idle(engine_target& target, const request_id& request);
     bool may_open(const engine_target& target) const;
     void open(const engine_target_pointer& target);
     void open_for(const engine_service& service, const run_part& part);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -363,14 +363,19 @@
     }
 }
 
-void request_flow::give_up_unservable(engine_service& service) {
-    if (m_dispatcher.has_available(service)) {
-        return;
+/** @return whether a target may get a waiting part in time */
+bool request_flow::may_be_sent(const forwarding_run& run, const run_part& part) const {
+    if (!part.tried.empty()) {
+        return m_dispatcher.has_untried(part, run.latest_send(m_core.now));
     }
+    return m_dispatcher.has_available(*part.service) || is_servable(run, part);
+}
+
+void request_flow::give_up_unservable(engine_service& service) {
     for (auto item = service.waiting.begin(); item != service.waiting.end();) {
         forwarding_run* run = m_core.find_run(item->request);
         const bool wanted = run != nullptr && !run->ended && run->parts[item->part].queued;
-        if (wanted && is_servable(*run, run->parts[item->part])) {
+        if (wanted && may_be_sent(*run, run->parts[item->part])) {
             ++item;
             continue;
         }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -16,7 +16,8 @@
     void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
     /** The connection of a request's exchange was lost. */
     void on_lost(forwarding_run& run, std::size_t part, target_connection connection, std::string cause);
-    /** Gives up those of the waiting parts that no target of the service can serve in time. */
+    /** Gives up those of the waiting parts that no target of the service can serve in time; an extra exchange
+     * goes only to targets that the part was not sent to. */
     void give_up_unservable(engine_service& service);
     /** Retries or gives up the deferred parts of requests whose losses have been confirmed or refuted. */
     void review_deferred();
@@ -24,6 +25,7 @@
     void on_wake(forwarding_run& run);
 
 private:
+    bool may_be_sent(const forwarding_run& run, const run_part& part) const;
     void trace_end(forwarding_run& run, const run_part& part, target_connection connection, trace_step step,
                    std::string result) const;
     forwarding_core& m_core;
