Let a retry that waits for one target hold up no request that another can serve

A retry waits for the targets that it was not sent to, so it kept later requests from connections that were free at the others.

forwarding.repeated_request.that_waits_for_one_target_holds_up_no_request_that_another_can_serve fails before: the fourth request waits beside an idle connection.

--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -175,7 +175,12 @@
         }
         if (!try_send(*run, item->part, item->step)) {
             await_limits(service);
-            return;
+            if (run->parts[item->part].tried.empty()) {
+                return;
+            }
+            // It waits for one of the targets that it was not sent to; the others may be free.
+            ++item;
+            continue;
         }
         run->parts[item->part].queued = false;
         item = service.waiting.erase(item);
--- a/tests/forwarding/repeated_request_test.cpp
+++ b/tests/forwarding/repeated_request_test.cpp
@@ -118,6 +118,24 @@
     EXPECT_EQ(targets_of("r1").size(), 2U) << "the retry goes to the other target once its limit allows";
 }
 
+/** Guards against a retry that waits for one target and holds up requests that another target could serve. */
+TEST_F(repeated_request, that_waits_for_one_target_holds_up_no_request_that_another_can_serve) {
+    use(single_route_view(2));
+    for (forward_number number = 1; number <= 2; ++number) {
+        carry_out(m_engine.on_request(start, single_route_request(number)));
+    }
+    ASSERT_EQ(m_sent.size(), 2U);
+    reply(0, target_verdict::failed);
+    for (forward_number number = 3; number <= 4; ++number) {
+        carry_out(m_engine.on_request(start + 11ms, single_route_request(number)));
+    }
+    ASSERT_EQ(m_sent.size(), 3U)
+        << "the third request takes the connection that is free, the fourth one waits";
+    reply(2, target_verdict::completed);
+    EXPECT_EQ(targets_of("r4").size(), 1U);
+    EXPECT_EQ(targets_of("r1").size(), 1U) << "the other target is still busy";
+}
+
 /** Guards against a request that its caller sends again under the same id, and that goes out on the
  * connection that carried it before. */
 TEST_F(repeated_request, with_the_id_of_the_last_exchange_is_not_sent_on_its_connection) {
