Recognise a target that left the view and returned as one that has got a request

Its connections are new, so that replies can't be mixed up, but the same process runs the request twice under one id.

forwarding.repeated_request.is_not_sent_to_the_same_target_when_that_has_left_and_returned fails before. Targets are compared by id and incarnation now.

--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -43,8 +43,11 @@
     std::string body;
     std::optional<target_reply> failure; ///< first reply of a target that ran it and failed
 
+    /** @return whether it was sent to this process, which may have left the view and returned since */
     bool was_tried(const engine_target_pointer& target) const {
-        return std::find(tried.begin(), tried.end(), target) != tried.end();
+        return std::any_of(tried.begin(), tried.end(), [&](const engine_target_pointer& other) {
+            return other == target || incarnation_of(other->info) == incarnation_of(target->info);
+        });
     }
 };
 
--- a/tests/forwarding/repeated_request_test.cpp
+++ b/tests/forwarding/repeated_request_test.cpp
@@ -118,6 +118,28 @@
     EXPECT_EQ(targets_of("r1").size(), 2U) << "the retry goes to the other target once its limit allows";
 }
 
+/** Guards against a retry that goes back to the process that failed because that left the view for a moment.
+ */
+TEST_F(repeated_request, is_not_sent_to_the_same_target_when_that_has_left_and_returned) {
+    use(single_route_view(2));
+    for (forward_number number = 1; number <= 2; ++number) {
+        carry_out(m_engine.on_request(start, single_route_request(number)));
+    }
+    ASSERT_EQ(m_sent.size(), 2U);
+    const std::string first = m_sent[0].exchange.target.value();
+    auto without_first = std::make_shared<forwarding_view>(*single_route_view(2));
+    std::erase_if(without_first->targets,
+                  [&](const forwarding_target& listed) { return listed.id.value() == first; });
+    use(without_first);
+    use(single_route_view(2));
+    reply(0, target_verdict::failed);
+    connect_all();
+    expect_sent_to_distinct_targets("r1");
+    reply(1, target_verdict::completed);
+    EXPECT_EQ(targets_of("r1").size(), 2U);
+    expect_sent_to_distinct_targets("r1");
+}
+
 /** Guards against a retry that waits for one target and holds up requests that another target could serve. */
 TEST_F(repeated_request, that_waits_for_one_target_holds_up_no_request_that_another_can_serve) {
     use(single_route_view(2));
