Send no request on a connection that a response without a length has ended

A response that is ended by the close of its connection was reported as leaving that connection in use: the message can't tell, only its parser can. A request that was sent at once was lost with the connection, at the cost of a repeat, or of a 502 where it may not be repeated.

transport.truncated_response.without_a_length_is_followed_by_no_request_on_its_connection fails before.

--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -161,6 +161,8 @@
             end(end_of(failure));
             return;
         }
+        // Only the parser knows whether the response was ended by the close of its connection.
+        const bool keeps_connection = parser->keep_alive();
         beast_response response = parser->release();
         if (begins_with_another(response)) {
             end(connection_end::malformed_response);
@@ -169,7 +171,7 @@
         const bool has_extra_bytes = buffer.size() > 0;
         // A server may respond before it has read the whole request. Whatever follows on this connection
         // would be read as the rest of that request.
-        const bool reusable = response.keep_alive() && !outgoing && !has_extra_bytes;
+        const bool reusable = keeps_connection && !outgoing && !has_extra_bytes;
         const auto receive = std::exchange(handler, nullptr);
         if (reusable) {
             read_next();
--- a/tests/transport/truncated_response_test.cpp
+++ b/tests/transport/truncated_response_test.cpp
@@ -115,5 +115,40 @@
     EXPECT_GE(answered.front(), head.size());
 }
 
+/** Guards against the loss of a request that is sent as soon as a response was received that ends with its
+ * connection. */
+TEST(truncated_response, without_a_length_is_followed_by_no_request_on_its_connection) {
+    testing_support::loopback_server server{[&](tcp::acceptor& acceptor) {
+        tcp::socket socket = acceptor.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string{"HTTP/1.1 200 OK\r\nX-Stamp: a.1\r\n\r\nok"}));
+        socket.close();
+    }};
+    worker_thread thread{"client", 8};
+    std::promise<void> lost;
+    bool sent_again = false;
+    std::unique_ptr<http_connection> connection;
+    http_connection_events events;
+    http_request request;
+    request.target = "/";
+    events.opened = [&] {
+        connection->send(request, [&](const http_response& response) {
+            if (!response.ends_connection) {
+                sent_again = true;
+                connection->send(request, [](const http_response&) {});
+            }
+        });
+    };
+    events.lost = [&](connection_end) { lost.set_value(); };
+    connection =
+        std::make_unique<http_connection>(thread, server.address(), 10s, body_limit, std::move(events));
+    thread.start();
+    lost.get_future().wait();
+    thread.stop();
+    EXPECT_FALSE(sent_again) << "the request was sent on an ended connection, and lost";
+}
+
 } // namespace
 } // namespace tamarack
