Let a waiting retry wait for a backoff, and look past waiting retries only for free targets

Once one of them is blocked, the others are tried only if a target that they weren't sent to has a free connection, and the walk ends at the first part that wasn't sent at all.

Also tested: a target that is still listed after another one answered at its address isn't sent the same request again.

--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -158,6 +158,7 @@
 }
 
 void part_dispatcher::serve_waiting(engine_service& service) {
+    bool is_blocked = false; // by a part that waits for the targets that it was not sent to
     auto item = service.waiting.begin();
     while (item != service.waiting.end()) {
         forwarding_run* run = m_core.find_run(item->request);
@@ -166,6 +167,14 @@
             item = service.waiting.erase(item);
             continue;
         }
+        const bool was_sent = !run->parts[item->part].tried.empty();
+        if (is_blocked && !has_free_target(run->parts[item->part])) {
+            if (!was_sent) {
+                return;
+            }
+            ++item;
+            continue;
+        }
         const crash_verdict verdict = m_core.judge(*run);
         const bool is_extra = item->step != trace_step::sent;
         if (verdict == crash_verdict::refused || (is_extra && verdict != crash_verdict::clear)) {
@@ -175,10 +184,10 @@
         }
         if (!try_send(*run, item->part, item->step)) {
             await_limits(service);
-            if (run->parts[item->part].tried.empty()) {
+            if (!was_sent) {
                 return;
             }
-            // It waits for one of the targets that it was not sent to; the others may be free.
+            is_blocked = true;
             ++item;
             continue;
         }
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -37,6 +37,8 @@
     /** @return when a service has an available target: now, when a backoff ends or a request limit allows an
      * exchange, or std::nullopt if never */
     std::optional<time_point> available_at(const engine_service& service) const;
+    /** @return the same for the targets that a part was not sent to */
+    std::optional<time_point> available_at(const run_part& part) const;
 
     /** Defers the waiting exchange of a part while its request is suspected of crashing targets. */
     void defer(forwarding_run& run, run_part& part);
@@ -62,6 +64,8 @@
 
     /** @return how long a further waiting part waits until the request limits allow its exchange */
     duration wait_for_limits(const engine_service& service) const;
+    /** @return whether a target that a part was not sent to has a free connection */
+    static bool has_free_target(const run_part& part);
     void list_candidates(const run_part& part);
     placement_candidate describe(const engine_target& target) const;
     void send(forwarding_run& run, std::size_t part, trace_step step, const engine_target_pointer& target,
--- a/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
@@ -6,6 +6,24 @@
 
 namespace tamarack {
 
+namespace {
+
+/** @return when one of the wanted targets of a service may be sent an exchange, or std::nullopt if never */
+template <typename Wanted>
+std::optional<time_point> earliest_use(const engine_service& service, time_point now, Wanted wanted) {
+    std::optional<time_point> earliest;
+    for (const engine_target_pointer& target : service.targets) {
+        const bool usable = target->usable && (target->limit.has_share() || target->limit.allows(now));
+        if (usable && wanted(target)) {
+            const time_point at = target->allowed_at(now);
+            earliest = std::min(earliest.value_or(at), at);
+        }
+    }
+    return earliest;
+}
+
+} // namespace
+
 bool part_dispatcher::has_untried(const run_part& part, time_point latest) const {
     return std::any_of(part.service->targets.begin(), part.service->targets.end(),
                        [&](const engine_target_pointer& target) {
@@ -29,14 +47,19 @@
 }
 
 std::optional<time_point> part_dispatcher::available_at(const engine_service& service) const {
-    std::optional<time_point> earliest;
-    for (const engine_target_pointer& target : service.targets) {
-        if (target->usable && (target->limit.has_share() || target->limit.allows(m_core.now))) {
-            const time_point at = target->allowed_at(m_core.now);
-            earliest = std::min(earliest.value_or(at), at);
-        }
-    }
-    return earliest;
+    return earliest_use(service, m_core.now, [](const engine_target_pointer&) { return true; });
+}
+
+std::optional<time_point> part_dispatcher::available_at(const run_part& part) const {
+    return earliest_use(*part.service, m_core.now,
+                        [&](const engine_target_pointer& target) { return !part.was_tried(target); });
+}
+
+bool part_dispatcher::has_free_target(const run_part& part) {
+    const auto& targets = part.service->targets;
+    return std::any_of(targets.begin(), targets.end(), [&](const engine_target_pointer& target) {
+        return target->usable && !target->idle.empty() && !part.was_tried(target);
+    });
 }
 
 placement_candidate part_dispatcher::describe(const engine_target& target) const {
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -107,7 +107,7 @@
 }
 
 bool request_flow::is_servable(const forwarding_run& run, const run_part& part) const {
-    const std::optional<time_point> at = m_dispatcher.available_at(*part.service);
+    const std::optional<time_point> at = m_dispatcher.available_at(part);
     return at && *at < run.latest_send(m_core.now);
 }
 
@@ -365,10 +365,7 @@
 
 /** @return whether a target may get a waiting part in time */
 bool request_flow::may_be_sent(const forwarding_run& run, const run_part& part) const {
-    if (!part.tried.empty()) {
-        return m_dispatcher.has_untried(part, run.latest_send(m_core.now));
-    }
-    return m_dispatcher.has_available(*part.service) || is_servable(run, part);
+    return (part.tried.empty() && m_dispatcher.has_available(*part.service)) || is_servable(run, part);
 }
 
 void request_flow::give_up_unservable(engine_service& service) {
--- a/tests/forwarding/repeated_request_test.cpp
+++ b/tests/forwarding/repeated_request_test.cpp
@@ -48,11 +48,10 @@
             carry_out(m_engine.on_connected(start, connection));
         }
     }
-    void reply(std::size_t exchange, target_verdict verdict, std::optional<double> limit = std::nullopt) {
-        target_reply answer;
+    void reply(std::size_t exchange, target_verdict verdict, const target_reply& stated = {}) {
+        target_reply answer = stated;
         answer.verdict = verdict;
         answer.status = verdict == target_verdict::completed ? 200 : 500;
-        answer.request_limit = limit;
         carry_out(m_engine.on_reply(start + 10ms, m_sent.at(exchange).connection, std::move(answer)));
     }
     std::vector<std::string> targets_of(const std::string& request) const {
@@ -108,7 +107,9 @@
     ASSERT_EQ(m_sent.size(), 2U);
     const std::string limited = m_sent[1].exchange.target.value();
     ASSERT_NE(m_sent[0].exchange.target.value(), limited);
-    reply(1, target_verdict::completed, 20.0);
+    target_reply limit;
+    limit.request_limit = 20.0;
+    reply(1, target_verdict::completed, limit);
     connect_all();
     reply(0, target_verdict::failed);
     connect_all();
@@ -140,6 +141,43 @@
     expect_sent_to_distinct_targets("r1");
 }
 
+/** Guards against the same with a target that was removed since another one answered at its address, and that
+ * the view still lists. */
+TEST_F(repeated_request,
+       is_not_sent_to_the_same_target_when_that_has_answered_wrong_target_and_is_still_listed) {
+    use(single_route_view(2));
+    for (forward_number number = 1; number <= 2; ++number) {
+        carry_out(m_engine.on_request(start + 10ms, single_route_request(number)));
+    }
+    ASSERT_EQ(m_sent.size(), 2U);
+    reply(0, target_verdict::wrong_target);
+    ASSERT_EQ(targets_of("r1").size(), 1U) << "the retry waits for a connection";
+    use(single_route_view(2));
+    expect_sent_to_distinct_targets("r1");
+}
+
+/** Guards against a retry that waits for a connection and is given up because its target asks for a short
+ * pause, although a request that was not sent yet would wait for the end of that pause. */
+TEST_F(repeated_request, waits_for_a_short_backoff_of_the_other_target) {
+    use(single_route_view(2));
+    for (forward_number number = 1; number <= 2; ++number) {
+        carry_out(m_engine.on_request(start + 10ms, single_route_request(number)));
+    }
+    ASSERT_EQ(m_sent.size(), 2U);
+    reply(0, target_verdict::failed);
+    ASSERT_EQ(targets_of("r1").size(), 1U) << "the retry waits for a connection";
+    target_reply backoff;
+    backoff.backoff = 20ms;
+    reply(1, target_verdict::not_run, backoff);
+    connect_all();
+    for (int step = 1; step <= 20; ++step) {
+        carry_out(m_engine.on_timer(start + 10ms + step * 10ms));
+        connect_all();
+    }
+    EXPECT_EQ(targets_of("r1").size(), 2U) << "the other target could be sent it 20 ms later";
+    expect_sent_to_distinct_targets("r1");
+}
+
 /** Guards against a retry that waits for one target and holds up requests that another target could serve. */
 TEST_F(repeated_request, that_waits_for_one_target_holds_up_no_request_that_another_can_serve) {
     use(single_route_view(2));
