--- a/tests/transport/unexpected_bytes_test.cpp
+++ b/tests/transport/unexpected_bytes_test.cpp
@@ -63,7 +63,8 @@
             before();
             http_request request;
             request.target = "/";
-            m_connection->send(request, [response](http_response message) { response->set_value(message); });
+            m_connection->send(request,
+                               [response](const http_response& message) { response->set_value(message); });
         });
         while (received.wait_for(1ms) != std::future_status::ready) {
             if (end_within(0ms)) {
