Let the suite's stand-in replicas repeat replies in each way that real ones may

Until now a second copy was the first reply byte for byte, directly before the connection's next reply.

Change: a listener repeats a response before the next one (as before), whole on the idle connection, cut within the value of its first field on the idle connection, or after the next request and 5 ms before its response, and with another status if asked. A stand-in repeats its failures as successes with the same stamp, id and body. Bodies differ from reply to reply now, so that check_answer also notices a body of another one; it keeps the first reply with each stamp, as before, and says what that was.

--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -243,8 +243,10 @@
         reply != m_replies.end() && reply->second == replica_reply{request, answer.status, answer.body};
     const bool needs_stamp = answer.status == status_ok && answer.field(part_stamps_field).empty();
     if (!is_own && (needs_stamp || !stamp.empty())) {
+        const replica_reply first = reply != m_replies.end() ? reply->second : replica_reply{};
         m_answered_wrongly.push_back(request + " status " + std::to_string(answer.status) + " stamp " +
-                                     stamp);
+                                     stamp + ", whose first reply was to " + first.request + " status " +
+                                     std::to_string(first.status));
     }
 }
 
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -49,8 +49,9 @@
     std::atomic<bool> fails{false};
     std::atomic<unsigned> fails_each{0};   ///< answers 500 to each n-th request that it runs; 0: to none
     std::atomic<unsigned> rejects_each{0}; ///< rejects each n-th request
-    std::atomic<unsigned> repeats_each{
-        0}; ///< sends each n-th reply once more, before the connection's next one
+    std::atomic<unsigned> repeats_each{0}; ///< sends each n-th reply once more
+    std::atomic<testing_support::repetition> repetition{testing_support::repetition::before_next_response};
+    std::atomic<bool> repeats_as_success{false}; ///< a failure is repeated with status 200
     std::atomic<unsigned> received{0};
     std::atomic<double> request_limit{no_request_limit}; ///< stated in each reply: requests a second
     std::atomic<bool> draining{false};                   ///< reported in its heartbeats
@@ -161,7 +162,7 @@
     std::vector<std::string> requests_run_without_answer();
     /** @return requests that the replicas of a service ran more than once */
     std::vector<std::string> requests_run_twice(const std::string& service);
-    /** @return requests whose answer was not their replica's own reply to them */
+    /** @return requests whose answer was not their replica's own first reply to them */
     std::vector<std::string> requests_answered_wrongly();
     /** @return the id of the last request sent */
     std::string last_request() const { return "r" + std::to_string(m_next_request - 1); }
@@ -190,7 +191,7 @@
     std::chrono::microseconds elapsed() const;
     void run_on_loop(const std::function<void()>& work);
     std::vector<std::string> requests_run_of(const std::set<std::string>& requests);
-    /** Compares an answer that names a replica's reply with that reply. */
+    /** Compares an answer with the first reply that had its stamp, whatever the replica sent later. */
     void check_answer(const std::string& request, const plain_response& answer);
 
     std::size_t m_disk_hosts;
@@ -207,7 +208,7 @@
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
     std::map<std::pair<std::string, std::string>, unsigned> m_runs; ///< by service and request
-    std::map<std::string, replica_reply> m_replies;                 ///< by stamp
+    std::map<std::string, replica_reply> m_replies;                 ///< first reply with each stamp
     std::vector<std::string> m_answered_wrongly;
     std::set<std::string> m_refused;
     std::set<std::string> m_unanswered;
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -17,6 +17,17 @@
 constexpr std::chrono::milliseconds crash_downtime{500};
 /** Replicas don't know which host a request comes from. */
 constexpr std::size_t any_host = 0;
+constexpr std::size_t record_bytes = 16;
+constexpr unsigned status_failed = 500;
+/** Precedes the other fields of a reply, also the id of its request, in alphabetical order. */
+constexpr const char* first_field = "server";
+
+/** The second record of a reply; it differs from reply to reply, and is less than the first one. */
+std::string record_of(const std::string& stamp) {
+    std::string record = "B" + stamp;
+    record.resize(record_bytes, '.');
+    return record;
+}
 
 bool is_due(unsigned each, unsigned number) {
     return each > 0 && number % each == 0;
@@ -104,6 +115,7 @@
         m_request_limits.on_arrival(elapsed(), replica.id, any_host);
     }
     plain_response response;
+    response.fields[first_field] = "stand-in";
     response.fields["x-tamarackstand-request-id"] = request.field("x-tamarackstand-request-id");
     response.fields["x-tamarackstand-replica-load"] = "1,0,2";
     if (request.field("x-tamarackstand-target-replica") != replica.id) {
@@ -114,7 +126,9 @@
         return;
     }
     const unsigned number = ++replica.received;
-    response.sent_twice = is_due(replica.repeats_each, number);
+    if (is_due(replica.repeats_each, number)) {
+        response.repeated = replica.repetition;
+    }
     if (is_due(replica.rejects_each, number)) {
         response.status = 503;
         response.fields["x-tamarackstand-not-executed"] = "1";
@@ -131,14 +145,18 @@
         return;
     }
     state_request_limit(replica, response);
-    response.status = replica.fails || is_due(replica.fails_each, number) ? 500 : 200;
+    response.status = replica.fails || is_due(replica.fails_each, number) ? status_failed : status_ok;
+    if (replica.repeats_as_success && response.status == status_failed) {
+        response.repeated_status = status_ok;
+    }
     const std::string stamp = replica.id + "." + std::to_string(replica.runs);
     response.fields["x-tamarackstand-response-stamp"] = stamp;
     response.body =
-        std::string(16, static_cast<char>('a' + replica.service.size() % 26)) + std::string(16, 'b');
+        std::string(record_bytes, static_cast<char>('a' + replica.service.size() % 26)) + record_of(stamp);
     {
         const std::lock_guard lock{m_records};
-        m_replies[stamp] = {request.field("x-tamarackstand-request-id"), response.status, response.body};
+        m_replies.emplace(stamp, replica_reply{request.field("x-tamarackstand-request-id"), response.status,
+                                               response.body});
     }
     m_loop.run_after(std::chrono::milliseconds{replica.work_ms.load()},
                      [respond, response] { respond(response); });
--- a/tests/support/net/http_listener.cpp
+++ b/tests/support/net/http_listener.cpp
@@ -3,12 +3,16 @@
 #include "event_loop_internals.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
+#include <functional>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace tamarack::testing_support {
@@ -35,6 +39,10 @@
 namespace {
 
 constexpr std::uint64_t max_body_bytes = 64'000'000;
+/** Long enough for a response to be received before it is repeated. */
+constexpr std::chrono::milliseconds repetition_delay{5};
+/** Number of bytes of the first field's value that are sent if only the beginning of a response is. */
+constexpr std::size_t sent_value_bytes = 2;
 
 template <typename Fields>
 header_fields copy_fields(const Fields& from) {
@@ -78,13 +86,23 @@
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = this->shared_from_this()](const beast::error_code& failure, std::size_t) {
                              if (!failure) {
-                                 self->is_silent() ? self->wait_for_close() : self->handle();
+                                 self->is_silent() ? self->wait_for_close() : self->on_request();
                              }
                          });
     }
 
     bool is_silent() const { return m_number <= m_listener->silent_up_to; }
 
+    void on_request() {
+        if (m_repetition != repetition::after_next_request) {
+            handle();
+            return;
+        }
+        repeat_previous([self = this->shared_from_this()] {
+            self->m_listener->loop->run_after(repetition_delay, [self] { self->handle(); });
+        });
+    }
+
     void handle() {
         auto message = m_parser->release();
         plain_request request;
@@ -103,42 +121,68 @@
             wait_for_close();
             return;
         }
-        m_response = {};
-        m_response.result(response.status);
-        for (const auto& [name, value] : response.fields) {
-            m_response.set(name, value);
-        }
-        m_response.body() = std::move(response.body);
-        m_response.keep_alive(keep);
-        m_response.prepare_payload();
-        const std::optional<response_message> late_copy = std::exchange(m_late_copy, std::nullopt);
-        if (response.sent_twice) {
-            m_late_copy = m_response;
-        }
-        if (!late_copy) {
-            write_response(keep);
+        if (m_repetition != repetition::before_next_response) {
+            write_response(response, keep);
             return;
         }
-        m_written_first = *late_copy;
-        http::async_write(
-            m_stream, m_written_first,
-            [self = this->shared_from_this(), keep](const beast::error_code& failure, std::size_t) {
-                if (!failure) {
-                    self->write_response(keep);
-                }
-            });
+        repeat_previous([self = this->shared_from_this(), response = std::move(response), keep] {
+            self->write_response(response, keep);
+        });
     }
 
-    void write_response(bool keep) {
+    static response_message message_of(const plain_response& response, unsigned status, bool keep) {
+        response_message message;
+        message.result(status);
+        for (const auto& [name, value] : response.fields) {
+            message.set(name, value);
+        }
+        message.body() = response.body;
+        message.keep_alive(keep);
+        message.prepare_payload();
+        return message;
+    }
+
+    void write_response(const plain_response& response, bool keep) {
+        m_repetition = response.repeated;
+        if (m_repetition != repetition::none) {
+            std::ostringstream bytes;
+            bytes << message_of(response, response.repeated_status.value_or(response.status), keep);
+            m_repeated_bytes = bytes.str();
+        }
+        m_response = message_of(response, response.status, keep);
         http::async_write(
             m_stream, m_response,
             [self = this->shared_from_this(), keep](const beast::error_code& failure, std::size_t) {
                 if (!failure && keep) {
-                    self->read();
+                    self->on_written();
                 }
             });
     }
 
+    void on_written() {
+        if (m_repetition == repetition::begun_while_idle) {
+            m_repeated_bytes.resize(m_repeated_bytes.find(": ") + std::string{": "}.size() +
+                                    sent_value_bytes);
+        } else if (m_repetition != repetition::while_idle) {
+            read();
+            return;
+        }
+        m_listener->loop->run_after(repetition_delay, [self = this->shared_from_this()] {
+            self->repeat_previous([self] { self->read(); });
+        });
+    }
+
+    void repeat_previous(std::function<void()> go_on) {
+        m_repetition = repetition::none;
+        asio::async_write(m_stream, asio::buffer(m_repeated_bytes),
+                          [self = this->shared_from_this(),
+                           go_on = std::move(go_on)](const beast::error_code& failure, std::size_t) {
+                              if (!failure) {
+                                  go_on();
+                              }
+                          });
+    }
+
     /** Discards received data until the peer closes the connection. */
     void wait_for_close() {
         m_buffer.consume(m_buffer.size());
@@ -156,8 +200,8 @@
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     response_message m_response;
-    response_message m_written_first;            ///< the copy that precedes m_response
-    std::optional<response_message> m_late_copy; ///< of the previous response
+    repetition m_repetition = repetition::none; ///< of the previous response, as long as it is due
+    std::string m_repeated_bytes;
 };
 
 template <typename Listener>
