Write the line with the daemon's addresses at once

The line was written in seven pieces, and the log's thread writes to the same stream, so that a log line can come between them.

With a pause of 40 ms between the first and the second piece (a trial) 40 of 40 starts tear the line just so: 'listening callers=127.0.0.1:46089' followed by a log line. One string is one locked write.

--- a/apps/tamarackd/forwarding/exchange_connections.h
+++ b/apps/tamarackd/forwarding/exchange_connections.h
@@ -12,7 +12,7 @@
 
 namespace tamarack {
 
-/** An event of a connection that says that its target does not keep to the protocol; for the log. */
+/** A breach of the protocol by a target, as seen on one connection; for the log. */
 struct exchange_anomaly {
     target_connection connection = 0;
     target_id target;
--- a/apps/tamarackd/main.cpp
+++ b/apps/tamarackd/main.cpp
@@ -127,10 +127,11 @@
     return received == SIGTERM || received == SIGINT;
 }
 
+/** Writes the line at once, as the log's thread writes to the same stream. */
 void print_addresses(const daemon_addresses& addresses) {
-    std::cout << "listening callers=" << addresses.callers.value()
-              << " operators=" << addresses.operators.value() << " hosts=" << addresses.hosts.value()
-              << std::endl;
+    std::cout << "listening callers=" + addresses.callers.value() +
+                     " operators=" + addresses.operators.value() + " hosts=" + addresses.hosts.value() + "\n"
+              << std::flush;
 }
 
 /** Shuts down gracefully. A second signal ends the wait for cached directory answers to expire. */
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -18,7 +18,7 @@
     {"tamarack_connections_opened_total", "Connections opened to targets.", ""},
     {"tamarack_connections_closed_total", "Connections to targets closed, by reason.", "reason"},
     {"tamarack_target_changes_total", "Changes of what this host believes of a target, by kind.", "change"},
-    {"tamarack_target_anomalies_total", "Events that targets don't keep to the protocol, by cause.", "cause"},
+    {"tamarack_target_anomalies_total", "Breaches of the protocol by targets, by cause.", "cause"},
     {"tamarack_request_limit_steps_total", "Steps in what this host knows of targets' request limits.",
      "step"},
     {"tamarack_exchanges_under_limit_total", "Exchanges sent to targets while their limit was in force.", ""},
