--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -46,7 +46,7 @@
     /** @return whether it was sent to this process, which may have left the view and returned since */
     bool was_tried(const engine_target_pointer& target) const {
         return std::any_of(tried.begin(), tried.end(), [&](const engine_target_pointer& other) {
-            return other == target || incarnation_of(other->info) == incarnation_of(target->info);
+            return other->info.id == target->info.id && other->info.incarnation == target->info.incarnation;
         });
     }
 };
--- a/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
@@ -14,10 +14,14 @@
     std::optional<time_point> earliest;
     for (const engine_target_pointer& target : service.targets) {
         const bool usable = target->usable && (target->limit.has_share() || target->limit.allows(now));
-        if (usable && wanted(target)) {
-            const time_point at = target->allowed_at(now);
-            earliest = std::min(earliest.value_or(at), at);
+        if (!usable || !wanted(target)) {
+            continue;
+        }
+        const time_point at = target->allowed_at(now);
+        if (at <= now) {
+            return now;
         }
+        earliest = std::min(earliest.value_or(at), at);
     }
     return earliest;
 }
