--- a/tests/transport/unexpected_bytes_test.cpp
+++ b/tests/transport/unexpected_bytes_test.cpp
@@ -132,7 +132,7 @@
     ASSERT_TRUE(first);
     EXPECT_FALSE(first->ends_connection);
     sends_on.set_value();
-    if (const auto end = client.end_within(receipt_time)) {
+    if (const auto end = client.end_within(event_limit)) {
         EXPECT_EQ(*end, connection_end::unexpected_bytes);
         return;
     }
