Log the steps of a configuration with the memory in use, and whom it is sent to

Neither logs nor metrics could tell whether a leader's memory goes to copies for each recipient of a configuration, to messages that wait in links, or to the handling of one document. New: the lines configuration_step (received, accepted, sent_in_batch, adopted) and configuration_sent, the counter tamarack_configurations_sent_total and the gauges of resident and allocated memory. No change of logic.

--- a/apps/tamarackd/control/control_worker.cpp
+++ b/apps/tamarackd/control/control_worker.cpp
@@ -1,8 +1,10 @@
 #include "control_worker.h"
 
+#include "../process_memory.h"
 #include "../system_random.h"
 #include "recovery.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -154,7 +156,20 @@
     return result;
 }
 
+/** Logs a batch of messages that hold the configuration, before they are passed on. */
+void control_worker::log_sent_configurations(const control_actions& actions) const {
+    const auto receivers = std::count_if(actions.begin(), actions.end(), [](const control_action& action) {
+        const auto* send = std::get_if<send_control_message>(&action);
+        return send != nullptr && holds_configuration(send->message);
+    });
+    if (receivers > 1) {
+        log_configuration_step("sent_in_batch", m_node.state().tickets().current().number,
+                               {"receivers", std::to_string(receivers)});
+    }
+}
+
 void control_worker::carry_out(control_actions actions) {
+    log_sent_configurations(actions);
     for (control_action& action : actions) {
         std::visit(overloaded{
                        [this](send_raft_message& send) { m_hooks.send_raft(std::move(send.envelope)); },
@@ -243,6 +258,7 @@
     if (action.latest != m_last.latest) {
         m_hooks.committed(m_node.state().tickets().current());
         log_state_change(log_level::info, "ticket_accepted", action.latest, {});
+        log_configuration_step("accepted", action.latest, {"role", std::string{to_name(action.role)}});
     }
     if (action.role != m_last.role || action.leader != m_last.leader) {
         log_state_change(log_level::info, "role_changed", action.latest,
--- a/apps/tamarackd/control/control_worker.h
+++ b/apps/tamarackd/control/control_worker.h
@@ -73,6 +73,7 @@
     bool post_transfer_leadership();
 
 private:
+    void log_sent_configurations(const control_actions& actions) const;
     void carry_out(control_actions actions);
     void carry_out(store_change&& action);
     void carry_out(const answer_ticket& action);
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -190,6 +190,9 @@
     publish_load(now);
     m_metrics.set(gauge_id::hosts_known, static_cast<double>(m_detector->hosts().size()));
     m_metrics.set(gauge_id::targets_known, static_cast<double>(m_registry->size()));
+    const memory_use memory = read_memory_use();
+    m_metrics.set(gauge_id::memory_resident_bytes, static_cast<double>(memory.resident));
+    m_metrics.set(gauge_id::memory_allocated_bytes, static_cast<double>(memory.allocated));
     m_metrics.set(gauge_id::ticket_in_force_number, static_cast<double>(m_control->current().number.value));
     if (m_identity.host.empty()) {
         return;
@@ -284,6 +287,8 @@
                     apply_drain_order(steady_now());
                     m_inputs_stale = true;
                     send_inputs(steady_now());
+                    log_configuration_step("adopted", m_control->current().number,
+                                           {"epoch", std::to_string(m_control->assigned().epoch)});
                     return_memory_later();
                 },
                 [this](const lease_changed& lease) { m_hooks.lease(lease.ends_at); },
@@ -393,6 +398,11 @@
         return;
     }
     m_links.send(address.empty() ? address_of(to) : address, control_method, encode_control_message(message));
+    if (holds_configuration(message)) {
+        m_metrics.count(counter_id::configurations_sent_total);
+        log_state_change(log_level::info, "configuration_sent", m_control->current().number,
+                         {{"to", to.value()}});
+    }
 }
 
 void hosts_worker::route_control(const control_message& message) {
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -1,5 +1,7 @@
 #include "control_edge.h"
 
+#include "../process_memory.h"
+
 #include <utility>
 
 namespace tamarack {
@@ -61,6 +63,10 @@
         }
     };
     control_call call = m_edge.read_control_call(message);
+    if (const auto* submitted = std::get_if<submit_configuration>(&call)) {
+        log_configuration_step("received", submitted->candidate.number,
+                               {"bytes", std::to_string(message.body.size())});
+    }
     std::visit(overloaded{
                    [&](submit_configuration& submitted) { submit(std::move(submitted.candidate), answer); },
                    [&](const read_configuration& /*asked*/) { read_latest(answer); },
--- a/modules/tamarack_control/messages/control_message.h
+++ b/modules/tamarack_control/messages/control_message.h
@@ -86,4 +86,7 @@
     std::variant<renew_lease, lease_granted, leader_redirect, announce_update, release_lease, request_claim,
                  claim_decided, report_result, result_recorded>;
 
+/** @return whether a message holds a configuration */
+bool holds_configuration(const control_message& message);
+
 } // namespace tamarack
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 18> counters{{
+constexpr std::array<metric_description, 19> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -27,9 +27,10 @@
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
     {"tamarack_host_messages_total", "Messages received from other hosts, by method.", "method"},
     {"tamarack_host_message_bytes_total", "Bytes of messages between hosts, by direction.", "direction"},
+    {"tamarack_configurations_sent_total", "Configurations that were queued for other hosts.", ""},
 }};
 
-constexpr std::array<metric_description, 8> gauges{{
+constexpr std::array<metric_description, 10> gauges{{
     {"tamarack_ticket_in_force_number", "Number of the ticket that this host serves under.", ""},
     {"tamarack_lease_remaining_seconds", "Remaining validity of the configuration lease.", ""},
     {"tamarack_targets_known", "Targets known to this host.", ""},
@@ -38,6 +39,8 @@
     {"tamarack_requests_queued", "Callers' requests that wait to be started.", ""},
     {"tamarack_log_entries", "Entries of the replicated log that are kept on disk.", ""},
     {"tamarack_is_leader", "1 while this host leads the control hosts, else 0.", ""},
+    {"tamarack_memory_resident_bytes", "Memory of this process that counts towards its limit.", ""},
+    {"tamarack_memory_allocated_bytes", "Memory that the program holds of it.", ""},
 }};
 
 constexpr std::array<metric_description, 3> histograms{{
@@ -49,8 +52,8 @@
 constexpr std::array<double, 17> bounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.055, 0.075,
                                         0.1,   0.15,  0.25,  0.5,  1.0,  2.5,  5.0,  10.0};
 
-static_assert(counters.size() == static_cast<std::size_t>(counter_id::host_message_bytes_total) + 1);
-static_assert(gauges.size() == static_cast<std::size_t>(gauge_id::is_leader) + 1);
+static_assert(counters.size() == static_cast<std::size_t>(counter_id::configurations_sent_total) + 1);
+static_assert(gauges.size() == static_cast<std::size_t>(gauge_id::memory_allocated_bytes) + 1);
 static_assert(histograms.size() == static_cast<std::size_t>(histogram_id::sync_duration_seconds) + 1);
 
 } // namespace
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -27,6 +27,7 @@
     claims_total,             ///< label: verdict
     host_messages_total,      ///< label: method
     host_message_bytes_total, ///< label: direction
+    configurations_sent_total,
 };
 
 /** Gauges: current values. */
@@ -39,6 +40,8 @@
     requests_queued,
     log_entries,
     is_leader,
+    memory_resident_bytes,
+    memory_allocated_bytes,
 };
 
 /** Histograms of durations in seconds. */
