--- a/tests/platform_integration/large_configuration_test.cpp
+++ b/tests/platform_integration/large_configuration_test.cpp
@@ -39,5 +39,26 @@
     EXPECT_NE(held->body.find(R"("version":3)"), std::string::npos) << held->body;
 }
 
+/** Guards against a leader that ends with its memory over the limit, and with it the requests that it serves:
+ * it needed the memory of a whole configuration for each host. */
+TEST(large_configuration, takes_no_more_memory_than_a_host_has_with_many_hosts) {
+    constexpr std::size_t entry_hosts = 40;
+    constexpr int routes = 8'000;
+    constexpr std::size_t limit_kib = 160 * std::size_t{1'024}; ///< on the users' grown sites
+    platform_deployment deployment{hosts_with_disk, entry_hosts};
+    deployment.start_all();
+    for (int version = 1; version <= versions; ++version) {
+        ASSERT_EQ(deployment.submit(configuration(version, version == 1 ? 1 : routes + version)), 200U)
+            << "version " << version << deployment.logs();
+        ASSERT_TRUE(eventually([&] { return deployment.hosts_that_serve(version) == deployment.hosts(); }))
+            << "version " << version << deployment.logs();
+    }
+    for (std::size_t host = 0; host < hosts_with_disk; ++host) {
+        const std::size_t peak_kib = deployment.process(host).peak_memory_kib();
+        EXPECT_GT(peak_kib, 0U) << "host " << host << " has ended";
+        EXPECT_LT(peak_kib, limit_kib) << "host " << host;
+    }
+}
+
 } // namespace
 } // namespace tamarack::platform_integration
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -126,15 +126,27 @@
     m_first_start = false;
 }
 
-unsigned platform_deployment::known_replicas(std::size_t host) {
+unsigned platform_deployment::metric_of(std::size_t host, const std::string& name) {
     plain_request request;
     request.path = "/metrics";
     const auto response = testing_support::call_and_wait(ip_of(host) + ":" + port(5), request, call_limit);
-    const std::string name = "\ntamarack_targets_known ";
-    const auto found = response ? response->body.find(name) : std::string::npos;
+    const std::string line = "\n" + name + " ";
+    const auto found = response ? response->body.find(line) : std::string::npos;
     return found == std::string::npos
                ? 0
-               : static_cast<unsigned>(std::stoul(response->body.substr(found + name.size())));
+               : static_cast<unsigned>(std::stoul(response->body.substr(found + line.size())));
+}
+
+unsigned platform_deployment::known_replicas(std::size_t host) {
+    return metric_of(host, "tamarack_targets_known");
+}
+
+std::size_t platform_deployment::hosts_that_serve(int version) {
+    std::size_t count = 0;
+    for (std::size_t host = 0; host < hosts(); ++host) {
+        count += metric_of(host, "tamarack_ticket_in_force_number") >= static_cast<unsigned>(version) ? 1 : 0;
+    }
+    return count;
 }
 
 std::optional<plain_response> platform_deployment::control_call(std::size_t first,
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -123,6 +123,8 @@
     void start_heartbeats();
     /** @return the number of replicas that a host knows, from its metrics */
     unsigned known_replicas(std::size_t host);
+    /** @return the number of hosts that serve this version or a later one, from their metrics */
+    std::size_t hosts_that_serve(int version);
 
     /** Submits a configuration to one host after the other, following redirects, until the answer is
      * conclusive. */
@@ -180,6 +182,8 @@
     std::string name_of(std::size_t host) const { return "host-" + std::to_string(host); }
     std::string port(std::size_t which) const { return std::to_string(m_ports[which].port()); }
     std::string settings_of(std::size_t host) const;
+    /** @return the value of a host's metric without a label; 0 if the host does not answer */
+    unsigned metric_of(std::size_t host, const std::string& name);
     std::optional<plain_response> control_call(std::size_t first, const plain_request& request);
     void answer(stand_in_replica& replica, const plain_request& request,
                 const testing_support::plain_responder& respond);
--- a/tests/support/process/child_process.cpp
+++ b/tests/support/process/child_process.cpp
@@ -108,4 +108,15 @@
     return read_file(m_output_base + ".err");
 }
 
+std::size_t child_process::peak_memory_kib() const {
+    std::ifstream status{"/proc/" + std::to_string(m_id) + "/status"};
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoul(line.substr(line.find(':') + 1));
+        }
+    }
+    return 0;
+}
+
 } // namespace tamarack::testing_support
--- a/tests/support/process/child_process.h
+++ b/tests/support/process/child_process.h
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +49,9 @@
     /** @return its standard error so far */
     std::string errors() const;
 
+    /** @return the most memory that it had in use at any time, in KiB; 0 if it has ended */
+    std::size_t peak_memory_kib() const;
+
 private:
     std::string m_output_base;
     pid_t m_id = -1;
