Share one configuration among all messages, threads and views of a process

A control host copied the whole parsed configuration for each message that holds it: for each grant to a host that renews its lease, and for each redirect of a renewal when it steps down or doesn't lead; all hosts ask at the same moment, when the change is announced. Copies lived until the hosts thread had encoded them. Class: a cost per recipient for a state of any size.

Change: an accepted configuration is immutable and shared (shared_configuration): register, grants, redirects, hooks between threads, the host's own copy and the route table of its view. A submitted ticket is moved, not copied.

--- a/apps/tamarackd/control/control_worker.cpp
+++ b/apps/tamarackd/control/control_worker.cpp
@@ -99,10 +99,10 @@
 
 bool control_worker::post_ticket(ticket candidate,
                                  std::function<void(outcome<ticket_answer>, host_id)> answer) {
-    return m_thread.try_post([this, candidate = std::move(candidate), answer = std::move(answer)] {
+    return m_thread.try_post([this, candidate = std::move(candidate), answer = std::move(answer)]() mutable {
         const std::uint64_t operation = m_next_operation++;
         m_operations[operation] = answer;
-        carry_out(m_node.submit_ticket(steady_now(), wall_now(), operation, candidate));
+        carry_out(m_node.submit_ticket(steady_now(), wall_now(), operation, std::move(candidate)));
     });
 }
 
@@ -110,7 +110,7 @@
     return m_thread.try_post([this, answer = std::move(answer)] { answer(overview()); });
 }
 
-bool control_worker::post_read_latest(std::function<void(outcome<configuration>, host_id)> answer) {
+bool control_worker::post_read_latest(std::function<void(outcome<shared_configuration>, host_id)> answer) {
     return m_thread.try_post([this, answer = std::move(answer)] {
         const std::uint64_t operation = m_next_operation++;
         m_reads[operation] = answer;
@@ -150,7 +150,7 @@
     control_overview result;
     const ticket_register& tickets = m_node.state().tickets();
     result.report = m_node.report(steady_now());
-    result.current = tickets.current();
+    result.current = tickets.shared_current();
     result.history.assign(tickets.history().begin(), tickets.history().end());
     result.force = m_node.ticket_rollout(steady_now(), tickets.current().number);
     return result;
@@ -160,7 +160,7 @@
 void control_worker::log_sent_configurations(const control_actions& actions) const {
     const auto receivers = std::count_if(actions.begin(), actions.end(), [](const control_action& action) {
         const auto* send = std::get_if<send_control_message>(&action);
-        return send != nullptr && holds_configuration(send->message);
+        return send != nullptr && configuration_of(send->message) != nullptr;
     });
     if (receivers > 1) {
         log_configuration_step("sent_in_batch", m_node.state().tickets().current().number,
@@ -247,7 +247,7 @@
     m_reads.erase(found);
     const host_id leader = m_node.report(steady_now()).leader;
     if (succeeded(action.answer)) {
-        answer(m_node.state().tickets().current(), leader);
+        answer(m_node.state().tickets().shared_current(), leader);
     } else {
         answer(error_of(action.answer), leader);
     }
@@ -256,7 +256,7 @@
 void control_worker::carry_out(const control_changed& action) {
     m_metrics.set(gauge_id::is_leader, action.role == raft_role::leader ? 1.0 : 0.0);
     if (action.latest != m_last.latest) {
-        m_hooks.committed(m_node.state().tickets().current());
+        m_hooks.committed(m_node.state().tickets().shared_current());
         log_state_change(log_level::info, "ticket_accepted", action.latest, {});
         log_configuration_step("accepted", action.latest, {"role", std::string{to_name(action.role)}});
     }
--- a/apps/tamarackd/control/control_worker.h
+++ b/apps/tamarackd/control/control_worker.h
@@ -17,13 +17,13 @@
 struct control_hooks {
     std::function<bool(raft_envelope)> send_raft;
     std::function<bool(send_control_message)> send_control;
-    std::function<bool(configuration)> committed; ///< called with the latest accepted configuration
+    std::function<bool(shared_configuration)> committed; ///< called with the latest accepted configuration
 };
 
 /** The state of the control worker, for the operators' edge. */
 struct control_overview {
     control_report report;
-    configuration current;
+    shared_configuration current;
     std::vector<accepted_ticket> history;
     std::optional<rollout_status> force; ///< rollout of the latest ticket; set only on the leader
 };
@@ -64,7 +64,7 @@
     bool post_overview(std::function<void(control_overview)> answer);
     /** Reads the latest configuration, confirmed by a majority. On a host that is not the leader, fails
      * with not_leader and passes the leader. */
-    bool post_read_latest(std::function<void(outcome<configuration>, host_id leader)> answer);
+    bool post_read_latest(std::function<void(outcome<shared_configuration>, host_id leader)> answer);
     /** Replaces lost voters if this host is the leader. @param candidates  all control hosts that have
      * announced their identity */
     bool post_voter_candidates(std::vector<voter_candidate> candidates);
@@ -95,7 +95,7 @@
     control_node m_node;
     timer_loop m_timer;
     std::map<std::uint64_t, ticket_answerer> m_operations;
-    std::map<std::uint64_t, std::function<void(outcome<configuration>, host_id)>> m_reads;
+    std::map<std::uint64_t, std::function<void(outcome<shared_configuration>, host_id)>> m_reads;
     voter_plan_options m_voter_options;
     std::uint64_t m_next_operation = 1;
     control_changed m_last;
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -325,7 +325,9 @@
     hooks.send_control = [this](send_control_message message) {
         return m_hosts->post_control(std::move(message));
     };
-    hooks.committed = [this](configuration latest) { return m_hosts->post_committed(std::move(latest)); };
+    hooks.committed = [this](shared_configuration latest) {
+        return m_hosts->post_committed(std::move(latest));
+    };
     return hooks;
 }
 
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -66,14 +66,14 @@
     return m_allowance.part(now) != m_sent_allowance || just_ended || limit_hosts_changed;
 }
 
-forwarding_inputs forwarding_inputs_builder::build(time_point now, const configuration& current,
+forwarding_inputs forwarding_inputs_builder::build(time_point now, const shared_configuration& current,
                                                    const target_registry& registry, bool in_directory) {
-    if (current.routes && m_routes_ticket != current.number) {
-        m_routes = std::make_shared<const route_table>(*current.routes);
-        m_routes_ticket = current.number;
+    if (current->routes && m_routes_ticket != current->number) {
+        m_routes = std::shared_ptr<const route_table>{current, &*current->routes};
+        m_routes_ticket = current->number;
     }
     auto view = std::make_shared<forwarding_view>();
-    view->ticket = current.number;
+    view->ticket = current->number;
     view->routes = m_routes;
     m_sent_allowance = m_allowance.part(now);
     view->allowance = m_sent_allowance;
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -36,8 +36,8 @@
     bool on_time(time_point now);
 
     /** @param in_directory  whether the directory lists this host, so that it accepts callers */
-    forwarding_inputs build(time_point now, const configuration& current, const target_registry& registry,
-                            bool in_directory);
+    forwarding_inputs build(time_point now, const shared_configuration& current,
+                            const target_registry& registry, bool in_directory);
 
     /**
      * @param confirmed  whether the control hosts have confirmed that the configuration is the latest
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -241,8 +241,8 @@
 }
 
 void hosts_worker::answer_peer(const configuration_inquiry& inquiry) {
-    const configuration& current = m_control->current();
-    if (current.number <= inquiry.held_ticket) {
+    const shared_configuration& current = m_control->shared_current();
+    if (current->number <= inquiry.held_ticket) {
         return;
     }
     const leader_redirect answer{m_settings.host, 0, m_control->leader(), current};
@@ -398,10 +398,9 @@
         return;
     }
     m_links.send(address.empty() ? address_of(to) : address, control_method, encode_control_message(message));
-    if (holds_configuration(message)) {
+    if (const shared_configuration held = configuration_of(message)) {
         m_metrics.count(counter_id::configurations_sent_total);
-        log_state_change(log_level::info, "configuration_sent", m_control->current().number,
-                         {{"to", to.value()}});
+        log_state_change(log_level::info, "configuration_sent", held->number, {{"to", to.value()}});
     }
 }
 
--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -91,7 +91,7 @@
     bool post_raft(raft_envelope envelope);
     bool post_control(send_control_message message);
     /** From any thread: the log on this host has accepted this configuration. */
-    bool post_committed(configuration latest);
+    bool post_committed(shared_configuration latest);
 
     /** From any thread: requests of the workers that serve callers and targets. */
     bool post_announcement(announcement value, std::function<void(outcome<announcement_receipt>)> answer);
--- a/apps/tamarackd/hosts/hosts_worker_inputs.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_inputs.cpp
@@ -81,8 +81,8 @@
         if (!stale && !hosts_changed) {
             return;
         }
-        m_inputs_stale = !m_hooks.to_forwarding(
-            m_inputs_builder->build(now, m_control->current(), *m_registry, m_in_directory && !m_leaving));
+        m_inputs_stale = !m_hooks.to_forwarding(m_inputs_builder->build(
+            now, m_control->shared_current(), *m_registry, m_in_directory && !m_leaving));
         return;
     }
     auto directory = std::make_shared<directory_view>();
--- a/apps/tamarackd/hosts/hosts_worker_posts.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_posts.cpp
@@ -17,7 +17,7 @@
     });
 }
 
-bool hosts_worker::post_committed(configuration latest) {
+bool hosts_worker::post_committed(shared_configuration latest) {
     return m_thread.try_post([this, latest = std::move(latest)] {
         carry_out(m_control->adopt(steady_now(), latest));
         finish_event();
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -123,15 +123,15 @@
         return;
     }
     const bool posted = m_hooks.control->post_read_latest(
-        [this, answer](const outcome<configuration>& result, const host_id& leader) {
+        [this, answer](const outcome<shared_configuration>& result, const host_id& leader) {
             if (!succeeded(result)) {
                 const bool not_leader = error_of(result).code == error_code::not_leader;
                 answer(not_leader ? redirect_to(leader) : unavailable(error_of(result).message));
-            } else if (!value_of(result).routes) {
+            } else if (!value_of(result)->routes) {
                 answer(unavailable("no configuration has been accepted yet"));
             } else {
                 control_outcome read;
-                read.document = value_of(result).routes->source;
+                read.document = value_of(result)->routes->source;
                 answer(std::move(read));
             }
         });
--- a/apps/tamarackd/operators/operators_codec.cpp
+++ b/apps/tamarackd/operators/operators_codec.cpp
@@ -171,8 +171,8 @@
 
 Json::Value encode_in_force(const control_overview& control) {
     Json::Value json;
-    json["number"] = Json::UInt64{control.current.number.value};
-    json["digest"] = control.current.content.hex();
+    json["number"] = Json::UInt64{control.current->number.value};
+    json["digest"] = control.current->content.hex();
     json["in_force"] = control.force && control.force->in_force;
     json["waiting_for"] = Json::Value{Json::arrayValue};
     if (control.force) {
--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -42,7 +42,7 @@
     }
     void receive(time_point now, const leader_redirect& message) {
         if (message.known) {
-            m_lease.adopt(now, *message.known, m_actions);
+            m_lease.adopt(now, message.known, m_actions);
         }
         m_route.on_redirect(now, message.from, message.leader);
         m_lease.on_redirect(now, message);
@@ -99,8 +99,8 @@
     return m_implementation->finish(now);
 }
 
-control_client_actions control_client::adopt(time_point now, const configuration& accepted) {
-    m_implementation->m_lease.adopt(now, accepted, m_implementation->m_actions);
+control_client_actions control_client::adopt(time_point now, shared_configuration accepted) {
+    m_implementation->m_lease.adopt(now, std::move(accepted), m_implementation->m_actions);
     return m_implementation->finish(now);
 }
 
@@ -118,6 +118,9 @@
 }
 
 const configuration& control_client::current() const {
+    return *m_implementation->m_lease.current();
+}
+const shared_configuration& control_client::shared_current() const {
     return m_implementation->m_lease.current();
 }
 const assignment& control_client::assigned() const {
--- a/modules/tamarack_control/client/control_client.h
+++ b/modules/tamarack_control/client/control_client.h
@@ -62,7 +62,7 @@
      *
      * This doesn't extend the lease. A configuration older than the current one is ignored.
      */
-    control_client_actions adopt(time_point now, const configuration& accepted);
+    control_client_actions adopt(time_point now, shared_configuration accepted);
 
     /** Replaces the control hosts to ask. */
     void set_control_hosts(std::vector<host_id> hosts);
@@ -74,6 +74,7 @@
     time_point next_timer() const;
 
     const configuration& current() const;
+    const shared_configuration& shared_current() const;
     /** @return the assignment to apply; assigned_before() returns the assignment that it replaces */
     const assignment& assigned() const;
     const assignment& assigned_before() const;
--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -29,7 +29,7 @@
     }
     const bool was_settled = assignment_settled();
     const bool changed = apply_update(message);
-    const bool applied = m_current.number == message.grant.latest && m_assigned.epoch == message.grant.epoch;
+    const bool applied = m_current->number == message.grant.latest && m_assigned.epoch == message.grant.epoch;
     const bool extended = applied && m_lease.on_grant(now, message.grant);
     if (changed || assignment_settled() != was_settled) {
         actions.emplace_back(configuration_changed{});
@@ -45,8 +45,8 @@
 
 bool lease_client::apply_update(const lease_granted& message) {
     bool changed = false;
-    if (message.newer_configuration && message.newer_configuration->number > m_current.number) {
-        m_current = *message.newer_configuration;
+    if (message.newer_configuration && message.newer_configuration->number > m_current->number) {
+        m_current = message.newer_configuration;
         changed = true;
     }
     if (message.assigned && message.assigned->epoch > m_assigned.epoch) {
@@ -81,7 +81,7 @@
 }
 
 void lease_client::on_update_announced(time_point now, const announce_update& message) {
-    const bool newer = message.latest > m_current.number || message.epoch > m_assigned.epoch;
+    const bool newer = message.latest > m_current->number || message.epoch > m_assigned.epoch;
     const bool settled = message.settled_epoch > m_lease.settled_epoch();
     if (!m_released && (newer || settled)) {
         m_lease.renew_soon(now);
@@ -117,7 +117,7 @@
     message.serves_callers = m_options.serves_callers;
     message.draining = m_draining;
     message.renewal = *renewal;
-    message.held_ticket = m_current.number;
+    message.held_ticket = m_current->number;
     message.held_epoch = m_assigned.epoch;
     actions.emplace_back(send_to_control{route.target(), std::move(message)});
 }
@@ -129,11 +129,11 @@
     }
 }
 
-void lease_client::adopt(time_point now, const configuration& accepted, control_client_actions& actions) {
-    if (accepted.number <= m_current.number) {
+void lease_client::adopt(time_point now, shared_configuration accepted, control_client_actions& actions) {
+    if (accepted->number <= m_current->number) {
         return;
     }
-    m_current = accepted;
+    m_current = std::move(accepted);
     actions.emplace_back(configuration_changed{});
     if (!m_released) {
         m_lease.renew_soon(now);
--- a/modules/tamarack_control/client/lease_client.h
+++ b/modules/tamarack_control/client/lease_client.h
@@ -21,12 +21,12 @@
     void on_redirect(time_point now, const leader_redirect& message);
     void on_update_announced(time_point now, const announce_update& message);
     void on_timer(time_point now, control_route& route, control_client_actions& actions);
-    void adopt(time_point now, const configuration& accepted, control_client_actions& actions);
+    void adopt(time_point now, shared_configuration accepted, control_client_actions& actions);
     void set_draining(time_point now, bool draining);
     void release(time_point now, const control_route& route, control_client_actions& actions);
     time_point next_timer() const;
 
-    const configuration& current() const { return m_current; }
+    const shared_configuration& current() const { return m_current; }
     const assignment& assigned() const { return m_assigned; }
     const assignment& assigned_before() const { return m_previous_assignment; }
     bool assignment_settled() const { return m_lease.settled_epoch() >= m_assigned.epoch; }
@@ -41,7 +41,7 @@
 
     control_client_options m_options;
     lease_holder m_lease;
-    configuration m_current;
+    shared_configuration m_current = std::make_shared<const configuration>();
     assignment m_assigned;
     assignment m_previous_assignment;
     std::uint64_t m_outstanding_renewal = 0; ///< number of the latest renewal if unanswered, else 0
--- a/modules/tamarack_control/messages/control_message.cpp
+++ b/modules/tamarack_control/messages/control_message.cpp
@@ -2,12 +2,12 @@
 
 namespace tamarack {
 
-bool holds_configuration(const control_message& message) {
+shared_configuration configuration_of(const control_message& message) {
     if (const auto* granted = std::get_if<lease_granted>(&message)) {
-        return granted->newer_configuration.has_value();
+        return granted->newer_configuration;
     }
     const auto* redirect = std::get_if<leader_redirect>(&message);
-    return redirect != nullptr && redirect->known.has_value();
+    return redirect != nullptr ? redirect->known : nullptr;
 }
 
 } // namespace tamarack
--- a/modules/tamarack_control/messages/control_message.h
+++ b/modules/tamarack_control/messages/control_message.h
@@ -25,17 +25,16 @@
 struct lease_granted {
     host_id from;
     lease_grant grant;
-    std::optional<configuration> newer_configuration;
+    shared_configuration newer_configuration; ///< null if the host has the latest one
     std::optional<assignment> assigned;
 };
 
 /** Answer of a control host that can't serve a request; it names the leader, if it knows one. */
 struct leader_redirect {
     host_id from;
-    std::uint64_t operation = 0; ///< number of the claim, result or lease renewal
-    host_id leader;              ///< empty when unknown
-    /** The latest accepted configuration that the sender knows, if the host has an older one. */
-    std::optional<configuration> known = std::nullopt;
+    std::uint64_t operation = 0;          ///< number of the claim, result or lease renewal
+    host_id leader;                       ///< empty when unknown
+    shared_configuration known = nullptr; ///< the latest accepted one that the sender knows, or null
 };
 
 /** The leader announces a change; lease holders renew at once to obtain it. */
@@ -86,7 +85,7 @@
     std::variant<renew_lease, lease_granted, leader_redirect, announce_update, release_lease, request_claim,
                  claim_decided, report_result, result_recorded>;
 
-/** @return whether a message holds a configuration */
-bool holds_configuration(const control_message& message);
+/** @return the configuration that a message holds, or null */
+shared_configuration configuration_of(const control_message& message);
 
 } // namespace tamarack
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -1,7 +1,9 @@
 #include "control_message_codec.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace tamarack {
 
@@ -49,7 +51,7 @@
     return cached.text;
 }
 
-outcome<configuration> read_configuration_text(const Json::Value& json) {
+outcome<shared_configuration> read_shared_configuration(const Json::Value& json) {
     if (!json.isString()) {
         return error{error_code::malformed, "a configuration must be a string"};
     }
@@ -57,11 +59,15 @@
     if (!succeeded(text)) {
         return error_of(text);
     }
-    const auto decoded = read_json(value_of(text));
+    const auto json_tree = read_json(value_of(text));
+    if (!succeeded(json_tree)) {
+        return error_of(json_tree);
+    }
+    auto decoded = decode_configuration(value_of(json_tree));
     if (!succeeded(decoded)) {
         return error_of(decoded);
     }
-    return decode_configuration(value_of(decoded));
+    return std::make_shared<const configuration>(value_of(std::move(decoded)));
 }
 
 Json::Value encode_number(std::uint64_t value) {
@@ -162,7 +168,7 @@
     message.grant.epoch = reader.number("epoch");
     message.grant.settled_epoch = reader.number("settled_epoch");
     if (const Json::Value& newer = reader.any("news", presence::optional); !newer.isNull()) {
-        message.newer_configuration = take_nested(reader, "news", read_configuration_text(newer));
+        message.newer_configuration = take_nested(reader, "news", read_shared_configuration(newer));
     }
     if (const Json::Value& assigned = reader.any("assigned", presence::optional); !assigned.isNull()) {
         message.assigned = take_nested(reader, "assigned", decode_assignment(assigned));
@@ -173,7 +179,7 @@
     message.operation = reader.number("operation");
     message.leader = host_id{reader.text("leader")};
     if (const Json::Value& known = reader.any("known", presence::optional); !known.isNull()) {
-        message.known = take_nested(reader, "known", read_configuration_text(known));
+        message.known = take_nested(reader, "known", read_shared_configuration(known));
     }
 }
 
--- a/modules/tamarack_control/node/control_node_requests.cpp
+++ b/modules/tamarack_control/node/control_node_requests.cpp
@@ -100,7 +100,7 @@
     message.from = m_raft.self().host;
     message.grant = {renewal.renewal.number, current.number, assigned.epoch, m_settled_epoch};
     if (renewal.held_ticket < current.number) {
-        message.newer_configuration = current;
+        message.newer_configuration = m_state.tickets().shared_current();
     }
     if (renewal.held_epoch < assigned.epoch) {
         message.assigned = assigned;
@@ -114,9 +114,9 @@
  * started can apply it before it finds a leader.
  */
 void control_node::implementation::redirect(const renew_lease& renewal) {
-    leader_redirect message{m_raft.self().host, renewal.renewal.number, leader_host(), std::nullopt};
-    const configuration& accepted = m_state.tickets().current();
-    if (renewal.held_ticket < accepted.number) {
+    leader_redirect message{m_raft.self().host, renewal.renewal.number, leader_host(), nullptr};
+    const shared_configuration& accepted = m_state.tickets().shared_current();
+    if (renewal.held_ticket < accepted->number) {
         message.known = accepted;
     }
     send(renewal.from, renewal.reply_to, std::move(message));
@@ -124,7 +124,7 @@
 
 void control_node::implementation::redirect(const host_id& to, const endpoint& address,
                                             std::uint64_t operation) {
-    send(to, address, leader_redirect{m_raft.self().host, operation, leader_host(), std::nullopt});
+    send(to, address, leader_redirect{m_raft.self().host, operation, leader_host(), nullptr});
 }
 
 void control_node::implementation::send(const host_id& to, const endpoint& address, control_message message) {
--- a/modules/tamarack_tickets/history/ticket_register.cpp
+++ b/modules/tamarack_tickets/history/ticket_register.cpp
@@ -9,23 +9,24 @@
 ticket_answer ticket_register::apply(const ticket& candidate, wall_time accepted_at) {
     ticket_answer answer;
     answer.number = candidate.number;
-    answer.latest = m_current.number;
+    answer.latest = m_current->number;
     std::string text = content_text_of(candidate);
     const digest content = digest_of(text);
-    if (candidate.number <= m_current.number && candidate.number.value > 0) {
+    if (candidate.number <= m_current->number && candidate.number.value > 0) {
         answer_known_number(content, answer);
         return answer;
     }
-    answer.faults = check_ticket(candidate, m_current);
+    answer.faults = check_ticket(candidate, *m_current);
     if (!answer.faults.empty()) {
         answer.verdict = ticket_verdict::refused;
         return answer;
     }
-    require_invariant(candidate.number > m_current.number, "an accepted ticket's number is above the latest");
-    m_current = apply_ticket(candidate, m_current, content);
+    require_invariant(candidate.number > m_current->number,
+                      "an accepted ticket's number is above the latest");
+    m_current = std::make_shared<const configuration>(apply_ticket(candidate, *m_current, content));
     add_to_history(candidate, content, std::move(text), accepted_at);
     answer.verdict = ticket_verdict::accepted;
-    answer.latest = m_current.number;
+    answer.latest = m_current->number;
     answer.accepted_content = content;
     return answer;
 }
@@ -41,7 +42,7 @@
     answer.accepted_content = found->content;
     if (found->content != content) {
         answer.verdict = ticket_verdict::conflict;
-    } else if (answer.number == m_current.number) {
+    } else if (answer.number == m_current->number) {
         answer.verdict = ticket_verdict::resent;
     } else {
         answer.verdict = ticket_verdict::superseded;
--- a/modules/tamarack_tickets/history/ticket_register.h
+++ b/modules/tamarack_tickets/history/ticket_register.h
@@ -79,7 +79,8 @@
      */
     ticket_answer apply(const ticket& candidate, wall_time accepted_at);
 
-    const configuration& current() const { return m_current; }
+    const configuration& current() const { return *m_current; }
+    const shared_configuration& shared_current() const { return m_current; }
     const std::deque<accepted_ticket>& history() const { return m_history; }
 
     /** @return the serialised state; equal states give equal text */
@@ -93,7 +94,7 @@
                         wall_time accepted_at);
 
     history_limits m_limits;
-    configuration m_current;
+    shared_configuration m_current = std::make_shared<const configuration>();
     std::deque<accepted_ticket> m_history;
     ticket_number m_highest_dropped; ///< highest number dropped from the history; whether a number up to it
                                      ///< was accepted is no longer known
--- a/modules/tamarack_tickets/history/ticket_register_text.cpp
+++ b/modules/tamarack_tickets/history/ticket_register_text.cpp
@@ -1,6 +1,7 @@
 #include "ticket_register.h"
 
 #include <sstream>
+#include <utility>
 
 namespace tamarack {
 
@@ -64,7 +65,7 @@
 
 std::string ticket_register::save() const {
     Json::Value head{Json::objectValue};
-    head["current"] = encode_configuration(m_current);
+    head["current"] = encode_configuration(*m_current);
     head["forgotten"] = Json::Value::UInt64{m_highest_dropped.value};
     json_lines lines;
     lines.add(head);
@@ -78,7 +79,7 @@
     std::istringstream lines{text};
     std::string line;
     std::getline(lines, line);
-    const auto head = decode_head(line);
+    auto head = decode_head(line);
     if (!succeeded(head)) {
         return error_of(head);
     }
@@ -90,8 +91,9 @@
         }
         history.push_back(value_of(std::move(item)));
     }
-    m_current = value_of(head).current;
-    m_highest_dropped = value_of(head).forgotten;
+    register_head restored = value_of(std::move(head));
+    m_highest_dropped = restored.forgotten;
+    m_current = std::make_shared<const configuration>(std::move(restored.current));
     m_history = std::move(history);
     return done{};
 }
--- a/modules/tamarack_tickets/model/configuration.h
+++ b/modules/tamarack_tickets/model/configuration.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -128,4 +129,8 @@
     replica_limits limits_for(const service_id& service, const shard_id& shard) const;
 };
 
+/** A configuration that several threads and messages share. It can take several MiB, so it is not copied once
+ * it has been accepted. */
+using shared_configuration = std::shared_ptr<const configuration>;
+
 } // namespace tamarack
--- a/tests/control/control_client_test.cpp
+++ b/tests/control/control_client_test.cpp
@@ -43,7 +43,7 @@
     lease_granted message;
     message.from = host_id{"c0"};
     message.grant = {renewal.renewal.number, ticket_number{1}, 0, 0};
-    message.newer_configuration = apply_ticket(sample_ticket(1), {});
+    message.newer_configuration = std::make_shared<const configuration>(apply_ticket(sample_ticket(1), {}));
     return message;
 }
 
--- a/tests/daemon/control_worker_test.cpp
+++ b/tests/daemon/control_worker_test.cpp
@@ -46,7 +46,7 @@
         control_hooks hooks;
         hooks.send_raft = [](const raft_envelope&) { return true; };
         hooks.send_control = [](const send_control_message&) { return true; };
-        hooks.committed = [](const configuration&) { return true; };
+        hooks.committed = [](const shared_configuration&) { return true; };
         m_worker.emplace(m_settings, m_folder, std::make_unique<full_disk_journal>(m_is_full, m_refused),
                          std::move(log), m_metrics, std::move(hooks));
         m_worker->start();
