Take the configuration of a grant that is too late for its lease

A grant that takes longer to arrive was discarded with the configuration that it holds, and the next one could be as late.

Cause: one check decided over two things. The number of a renewal tells whether a grant extends the lease; whether a configuration is newer is told by its own number. Change: a configuration that comes too late for the lease is adopted, as that of a redirect is; the lease is not extended. Test: control_client.takes_the_configuration_of_a_grant_that_is_too_late_for_its_lease.

--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -19,7 +19,14 @@
 
 void lease_client::on_granted(time_point now, const lease_granted& message, control_route& route,
                               control_client_actions& actions) {
-    if (m_released || !m_lease.expects(message.grant.number)) {
+    if (m_released) {
+        return;
+    }
+    if (!m_lease.expects(message.grant.number)) {
+        // Too late for the lease, but the configuration has been accepted all the same.
+        if (message.newer_configuration != nullptr) {
+            adopt(now, message.newer_configuration, actions);
+        }
         return;
     }
     route.on_answer(now, message.from);
--- a/tests/control/control_client_test.cpp
+++ b/tests/control/control_client_test.cpp
@@ -56,6 +56,19 @@
     EXPECT_FALSE(present.may_serve(start + 3s));
 }
 
+/** Guards against a large configuration that is discarded each time, since it arrives after the host has sent
+ * many later renewals. */
+TEST(control_client, takes_the_configuration_of_a_grant_that_is_too_late_for_its_lease) {
+    control_client former = client_with_incarnation(1);
+    const auto old_renewal = find_sent<renew_lease>(former.on_timer(start));
+    control_client present = client_with_incarnation(2);
+    present.on_timer(start + 2s);
+    const auto actions = present.on_message(start + 3s, grant_for(*old_renewal));
+    EXPECT_EQ(present.current().number, ticket_number{1});
+    EXPECT_EQ(count_of<configuration_changed>(actions), 1U);
+    EXPECT_FALSE(present.may_serve(start + 3s));
+}
+
 TEST(control_client, ignores_a_decision_for_a_former_incarnation) {
     control_client former = client_with_incarnation(1);
     const auto old_claim = find_sent<request_claim>(former.commit(start, 1, {}, start + 1s));
