Send large configurations within a window, over links of their own

Its compressed text waited in each host's link, once for each request of that host, and was copied when queued; a link's queue is bounded by 1,024 messages, not by bytes. Class: a cost per recipient for a state of any size.

Change: a message can have a shared member, whose text is copied only while the message is written. One such message waits per host; a later one replaces it, and it is dropped after 5 s, since who still needs it has asked again. send_window bounds the bytes that are being written to all hosts (8 MiB). These messages have a link of their own to each host, so that heartbeats of the log and probes don't wait for them, and their response may take longer by their size. The messages on the wire are unchanged.

--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -397,10 +397,15 @@
         });
         return;
     }
-    m_links.send(address.empty() ? address_of(to) : address, control_method, encode_control_message(message));
-    if (const shared_configuration held = configuration_of(message)) {
+    control_message_parts parts = encode_control_message_parts(message);
+    const bool has_configuration = parts.configuration != nullptr;
+    m_links.send(address.empty() ? address_of(to) : address, control_method, std::move(parts.members),
+                 {std::move(parts.configuration_member), std::move(parts.configuration)});
+    if (has_configuration) {
         m_metrics.count(counter_id::configurations_sent_total);
-        log_state_change(log_level::info, "configuration_sent", held->number, {{"to", to.value()}});
+        log_state_change(
+            log_level::info, "configuration_sent", configuration_of(message)->number,
+            {{"to", to.value()}, {"sending_kib", std::to_string(m_links.shared_bytes() / kibibyte)}});
     }
 }
 
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -12,6 +12,10 @@
 /** Maximum size of a decompressed configuration; the platform's and the operators' edges accept less. */
 constexpr std::size_t max_configuration_bytes = 16 * mebibyte;
 
+/** Members that hold the configuration. */
+const std::string granted_configuration = "news";
+const std::string known_configuration = "known";
+
 /** Name of each message type, as written in "kind". */
 template <typename Message>
 constexpr std::string_view kind_of = "";
@@ -38,15 +42,17 @@
  * A configuration is sent as compressed text. A leader sends the same one to every host, and encoding a large
  * one is slow, so each thread caches the last text. The text depends only on the ticket's number and digest.
  */
-const std::string& configuration_text(const configuration& value) {
+std::shared_ptr<const std::string> configuration_text(const configuration& value) {
     struct cached_text {
         ticket_number number;
         digest content;
-        std::string text;
+        std::shared_ptr<const std::string> text;
     };
     static thread_local cached_text cached;
-    if (cached.text.empty() || cached.number != value.number || cached.content != value.content) {
-        cached = {value.number, value.content, compress_text(write_json(encode_configuration(value)))};
+    if (cached.text == nullptr || cached.number != value.number || cached.content != value.content) {
+        cached = {
+            value.number, value.content,
+            std::make_shared<const std::string>(compress_text(write_json(encode_configuration(value))))};
     }
     return cached.text;
 }
@@ -92,9 +98,6 @@
     json["latest"] = encode_number(message.grant.latest.value);
     json["epoch"] = encode_number(message.grant.epoch);
     json["settled_epoch"] = encode_number(message.grant.settled_epoch);
-    if (message.newer_configuration) {
-        json["news"] = configuration_text(*message.newer_configuration);
-    }
     if (message.assigned) {
         json["assigned"] = encode_assignment(*message.assigned);
     }
@@ -103,9 +106,6 @@
 void encode_members(const leader_redirect& message, Json::Value& json) {
     json["operation"] = encode_number(message.operation);
     json["leader"] = message.leader.value();
-    if (message.known) {
-        json["known"] = configuration_text(*message.known);
-    }
 }
 
 void encode_members(const announce_update& message, Json::Value& json) {
@@ -167,8 +167,9 @@
     message.grant.latest.value = reader.number("latest");
     message.grant.epoch = reader.number("epoch");
     message.grant.settled_epoch = reader.number("settled_epoch");
-    if (const Json::Value& newer = reader.any("news", presence::optional); !newer.isNull()) {
-        message.newer_configuration = take_nested(reader, "news", read_shared_configuration(newer));
+    if (const Json::Value& newer = reader.any(granted_configuration, presence::optional); !newer.isNull()) {
+        message.newer_configuration =
+            take_nested(reader, granted_configuration, read_shared_configuration(newer));
     }
     if (const Json::Value& assigned = reader.any("assigned", presence::optional); !assigned.isNull()) {
         message.assigned = take_nested(reader, "assigned", decode_assignment(assigned));
@@ -178,8 +179,8 @@
 void read_members(object_reader& reader, leader_redirect& message) {
     message.operation = reader.number("operation");
     message.leader = host_id{reader.text("leader")};
-    if (const Json::Value& known = reader.any("known", presence::optional); !known.isNull()) {
-        message.known = take_nested(reader, "known", read_shared_configuration(known));
+    if (const Json::Value& known = reader.any(known_configuration, presence::optional); !known.isNull()) {
+        message.known = take_nested(reader, known_configuration, read_shared_configuration(known));
     }
 }
 
@@ -234,16 +235,30 @@
 
 } // namespace
 
-Json::Value encode_control_message(const control_message& message) {
-    Json::Value json{Json::objectValue};
+control_message_parts encode_control_message_parts(const control_message& message) {
+    control_message_parts parts;
     std::visit(
-        [&json]<typename Message>(const Message& content) {
-            json["kind"] = std::string{kind_of<Message>};
-            json["from"] = content.from.value();
-            encode_members(content, json);
+        [&parts]<typename Message>(const Message& content) {
+            parts.members = Json::Value{Json::objectValue};
+            parts.members["kind"] = std::string{kind_of<Message>};
+            parts.members["from"] = content.from.value();
+            encode_members(content, parts.members);
         },
         message);
-    return json;
+    if (const shared_configuration held = configuration_of(message)) {
+        parts.configuration_member =
+            std::holds_alternative<lease_granted>(message) ? granted_configuration : known_configuration;
+        parts.configuration = configuration_text(*held);
+    }
+    return parts;
+}
+
+Json::Value encode_control_message(const control_message& message) {
+    control_message_parts parts = encode_control_message_parts(message);
+    if (parts.configuration != nullptr) {
+        parts.members[parts.configuration_member] = *parts.configuration;
+    }
+    return std::move(parts.members);
 }
 
 outcome<control_message> decode_control_message(const Json::Value& json) {
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -193,8 +193,13 @@
         http::async_write(stream, *outgoing,
                           [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
                               self->outgoing.reset();
-                              if (failure && !self->closed) {
+                              if (self->closed) {
+                                  return;
+                              }
+                              if (failure) {
                                   self->end(connection_end::failed);
+                              } else if (self->events.written) {
+                                  self->events.written();
                               }
                           });
     }
--- a/modules/tamarack_transport/http/http_client.h
+++ b/modules/tamarack_transport/http/http_client.h
@@ -38,6 +38,7 @@
 struct http_connection_events {
     std::function<void()> opened;
     std::function<void(connection_end)> lost; ///< it ended, or could not be opened; no callback follows
+    std::function<void()> written = nullptr;  ///< a request was passed to the system as a whole
 };
 
 /** Receives the response; not called when the connection is lost first. If the response ends the connection,
--- a/modules/tamarack_transport/tamarack_transport.h
+++ b/modules/tamarack_transport/tamarack_transport.h
@@ -17,3 +17,4 @@
 
 #include "hosts/host_dispatcher.h"
 #include "hosts/host_link.h"
+#include "hosts/send_window.h"
