Identify callers by the keys of teams

Cause: on deployments whose tickets define teams, any request ran, the key was passed on to targets, and the team's name was not set. Keys that no ticket held were accepted, and removed keys stayed in use on hosts that were cut off. Change: tickets hold teams (keys, priority, limit) and public routes; the codec separates the credentials from the other fields; the engine finds the team, refuses unknown keys with 401, passes the team's name on instead of the key, and sends requests with keys only under a lease from the control hosts, which is timed by a clock that includes suspensions.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -18,6 +18,9 @@
 constexpr double crash_lines_per_second = 10.0;
 constexpr double crash_lines_burst = 100.0;
 
+/** Part of the revocation time for which a lease confirms keys; the rest covers requests under way. */
+constexpr double key_lease_share = 0.6;
+
 forwarding_options options_of(const settings& host_settings) {
     forwarding_options options;
     options.host = host_settings.host;
@@ -25,6 +28,10 @@
     options.extra = {host_settings.forwarding.extra_ratio, host_settings.forwarding.extra_allowance,
                      host_settings.forwarding.extra_window};
     options.mechanisms = host_settings.forwarding.mechanisms;
+    const duration revocation = host_settings.teams.revocation_time;
+    const auto key_lease = std::chrono::duration_cast<duration>(key_lease_share * revocation);
+    options.keys_need_lease = revocation > duration{0};
+    options.key_lease_margin = std::max(host_settings.times.lease_length - key_lease, duration{0});
     return options;
 }
 
@@ -36,19 +43,19 @@
       m_thread("forwarding", ring_capacity), m_engine(options_of(host_settings), system_random()),
       m_connections(
           m_thread, m_edge, host_settings.limits.reply_bytes,
-          {[this](target_connection number) { carry_out(m_engine.on_connected(steady_now(), number)); },
+          {[this](target_connection number) { carry_out(m_engine.on_connected(event_time(), number)); },
            [this](target_connection number, connection_end end) {
                m_metrics.count(counter_id::connections_closed_total, to_name(end));
-               carry_out(m_engine.on_connection_lost(steady_now(), number, std::string{to_name(end)}));
+               carry_out(m_engine.on_connection_lost(event_time(), number, std::string{to_name(end)}));
            },
            [this](target_connection number, target_reply reply) {
                m_metrics.count(counter_id::exchanges_total, to_name(reply.verdict));
-               carry_out(m_engine.on_reply(steady_now(), number, std::move(reply)));
+               carry_out(m_engine.on_reply(event_time(), number, std::move(reply)));
            },
            [this](const exchange_anomaly& anomaly) { log_anomaly(anomaly); }}),
       m_timer(
           m_thread, [this] { return m_engine.next_timer(); },
-          [this](time_point now) { carry_out(m_engine.on_timer(now)); }),
+          [this](time_point /*now*/) { carry_out(m_engine.on_timer(event_time())); }),
       m_callers(m_thread, caller_limits_of(host_settings),
                 [this](http_request message, const http_responder& respond) {
                     return on_request(std::move(message), respond);
@@ -90,7 +97,7 @@
         if (new_routes) {
             apply_limits();
         }
-        carry_out(m_engine.on_view(steady_now(), m_inputs.view));
+        carry_out(m_engine.on_view(event_time(), m_inputs.view));
     });
 }
 
@@ -106,7 +113,10 @@
 }
 
 bool forwarding_worker::post_lease(time_point ends_at) {
-    return m_thread.try_post([this, ends_at] { m_engine.on_lease(steady_now(), ends_at); });
+    return m_thread.try_post([this, ends_at] {
+        m_engine.on_lease(event_time(), ends_at);
+        m_timer.rearm();
+    });
 }
 
 bool forwarding_worker::post_remote_crash_loss(crash_loss loss) {
@@ -124,7 +134,7 @@
 
 bool forwarding_worker::post_remote_request_limit(target_incarnation target, limit_statement statement) {
     return m_thread.try_post([this, target = std::move(target), statement] {
-        carry_out(m_engine.on_remote_request_limit(steady_now(), target, statement));
+        carry_out(m_engine.on_remote_request_limit(event_time(), target, statement));
     });
 }
 
@@ -147,6 +157,13 @@
     return m_thread.try_post([this, closed = std::move(closed)] { m_callers.close_connections(closed); });
 }
 
+time_point forwarding_worker::event_time() {
+    if (m_settings.teams.revocation_time > duration{0}) {
+        m_engine.on_suspended(suspended_time());
+    }
+    return steady_now();
+}
+
 std::function<void()> forwarding_worker::on_request(http_request message, const http_responder& respond) {
     auto read = m_edge.read_request(std::move(message));
     if (!succeeded(read)) {
@@ -157,10 +174,10 @@
     const forward_number number = m_next_request++;
     request.number = number;
     m_waiting.emplace(number, respond);
-    carry_out(m_engine.on_request(steady_now(), std::move(request)));
+    carry_out(m_engine.on_request(event_time(), std::move(request)));
     return [this, number] {
         m_waiting.erase(number);
-        carry_out(m_engine.on_caller_gone(steady_now(), number));
+        carry_out(m_engine.on_caller_gone(event_time(), number));
     };
 }
 
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -56,7 +56,8 @@
 
     /** From any thread: replaces the inputs. */
     bool post_inputs(forwarding_inputs inputs);
-    /** From any thread: the lease from the control hosts now lasts until `ends_at`. */
+    /** From any thread: the lease from the control hosts now lasts until `ends_at`, on a clock that includes
+     * the time for which the machine was suspended. */
     bool post_lease(time_point ends_at);
     /** From any thread: another host has reported that a target was lost while it ran a request. */
     bool post_remote_crash_loss(crash_loss loss);
@@ -73,6 +74,8 @@
     bool post_close(std::function<void()> closed);
 
 private:
+    /** Passes suspensions of the machine to the engine. @return the time of an event that begins now */
+    time_point event_time();
     std::function<void()> on_request(http_request message, const http_responder& respond);
     void on_readiness(const http_request& message, const http_responder& respond);
     void on_directory(const http_request& message, const http_responder& respond);
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -35,6 +35,7 @@
       m_metrics(metrics), m_hooks(std::move(hooks)), m_thread("hosts", ring_capacity),
       m_server(m_thread, host_server_limits(),
                [this](const http_request& message, const http_responder& respond) {
+                   observe_suspension(steady_now());
                    http_response response;
                    response.body = m_dispatcher.dispatch(message.body);
                    respond(std::move(response));
@@ -48,6 +49,7 @@
                          }),
       m_load_reporter(own_record_of(m_settings, incarnation, {}, {}).capacity), m_inquiry(system_random()) {
     m_seeds = m_settings.seeds;
+    m_suspended = suspended_time();
     register_methods();
 }
 
@@ -158,6 +160,7 @@
 }
 
 void hosts_worker::on_timer(time_point now) {
+    observe_suspension(now);
     carry_out(m_control->on_timer(now));
     m_registry->on_timer(now);
     m_crash_suspicions.on_timer(now);
@@ -226,45 +229,6 @@
     m_hooks.stored_targets->save(now, std::move(usable));
 }
 
-/** Queries another host for its configuration while the control hosts are unreachable. */
-void hosts_worker::query_peer(time_point now) {
-    inquiry_inputs inputs{m_control->lease_ends_at(), m_settings.times.lease_length, {}};
-    for (const host_record& host : m_detector->hosts()) {
-        if (host.state == host_state::alive && host.host != m_settings.host) {
-            inputs.peers.push_back(host.host);
-        }
-    }
-    if (const auto peer = m_inquiry.next(now, inputs)) {
-        const configuration_inquiry inquiry{m_settings.host, m_address, m_control->current().number};
-        m_links.send(address_of(*peer), inquiry_method, encode_inquiry(inquiry));
-    }
-}
-
-void hosts_worker::answer_peer(const configuration_inquiry& inquiry) {
-    const shared_configuration& current = m_control->shared_current();
-    if (current->number <= inquiry.held_ticket) {
-        return;
-    }
-    const leader_redirect answer{m_settings.host, 0, m_control->leader(), current};
-    send_control(inquiry.from, inquiry.reply_to, answer);
-}
-
-void hosts_worker::send_identity() {
-    const Json::Value parameters = encode_identity({m_identity, m_settings.data_center});
-    const host_id leader = m_control->leader();
-    if (!leader.empty()) {
-        if (m_settings.formation.automatic && leader != m_settings.host) {
-            m_links.send(address_of(leader), identity_method, parameters);
-        }
-        return;
-    }
-    for (const seed_host& seed : m_seeds) {
-        if (seed.host != m_settings.host) {
-            m_links.send(seed.address, identity_method, parameters);
-        }
-    }
-}
-
 /** Changes can come in quick succession, so one call serves all of a short time. */
 void hosts_worker::return_memory_later() {
     if (std::exchange(m_memory_return_pending, true)) {
@@ -291,7 +255,7 @@
                                            {"epoch", std::to_string(m_control->assigned().epoch)});
                     return_memory_later();
                 },
-                [this](const lease_changed& lease) { m_hooks.lease(lease.ends_at); },
+                [this](const lease_changed& lease) { m_hooks.lease(lease.ends_at + m_suspended); },
                 [this](claim_answered& answered) {
                     m_metrics.count(counter_id::claims_total, to_name(answered.answer.verdict));
                     m_hooks.claim_answer_for(answered.request, std::move(answered.answer));
--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -172,6 +172,8 @@
     void update_control_hosts();
     void query_peer(time_point now);
     void answer_peer(const configuration_inquiry& inquiry);
+    /** Ends the lease if the machine was suspended since the last call. */
+    void observe_suspension(time_point now);
     /** Returns the memory that the handling of a changed configuration has freed. */
     void return_memory_later();
 
@@ -189,6 +191,7 @@
     serving_view_pointer m_view;
     readiness_gate m_readiness;
     peer_inquiry m_inquiry;
+    duration m_suspended{}; ///< total time for which the machine was suspended
     bool m_memory_return_pending = false;
     bool m_in_directory = false;
     bool m_leaving = false;
--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -113,6 +113,11 @@
     return m_implementation->finish(now);
 }
 
+control_client_actions control_client::restart_lease(time_point now) {
+    m_implementation->m_lease.restart(now, m_implementation->m_actions);
+    return m_implementation->finish(now);
+}
+
 time_point control_client::next_timer() const {
     return std::min(m_implementation->m_lease.next_timer(), m_implementation->m_claims.next_timer());
 }
--- a/modules/tamarack_control/client/control_client.h
+++ b/modules/tamarack_control/client/control_client.h
@@ -70,6 +70,9 @@
     /** Releases the lease, at the end of a graceful shutdown. */
     control_client_actions release(time_point now);
 
+    /** Ends the lease and requests a new one: the clock has not measured some of the time that has passed. */
+    control_client_actions restart_lease(time_point now);
+
     /** @return when on_timer is due next */
     time_point next_timer() const;
 
--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -160,6 +160,14 @@
         send_to_control{route.target(), release_lease{m_options.self, m_options.incarnation}});
 }
 
+void lease_client::restart(time_point now, control_client_actions& actions) {
+    m_lease.end(now);
+    report_expiry(now, actions);
+    if (!m_released) {
+        m_lease.renew_soon(now);
+    }
+}
+
 time_point lease_client::next_timer() const {
     time_point next = m_lease_was_valid ? m_lease.ends_at() : time_point::max();
     if (!m_released) {
--- a/modules/tamarack_control/client/lease_client.h
+++ b/modules/tamarack_control/client/lease_client.h
@@ -24,6 +24,7 @@
     void adopt(time_point now, shared_configuration accepted, control_client_actions& actions);
     void set_draining(time_point now, bool draining);
     void release(time_point now, const control_route& route, control_client_actions& actions);
+    void restart(time_point now, control_client_actions& actions);
     time_point next_timer() const;
 
     const shared_configuration& current() const { return m_current; }
--- a/modules/tamarack_forwarding/engine/forwarding_core.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_core.cpp
@@ -36,7 +36,7 @@
 }
 
 forwarding_core::forwarding_core(forwarding_options wanted, random_source source)
-    : options(std::move(wanted)), random(source) {}
+    : options(std::move(wanted)), random(source), key_seed(random.next()) {}
 
 forwarding_run* forwarding_core::find_run(forward_number number) {
     const auto found = runs.find(number);
@@ -67,7 +67,7 @@
 }
 
 double forwarding_core::allowance_now() const {
-    return view && now < lease_ends_at ? view->allowance.at(now) : 0.0;
+    return view && holds_lease() ? view->allowance.at(now) : 0.0;
 }
 
 std::size_t forwarding_core::connections_allowed(const engine_target& target) const {
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -57,6 +57,7 @@
     limits,        ///< a request limit allows another exchange
     limit_reports, ///< the targets with a request limit are to be reported
     crash_reports, ///< losses are to be reported to other hosts
+    lease,         ///< the lease stops confirming keys
 };
 
 struct due_item {
@@ -76,8 +77,13 @@
     time_point now{};
     forwarding_actions actions;
     forwarding_view_pointer view;
-    time_point lease_ends_at{}; ///< end of this host's lease from the control hosts
+    /** End of this host's lease from the control hosts, by a clock that includes suspensions. */
+    time_point lease_ends_at{};
+    duration suspended{};        ///< total time for which the machine was suspended
+    bool held_key_lease = false; ///< as of the last event
+    std::uint64_t key_seed;
     std::optional<route_index> index;
+    std::optional<team_index> teams; ///< of the same table as the index
     split_balancer splits;
     std::map<service_id, engine_service_pointer> services;
     std::map<service_id, std::shared_ptr<extra_budget>>
@@ -118,6 +124,14 @@
     void schedule(time_point at, due_kind kind, std::uint64_t number);
     /** @return whether a mechanism is in use */
     bool uses(forwarding_mechanism mechanism) const { return options.mechanisms.has(mechanism); }
+    /** @return whether this host's lease is valid */
+    bool holds_lease() const { return now + suspended < lease_ends_at; }
+    /** @return whether this host can confirm that no later ticket removes a key that it knows */
+    bool holds_key_lease() const { return now + suspended + options.key_lease_margin < lease_ends_at; }
+    /** @return whether exchanges of a request may be sent */
+    bool may_send(const forwarding_run& run) const {
+        return !run.is_withdrawn && (!run.needs_lease || holds_key_lease());
+    }
     /** @return the part of the allowance for extra load that this host may spend now */
     double allowance_now() const;
     /** @return number of connections that this host may have to a target */
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -34,6 +34,7 @@
     forwarding_actions handle(time_point now, Handler handler) {
         core.now = std::max(core.now, now);
         core.actions.clear();
+        review_key_lease();
         handler();
         if (!core.deferred_requests.empty()) {
             flow.review_deferred();
@@ -42,6 +43,7 @@
         return std::move(core.actions);
     }
 
+    void review_key_lease();
     void on_view(forwarding_view_pointer view);
     void on_connected(target_connection connection);
     void on_connection_lost(target_connection connection, std::string cause);
@@ -55,14 +57,26 @@
     void on_abandoned_timeout(target_connection connection);
 };
 
+/** Runs before each event, so that no event sends a request whose lease has ended. */
+void forwarding_engine::implementation::review_key_lease() {
+    const bool held = std::exchange(core.held_key_lease, core.holds_key_lease());
+    if (held && !core.held_key_lease && core.options.keys_need_lease && core.index) {
+        flow.withdraw_keyed_requests(true);
+    }
+}
+
 void forwarding_engine::implementation::on_view(forwarding_view_pointer view) {
     const bool new_routes = view->routes && (!core.view || core.view->routes != view->routes);
     core.view = std::move(view);
     if (new_routes) {
         core.index.emplace(core.view->routes);
+        core.teams.emplace(core.view->routes, core.key_seed);
         targets.update_services(*core.view);
     }
     targets.update_targets(*core.view);
+    if (new_routes) {
+        flow.withdraw_keyed_requests(false);
+    }
     dispatcher.keep_warm();
     for (auto& [id, service] : core.services) {
         flow.give_up_unservable(*service);
@@ -278,6 +292,8 @@
     case due_kind::limit_reports:
         limits.report_in_force();
         break;
+    case due_kind::lease:
+        break; // review_key_lease has run before this event
     case due_kind::crash_reports:
         losses.broadcast_due_losses();
         break;
@@ -297,7 +313,15 @@
 
 void forwarding_engine::on_lease(time_point now, time_point ends_at) {
     m_implementation->core.now = std::max(m_implementation->core.now, now);
-    m_implementation->core.lease_ends_at = ends_at;
+    forwarding_core& core = m_implementation->core;
+    core.lease_ends_at = ends_at;
+    if (core.options.keys_need_lease) {
+        core.schedule(ends_at - core.suspended - core.options.key_lease_margin, due_kind::lease, 0);
+    }
+}
+
+void forwarding_engine::on_suspended(duration total) {
+    m_implementation->core.suspended = total;
 }
 
 forwarding_actions forwarding_engine::on_request(time_point now, forward_request request) {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -39,8 +39,16 @@
 
     /** The routes, the usable targets or the hosts changed. */
     forwarding_actions on_view(time_point now, forwarding_view_pointer view);
-    /** Sets the end of this host's lease from the control hosts; the allowance may be spent until then. */
+    /**
+     * Sets the end of this host's lease from the control hosts. Until then, the allowance may be spent and
+     * requests with keys may be sent.
+     *
+     * @param ends_at  on a clock that includes the time for which the machine was suspended
+     */
     void on_lease(time_point now, time_point ends_at);
+    /** Sets the total time for which the machine was suspended, which `now` doesn't include. To be called
+     * before each event if requests with keys need a lease. */
+    void on_suspended(duration total);
     /** A caller's request arrived. */
     forwarding_actions on_request(time_point now, forward_request request);
     /** Another host reported that a target was lost to a content. */
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -34,6 +34,10 @@
     std::size_t warm_connections = 1;         ///< kept open to each target of a routed service
     duration no_target_retry = 500ms;         ///< retry delay sent to callers when there is no target
     duration no_configuration_retry = 250ms;
+    /** Requests with a key are sent only under a lease from the control hosts. */
+    bool keys_need_lease = false;
+    duration key_lease_margin{0};   ///< a lease confirms keys until this long before its end
+    duration no_lease_retry = 20ms; ///< another host can serve the request at once
     mechanisms_in_use mechanisms;
     forwarding_protections protections;
 };
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -57,6 +57,10 @@
     sent_content_pointer content;
     std::shared_ptr<const route_table> table; ///< keeps selected_route valid
     const route* selected_route = nullptr;
+    const team* holder = nullptr; ///< team that holds the caller's key, valid as long as the table
+    bool needs_lease = false;     ///< sent only while this host can confirm the key
+    bool is_withdrawn = false;    ///< nothing more of it may be sent
+    std::uint32_t priority = 0;   ///< of the team or the route; 0 is the most urgent
     time_point arrived;
     request_times times;
     exchange_timing* timing = nullptr;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -59,6 +59,9 @@
 
 bool part_dispatcher::try_send(forwarding_run& run, std::size_t part_index, trace_step step) {
     run_part& part = run.parts[part_index];
+    if (!m_core.may_send(run)) {
+        return false;
+    }
     const placement_demand demand{run.timing->median(), run.timing->p90(), run.selected_route->objective};
     list_candidates(part);
     while (!m_candidates.empty()) {
@@ -118,6 +121,8 @@
     exchange.target = target->info.id;
     exchange.remaining_time = std::max(run.times.answer_deadline - m_core.now, duration{1ms});
     exchange.payload = run.request.payload;
+    exchange.team = run.holder != nullptr ? run.holder->name : std::string{};
+    exchange.passes_identity = !run.table->requires_keys;
     m_core.actions.emplace_back(send_target_exchange{connection, std::move(exchange)});
 }
 
@@ -129,8 +134,7 @@
     part.progress = part_progress::waiting;
     part.queued = true;
     m_core.trace(run, trace_step::waits, part.service->id, nullptr, {}, part.service->waiting.size());
-    const waiting_part item{run.request.number, part_index, run.selected_route->priority,
-                            run.times.objective_at, step};
+    const waiting_part item{run.request.number, part_index, run.priority, run.times.objective_at, step};
     auto& waiting = part.service->waiting;
     if (!m_core.uses(forwarding_mechanism::wait_order)) {
         waiting.push_back(item);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -1,6 +1,6 @@
 #include "request_flow.h"
 
-#include "../admission/admission.h"
+#include "caller_check.h"
 
 #include <algorithm>
 #include <set>
@@ -30,6 +30,13 @@
                                   duration{0});
         return;
     }
+    const caller_verdict caller = check_caller(m_core, *selected, request.credentials);
+    if (caller.reason != forward_reason::none) {
+        const bool other_host_may_serve = caller.reason == forward_reason::no_lease;
+        m_answers.refuse_unrouted(std::move(request), caller.outcome, caller.reason,
+                                  other_host_may_serve ? m_core.options.no_lease_retry : duration{0});
+        return;
+    }
     const forward_number number = request.number;
     require_invariant(!m_core.runs.contains(number), "a request's number is used once");
     forwarding_run& run = *(m_core.runs[number] = std::make_unique<forwarding_run>());
@@ -39,6 +46,10 @@
     run.content->payload = run.request.payload;
     run.table = m_core.index->table();
     run.selected_route = selected;
+    run.holder = caller.holder;
+    run.needs_lease = caller.needs_lease;
+    run.priority =
+        caller.holder != nullptr ? caller.holder->priority.value_or(selected->priority) : selected->priority;
     run.arrived = m_core.now;
     run.times = compute_request_times(*selected, m_core.now, run.request.remaining_time);
     run.timing = &m_core.timing_of(*selected);
@@ -95,95 +106,6 @@
     }
 }
 
-bool request_flow::can_be_covered(const forwarding_run& run) const {
-    const auto reachable = std::count_if(run.parts.begin(), run.parts.end(),
-                                         [&](const run_part& part) { return is_servable(run, part); });
-    return run.covers_enough(static_cast<std::size_t>(reachable));
-}
-
-bool request_flow::is_limited(const forwarding_run& run) const {
-    return std::any_of(run.parts.begin(), run.parts.end(),
-                       [&](const run_part& part) { return m_dispatcher.is_limited(*part.service); });
-}
-
-bool request_flow::is_servable(const forwarding_run& run, const run_part& part) const {
-    const std::optional<time_point> at = m_dispatcher.available_at(part);
-    return at && *at < run.latest_send(m_core.now);
-}
-
-placement_demand request_flow::demand_of(const forwarding_run& run) const {
-    return {run.timing->median(), run.timing->p90(), run.selected_route->objective};
-}
-
-/**
- * Load pattern: a shard that has lost replicas lacks the capacity for all requests. Exchanges that would wait
- * beyond the objective only lengthen the queue for those that could still be served in time.
- */
-void request_flow::drop_overloaded_parts(forwarding_run& run) {
-    const duration left = run.times.objective_at - m_core.now;
-    const bool drops = m_core.uses(forwarding_mechanism::part_dropping);
-    if (!drops || !run.merges() || left <= duration{0}) {
-        return;
-    }
-    std::vector<std::pair<duration, run_part*>> late;
-    for (run_part& part : run.parts) {
-        const auto wait = m_dispatcher.expected_wait(*part.service, demand_of(run));
-        if (wait && *wait > duration{0} && *wait + run.timing->median() > left) {
-            late.emplace_back(*wait, &part);
-        }
-    }
-    std::sort(late.begin(), late.end(),
-              [](const auto& one, const auto& other) { return one.first > other.first; });
-    for (const auto& [wait, part] : late) {
-        const std::size_t missing = run.count(part_progress::missing);
-        if (!run.covers_enough(run.parts.size() - missing - 1)) {
-            return;
-        }
-        give_up(run, *part, "overloaded");
-    }
-}
-
-/**
- * Ignores the slowest shards, as far as the least coverage allows. Returns zero if there is no estimate, so
- * that a request to one target is tried in any case.
- */
-duration request_flow::expected_queue(const forwarding_run& run) const {
-    const placement_demand demand = demand_of(run);
-    std::vector<duration> waits;
-    for (const run_part& part : run.parts) {
-        if (const auto wait = m_dispatcher.expected_wait(*part.service, demand)) {
-            waits.push_back(*wait);
-        }
-    }
-    if (waits.empty()) {
-        return duration{0};
-    }
-    std::sort(waits.begin(), waits.end());
-    const double share = run.merges() ? run.selected_route->least_coverage : 1.0;
-    const std::size_t rank = parts_needed(share, run.parts.size()) - 1;
-    return waits[std::min(rank, waits.size() - 1)];
-}
-
-bool request_flow::is_admitted(forwarding_run& run) {
-    forward_admission_inputs inputs;
-    inputs.until_objective = run.times.objective_at - m_core.now;
-    inputs.until_answer_deadline = run.times.answer_deadline - m_core.now;
-    inputs.median_time = run.timing->median();
-    inputs.priority = run.selected_route->priority;
-    inputs.lag = m_core.current_lag();
-    inputs.queue_time = expected_queue(run);
-    const admission_decision decision = admit(inputs);
-    if (decision.admitted || !m_core.uses(forwarding_mechanism::admission_by_wait)) {
-        return true;
-    }
-    forward_answer answer;
-    answer.outcome = forward_outcome::not_run;
-    answer.reason = is_limited(run) ? forward_reason::targets_limited : forward_reason::overloaded;
-    answer.retry_after = add_retry_jitter(decision.retry_after, m_core.random);
-    m_answers.finish(run, std::move(answer));
-    return false;
-}
-
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
@@ -281,7 +203,8 @@
     const bool retries = m_core.uses(forwarding_mechanism::retries);
     const bool in_time =
         m_core.now < run.times.answer_deadline && part.possible_runs < run.selected_route->attempts;
-    if (!retries || !may_repeat || !in_time || !m_dispatcher.has_untried(part, run.latest_send(m_core.now))) {
+    if (!retries || !may_repeat || !in_time || !m_core.may_send(run) ||
+        !m_dispatcher.has_untried(part, run.latest_send(m_core.now))) {
         give_up(run, part, cause);
         return;
     }
@@ -341,7 +264,7 @@
 void request_flow::hedge(forwarding_run& run, std::size_t part_index) {
     run_part& part = run.parts[part_index];
     part.hedge_at = time_point::max();
-    const bool wanted = m_core.uses(forwarding_mechanism::hedges) &&
+    const bool wanted = m_core.uses(forwarding_mechanism::hedges) && m_core.may_send(run) &&
                         part.progress == part_progress::running &&
                         part.possible_runs < run.selected_route->attempts &&
                         run.selected_route->repeats != repeatability::at_most_once &&
@@ -356,8 +279,8 @@
     ++m_core.statistics.hedges;
     ++run.trace.hedges;
     if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
-        const waiting_part item{run.request.number, part_index, run.selected_route->priority,
-                                run.times.objective_at, trace_step::hedged};
+        const waiting_part item{run.request.number, part_index, run.priority, run.times.objective_at,
+                                trace_step::hedged};
         part.queued = true;
         part.service->waiting.push_front(item);
     }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -21,6 +21,12 @@
     void give_up_unservable(engine_service& service);
     /** Retries or gives up the deferred parts of requests whose losses have been confirmed or refuted. */
     void review_deferred();
+    /**
+     * Sends nothing more of the requests whose key no team holds any more.
+     *
+     * @param lease_lost  this host can't confirm keys any more: the same for all requests with a key
+     */
+    void withdraw_keyed_requests(bool lease_lost);
     /** Reviews a request at its scheduled time. */
     void on_wake(forwarding_run& run);
 
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -11,21 +11,25 @@
 
 /** How a forwarded request ended. */
 enum class forward_outcome {
-    replied, ///< one target's reply, unchanged
-    merged,  ///< the merged parts of several shards
-    not_run, ///< refused: no part of it has run or will run
-    unknown, ///< it may have run, but there is no answer
-    invalid, ///< no route matches it
+    replied,      ///< one target's reply, unchanged
+    merged,       ///< the merged parts of several shards
+    not_run,      ///< refused: no part of it has run or will run
+    unknown,      ///< it may have run, but there is no answer
+    invalid,      ///< no route matches it
+    malformed,    ///< it can't be understood
+    unauthorized, ///< its caller isn't known
 };
 
 template <>
 struct name_table<forward_outcome> {
-    static constexpr std::array<std::pair<forward_outcome, std::string_view>, 5> entries{{
+    static constexpr std::array<std::pair<forward_outcome, std::string_view>, 7> entries{{
         {forward_outcome::replied, "replied"},
         {forward_outcome::merged, "merged"},
         {forward_outcome::not_run, "not_run"},
         {forward_outcome::unknown, "unknown"},
         {forward_outcome::invalid, "invalid"},
+        {forward_outcome::malformed, "malformed"},
+        {forward_outcome::unauthorized, "unauthorized"},
     }};
 };
 
@@ -44,11 +48,15 @@
     connection_lost,
     crashes_targets, ///< requests of its content have crashed three targets
     caller_gone,
+    malformed_credentials, ///< the request states no readable key, or several
+    unknown_key,           ///< no team holds the request's key, or it states none
+    no_lease,              ///< this host can't confirm that the key is still valid
+    team_limited,          ///< the team's limit leaves no room for it
 };
 
 template <>
 struct name_table<forward_reason> {
-    static constexpr std::array<std::pair<forward_reason, std::string_view>, 13> entries{{
+    static constexpr std::array<std::pair<forward_reason, std::string_view>, 17> entries{{
         {forward_reason::none, "none"},
         {forward_reason::no_configuration, "no_configuration"},
         {forward_reason::no_route, "no_route"},
@@ -62,6 +70,10 @@
         {forward_reason::connection_lost, "connection_lost"},
         {forward_reason::crashes_targets, "crashes_targets"},
         {forward_reason::caller_gone, "caller_gone"},
+        {forward_reason::malformed_credentials, "malformed_credentials"},
+        {forward_reason::unknown_key, "unknown_key"},
+        {forward_reason::no_lease, "no_lease"},
+        {forward_reason::team_limited, "team_limited"},
     }};
 };
 
--- a/modules/tamarack_forwarding/payload/forward_request.h
+++ b/modules/tamarack_forwarding/payload/forward_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <tamarack_base/tamarack_base.h>
+#include <tamarack_teams/tamarack_teams.h>
 
 #include <cstdint>
 #include <memory>
@@ -22,6 +23,8 @@
     std::string method;
     std::string target; ///< path with query
     message_fields fields;
+    /** Fields that state who the caller is. They are passed on only if tickets define no teams. */
+    message_fields identity_fields;
     std::string body;
 };
 
@@ -35,6 +38,7 @@
     std::string authority;
     std::string path; ///< without the query
     std::shared_ptr<const message_payload> payload;
+    caller_credentials credentials;
     std::optional<duration> remaining_time; ///< how much longer the caller waits, if stated
 };
 
--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -18,6 +18,8 @@
     target_id target;          ///< the only target that may run it
     duration remaining_time{}; ///< after this the target stops working on it
     std::shared_ptr<const message_payload> payload;
+    std::string team;            ///< that holds the caller's key; empty if none does
+    bool passes_identity = true; ///< whether the caller's identity fields are passed on unchanged
 };
 
 /** What a target's reply says about its exchange. */
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -100,6 +100,13 @@
     mechanisms_in_use mechanisms; ///< some are switched off only for measurements
 };
 
+/** How callers' teams are handled. */
+struct team_settings {
+    /** Time after the acceptance of a ticket that removes a key, after which the key may not be used on any
+     * host. Zero: a host that is cut off goes on accepting the keys it knows. */
+    duration revocation_time{0};
+};
+
 /** All settings of one daemon, validated. */
 struct settings {
     host_id host;
@@ -117,6 +124,7 @@
     edge_settings edge;
     formation_settings formation;
     forwarding_settings forwarding;
+    team_settings teams;
     std::string token_file; ///< file of the operators' bearer tokens; if empty, operators need none
 };
 
--- a/modules/tamarack_settings/model/settings_reader.cpp
+++ b/modules/tamarack_settings/model/settings_reader.cpp
@@ -28,6 +28,7 @@
     read_edge(source, value);
     read_formation(source, value);
     read_forwarding(source, value.forwarding);
+    read_teams(source, value.teams);
     read_ablation(source, value.forwarding.mechanisms);
     read_times(source, value.times);
     read_limits(source, value.limits);
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -275,6 +275,18 @@
     }
 }
 
+void read_teams(settings_source& source, team_settings& into) {
+    const auto text = source.find("teams", "revocation_time");
+    if (!text) {
+        return;
+    }
+    if (const auto value = parse_duration(*text); value && *value >= 1s && *value <= 10min) {
+        into.revocation_time = *value;
+    } else {
+        source.report("teams", "revocation_time", "1s to 10min");
+    }
+}
+
 void read_times(settings_source& source, protocol_times& into) {
     for (const time_key& key : time_keys) {
         read_duration(source, "times", key, into);
--- a/modules/tamarack_tickets/checks/route_checks.cpp
+++ b/modules/tamarack_tickets/checks/route_checks.cpp
@@ -2,7 +2,10 @@
 
 #include "../model/object_reader.h"
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -12,6 +15,10 @@
 
 constexpr std::size_t max_routes = 20'000;
 constexpr std::size_t max_routed_services = 20'000;
+constexpr std::size_t max_teams = 20'000;
+/** Longer keys could not be sent within the default limit on a request's header. */
+constexpr std::size_t max_key_bytes = 8'192;
+constexpr double max_requests_per_second = 1e9;
 
 std::string table_item_path(const std::string& list, std::size_t index) {
     return "routes." + list + "[" + std::to_string(index) + "]";
@@ -63,6 +70,46 @@
     }
 }
 
+bool is_limit(double value) {
+    return std::isfinite(value) && value >= 0.0 && value <= max_requests_per_second;
+}
+
+/** @return whether a key can be sent as a bearer token: visible ASCII characters only */
+bool is_key(const std::string& key) {
+    return !key.empty() && key.size() <= max_key_bytes &&
+           std::all_of(key.begin(), key.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
+}
+
+/** Checks the teams. Faults name a key by its position, never by its text. */
+void check_teams(const std::vector<team>& teams, fault_list& faults) {
+    faults.check_count("routes.teams", teams.size(), 0, max_teams);
+    std::set<std::string> names;
+    std::map<std::string, std::size_t> team_of_key;
+    for (std::size_t index = 0; index < teams.size(); ++index) {
+        const team& value = teams[index];
+        const std::string path = table_item_path("teams", index);
+        if (value.name.empty()) {
+            faults.add(path + ".name", "must not be empty");
+        } else if (!names.insert(value.name).second) {
+            faults.add(path + ".name", "is the name of another team too");
+        }
+        if (!is_limit(value.requests_per_second)) {
+            faults.add(path + ".requests_per_second", "must be from 0 to 1000000000");
+        }
+        if (!is_limit(value.burst)) {
+            faults.add(path + ".burst", "must be from 0 to 1000000000");
+        }
+        for (std::size_t key = 0; key < value.keys.size(); ++key) {
+            const std::string key_path = path + ".keys[" + std::to_string(key) + "]";
+            if (!is_key(value.keys[key])) {
+                faults.add(key_path, "must be 1 to 8192 visible ASCII characters");
+            } else if (team_of_key.emplace(value.keys[key], index).first->second != index) {
+                faults.add(key_path, "is a key of another team too");
+            }
+        }
+    }
+}
+
 } // namespace
 
 void check_route_table(const route_table& table, fault_list& faults) {
@@ -75,6 +122,10 @@
         if (!known.insert(id).second) {
             faults.add(table_item_path("services", index), "occurs twice");
         }
+        if (!is_limit(table.services[index].warmup_requests_per_second)) {
+            faults.add(table_item_path("services", index) + ".warmup_requests_per_second",
+                       "must be from 0 to 1000000000");
+        }
     }
     std::set<std::pair<std::string, std::string>> used_prefixes;
     for (std::size_t index = 0; index < table.routes.size(); ++index) {
@@ -85,6 +136,7 @@
             faults.add(path, "shares its authority and prefix with another route");
         }
     }
+    check_teams(table.teams, faults);
 }
 
 } // namespace tamarack
--- a/modules/tamarack_tickets/model/route_codec.cpp
+++ b/modules/tamarack_tickets/model/route_codec.cpp
@@ -8,6 +8,12 @@
     return Json::Value::Int64{std::chrono::duration_cast<std::chrono::milliseconds>(value).count()};
 }
 
+void encode_regions(const std::vector<std::string>& regions, Json::Value& json) {
+    for (const std::string& region : regions) {
+        json["regions"].append(region);
+    }
+}
+
 Json::Value encode_route(const route& value) {
     Json::Value json{Json::objectValue};
     json["name"] = value.name;
@@ -33,6 +39,11 @@
         json["result_limit"] = value.result_limit;
         json["least_coverage"] = value.least_coverage;
     }
+    // Members of newer releases are written only if they are used, so that older hosts can read the rest.
+    if (value.is_public) {
+        json["public"] = true;
+    }
+    encode_regions(value.regions, json);
     return json;
 }
 
@@ -57,6 +68,8 @@
     value.priority = reader.small_number("priority", value.priority);
     value.result_limit = reader.small_number("result_limit", value.result_limit);
     value.least_coverage = reader.real("least_coverage", value.least_coverage);
+    value.is_public = reader.flag("public", value.is_public);
+    value.regions = reader.texts("regions");
     return value;
 }
 
@@ -65,6 +78,9 @@
     json["service"] = value.id.value();
     json["health_path"] = value.health_path;
     json["connections"] = value.connections;
+    if (value.warmup_requests_per_second > 0.0) {
+        json["warmup_requests_per_second"] = value.warmup_requests_per_second;
+    }
     return json;
 }
 
@@ -73,6 +89,37 @@
     value.id = service_id{reader.text("service")};
     value.health_path = reader.text("health_path", presence::optional);
     value.connections = reader.small_number("connections", value.connections);
+    value.warmup_requests_per_second =
+        reader.real("warmup_requests_per_second", value.warmup_requests_per_second);
+    return value;
+}
+
+Json::Value encode_team(const team& value) {
+    Json::Value json{Json::objectValue};
+    json["name"] = value.name;
+    json["keys"] = Json::Value{Json::arrayValue};
+    for (const std::string& key : value.keys) {
+        json["keys"].append(key);
+    }
+    if (value.priority) {
+        json["priority"] = *value.priority;
+    }
+    json["requests_per_second"] = value.requests_per_second;
+    json["burst"] = value.burst;
+    encode_regions(value.regions, json);
+    return json;
+}
+
+team read_team(object_reader& reader) {
+    team value;
+    value.name = reader.text("name");
+    value.keys = reader.texts("keys");
+    if (!reader.any("priority", presence::optional).isNull()) {
+        value.priority = reader.small_number("priority", 0);
+    }
+    value.requests_per_second = reader.real("requests_per_second", value.requests_per_second);
+    value.burst = reader.real("burst", value.burst);
+    value.regions = reader.texts("regions");
     return value;
 }
 
@@ -115,6 +162,12 @@
     }
     json["services"] = std::move(services);
     json["limits"] = encode_caller_limits(value.limits);
+    if (value.requires_keys) {
+        json["teams"] = Json::Value{Json::arrayValue};
+        for (const team& item : value.teams) {
+            json["teams"].append(encode_team(item));
+        }
+    }
     if (!value.source.empty()) {
         json["source"] = value.source;
     }
@@ -126,6 +179,8 @@
     value.routes = reader.objects<route>("routes", read_route);
     value.services = reader.objects<routed_service>("services", read_routed_service);
     value.limits = read_caller_limits(reader);
+    value.requires_keys = !reader.any("teams", presence::optional).isNull();
+    value.teams = reader.objects<team>("teams", read_team);
     value.source = reader.text("source", presence::optional);
     reader.refuse_unknown();
     return value;
--- a/modules/tamarack_tickets/model/route_table.h
+++ b/modules/tamarack_tickets/model/route_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "team.h"
+
 #include <tamarack_base/tamarack_base.h>
 
 #include <cstddef>
@@ -55,12 +57,14 @@
     route_destination destination = route_destination::service;
     std::vector<route_service> services; ///< one; several if the destination is a split or shards
     repeatability repeats = repeatability::repeatable;
-    std::uint32_t attempts = 1;     ///< maximum targets that may run one request; for shards, per shard
-    duration timeout = 1s;          ///< maximum time that a caller waits for its answer
-    duration objective = 100ms;     ///< time within which an answer counts as good
-    std::uint32_t priority = 0;     ///< 0 is the most urgent
-    std::uint32_t result_limit = 0; ///< maximum records in a merged answer
-    double least_coverage = 1.0;    ///< minimum share of the shards in a merged answer
+    std::uint32_t attempts = 1;       ///< maximum targets that may run one request; for shards, per shard
+    duration timeout = 1s;            ///< maximum time that a caller waits for its answer
+    duration objective = 100ms;       ///< time within which an answer counts as good
+    std::uint32_t priority = 0;       ///< 0 is the most urgent
+    std::uint32_t result_limit = 0;   ///< maximum records in a merged answer
+    double least_coverage = 1.0;      ///< minimum share of the shards in a merged answer
+    bool is_public = false;           ///< its requests need no key
+    std::vector<std::string> regions; ///< of the targets that may run its requests; empty means all
 
     bool operator==(const route&) const = default;
 };
@@ -73,6 +77,8 @@
     service_id id;
     std::string health_path;       ///< path that a replica answers while it is healthy
     std::uint32_t connections = 1; ///< connections that one replica accepts from all hosts together
+    /** Requests a second that a replica takes from all hosts together while it is cold; 0 means no limit. */
+    double warmup_requests_per_second = 0.0;
 
     bool operator==(const routed_service&) const = default;
 };
@@ -96,6 +102,8 @@
     std::vector<route> routes;
     std::vector<routed_service> services;
     caller_limits limits;
+    bool requires_keys = false; ///< requests on routes that are not public need the key of a team
+    std::vector<team> teams;
     std::string source; ///< the operator's document, unchanged
 
     bool operator==(const route_table&) const = default;
--- a/modules/tamarack_tickets/tamarack_tickets.h
+++ b/modules/tamarack_tickets/tamarack_tickets.h
@@ -13,6 +13,7 @@
 #include "model/json_text.h"
 #include "model/object_reader.h"
 #include "model/route_table.h"
+#include "model/team.h"
 #include "model/ticket.h"
 #include "model/ticket_codec.h"
 
--- a/modules/tamarack_transport/http/http_message.h
+++ b/modules/tamarack_transport/http/http_message.h
@@ -34,7 +34,7 @@
     unsigned status = 200;
     http_fields fields;
     std::string body;
-    bool ends_connection = false;   ///< received: the connection can't carry another request
+    bool ends_connection = false;   ///< the connection can't carry another request
     bool followed_by_bytes = false; ///< received: further bytes arrived with it, which belong to no request
 };
 
--- a/modules/tamarack_transport/http/http_session.cpp
+++ b/modules/tamarack_transport/http/http_session.cpp
@@ -173,7 +173,8 @@
         return;
     }
     m_on_disconnect = nullptr;
-    write(std::move(response), m_keep_alive && m_context->allow_keep_alive);
+    const bool keep_alive = m_keep_alive && m_context->allow_keep_alive && !response.ends_connection;
+    write(std::move(response), keep_alive);
 }
 
 void http_session::refuse(unsigned status, const char* message) {
--- a/modules/tamarack_transport/threads/worker_thread.cpp
+++ b/modules/tamarack_transport/threads/worker_thread.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <ctime>
+
 #include <pthread.h>
 
 namespace tamarack {
@@ -15,6 +17,16 @@
     return time_point{std::chrono::duration_cast<duration>(since_start)};
 }
 
+duration suspended_time() {
+    timespec including{};
+    timespec excluding{};
+    clock_gettime(CLOCK_MONOTONIC, &excluding);
+    clock_gettime(CLOCK_BOOTTIME, &including);
+    const auto seconds = std::chrono::seconds{including.tv_sec - excluding.tv_sec};
+    const auto nanoseconds = std::chrono::nanoseconds{including.tv_nsec - excluding.tv_nsec};
+    return std::chrono::duration_cast<duration>(seconds + nanoseconds);
+}
+
 wall_time wall_now() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<wall_time>(since_epoch);
--- a/modules/tamarack_transport/threads/worker_thread.h
+++ b/modules/tamarack_transport/threads/worker_thread.h
@@ -12,6 +12,12 @@
 /** @return the current time of the steady clock */
 time_point steady_now();
 
+/**
+ * @return total time for which the machine was suspended since it was started, which steady_now doesn't
+ *         include; exact to some microseconds
+ */
+duration suspended_time();
+
 /** @return the current time of the wall clock */
 wall_time wall_now();
 
