--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -290,5 +290,45 @@
     EXPECT_EQ(wire::write_answer(forward_answer{answer}).status, 404U);
 }
 
+forward_request with_identity(const http_fields& identity) {
+    http_request message = example_request();
+    message.fields.insert(message.fields.end(), identity.begin(), identity.end());
+    return value_of(wire::read_request(std::move(message)));
+}
+
+TEST(read_request, separates_the_identity_of_the_caller_from_the_other_fields) {
+    const forward_request request =
+        with_identity({{"authorization", "bearer  secret "}, {"x-tamarackstand-tenant", "another"}});
+    EXPECT_EQ(request.credentials.state, credentials_state::key);
+    EXPECT_EQ(request.credentials.key, "secret");
+    EXPECT_EQ(field(request.payload->fields, "Authorization"), "");
+    EXPECT_EQ(field(request.payload->fields, "X-Tamarackstand-Tenant"), "");
+    EXPECT_EQ(request.payload->identity_fields.size(), 2U);
+}
+
+/** Guards against a request that two parties attribute to different callers. */
+TEST(read_request, finds_no_key_in_several_authorization_fields_or_another_scheme) {
+    EXPECT_EQ(with_identity({{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}}).credentials.state,
+              credentials_state::malformed);
+    EXPECT_EQ(with_identity({{"Authorization", "Basic a"}}).credentials.state, credentials_state::malformed);
+    EXPECT_EQ(with_identity({{"Authorization", "Bearer"}}).credentials.state, credentials_state::malformed);
+    EXPECT_EQ(with_identity({}).credentials.state, credentials_state::absent);
+}
+
+TEST(write_exchange, names_the_team_in_place_of_the_caller) {
+    const forward_request request =
+        with_identity({{"Authorization", "Bearer secret"}, {"X-Tamarackstand-Tenant", "another"}});
+    target_exchange exchange;
+    exchange.payload = request.payload;
+    exchange.team = "divers";
+    exchange.passes_identity = false;
+    const http_request message = wire::write_exchange(exchange);
+    EXPECT_EQ(field(message.fields, "Authorization"), "");
+    EXPECT_EQ(field(message.fields, "X-Tamarackstand-Tenant"), "divers");
+    exchange.team.clear();
+    exchange.passes_identity = true;
+    EXPECT_EQ(field(wire::write_exchange(exchange).fields, "Authorization"), "Bearer secret");
+}
+
 } // namespace
 } // namespace tamarack
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -21,6 +21,7 @@
 constexpr const char* extra_ratio = "0.2";
 constexpr const char* extra_allowance = "58";
 constexpr const char* extra_window_seconds = "10";
+constexpr const char* revocation_milliseconds = "5000";
 constexpr std::size_t max_seeds = 3;
 constexpr unsigned redirect = 307;
 constexpr const char* stamp_field = "x-tamarackstand-response-stamp";
@@ -94,6 +95,8 @@
         std::filesystem::create_directories(folder);
     }
     resolve_section(text, "data-dir", has_disk);
+    resolve_section(text, "bounds.strict-revocation", m_revokes_keys_everywhere);
+    replace_placeholder(text, "bounds.revoke-ms", revocation_milliseconds);
     replace_placeholder(text, "ip", ip);
     replace_placeholder(text, "zone", "zone-" + std::to_string(host % 3));
     replace_placeholder(text, "data-dir", has_disk ? folder.string() : "");
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -99,6 +99,8 @@
     platform_deployment(platform_deployment&&) = delete;
     platform_deployment& operator=(platform_deployment&&) = delete;
 
+    /** Sets that a removed key may be used on no host after some time. Call before the hosts are started. */
+    void revoke_keys_everywhere() { m_revokes_keys_everywhere = true; }
     void start_host(std::size_t host);
     void start_all();
     void kill_host(std::size_t host) { m_processes.kill(name_of(host)); }
@@ -208,6 +210,7 @@
     std::thread m_loop_thread;
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
+    bool m_revokes_keys_everywhere = false;
     std::atomic<unsigned> m_next_request{1};
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
--- a/tests/tickets/route_table_test.cpp
+++ b/tests/tickets/route_table_test.cpp
@@ -101,5 +101,39 @@
     EXPECT_EQ(lines.front(), "route x.example/s/: changed");
 }
 
+ticket with_teams() {
+    ticket value = with_routes();
+    value.routes->requires_keys = true;
+    value.routes->teams = {{"divers", {"k1", "k2"}, 1U, 46.0, 46.0, {"north"}},
+                           {"keepers", {}, {}, 0.0, 0.0, {}}};
+    value.routes->routes.front().is_public = true;
+    value.routes->routes.front().regions = {"north", "south"};
+    value.routes->services.front().warmup_requests_per_second = 2.5;
+    return value;
+}
+
+TEST(route_table_ticket, survives_its_encoding_with_teams) {
+    const auto decoded = decode_ticket(encode_ticket(with_teams()));
+    ASSERT_TRUE(succeeded(decoded)) << error_of(decoded).message;
+    EXPECT_EQ(value_of(decoded), with_teams());
+}
+
+/** Guards against a configuration by which a request could belong to two teams, and against faults that print
+ * a key. */
+TEST(route_table_ticket, is_refused_if_teams_share_a_key_or_a_name) {
+    ticket value = with_teams();
+    value.routes->teams[1].keys = {"k2", ""};
+    value.routes->teams[1].name = "divers";
+    value.routes->teams[1].burst = -1.0;
+    const ticket_faults faults = check_ticket(value, {});
+    const ticket_faults expected = {
+        {"routes.teams[1].name", "is the name of another team too"},
+        {"routes.teams[1].burst", "must be from 0 to 1000000000"},
+        {"routes.teams[1].keys[0]", "is a key of another team too"},
+        {"routes.teams[1].keys[1]", "must be 1 to 8192 visible ASCII characters"},
+    };
+    EXPECT_EQ(faults, expected);
+}
+
 } // namespace
 } // namespace tamarack
