--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -199,6 +199,7 @@
                              int deadline_ms, testing_support::persistent_connection* connection) {
     plain_request request;
     request.path = path;
+    request.fields = m_caller_fields;
     request.fields["host"] = authority;
     request.fields["x-tamarackstand-request-id"] = "r" + std::to_string(m_next_request++);
     request.fields["x-tamarackstand-deadline-ms"] = std::to_string(deadline_ms);
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -53,6 +53,8 @@
     std::atomic<testing_support::repetition> repetition{testing_support::repetition::before_next_response};
     std::atomic<bool> repeats_as_success{false}; ///< a failure is repeated with status 200
     std::atomic<unsigned> received{0};
+    std::atomic<bool> saw_key{false};                    ///< a request carried an Authorization field
+    std::atomic<unsigned> runs_for_team{0};              ///< runs whose request named the team "divers"
     std::atomic<double> request_limit{no_request_limit}; ///< stated in each reply: requests a second
     std::atomic<bool> draining{false};                   ///< reported in its heartbeats
     std::atomic<bool> ended{false};                      ///< it has deregistered and sends no more heartbeats
@@ -142,6 +144,8 @@
     std::optional<plain_response> request(std::size_t host, const std::string& authority,
                                           const std::string& path, int deadline_ms = 2'000,
                                           testing_support::persistent_connection* connection = nullptr);
+    /** Sets header fields that all later requests of callers carry. */
+    void set_caller_fields(testing_support::header_fields fields) { m_caller_fields = std::move(fields); }
     /** Sets the function that returns the services that a path is counted for. Call before the first request.
      */
     void count_requests_by(std::function<std::vector<std::string>(const std::string&)> services_of) {
@@ -211,6 +215,7 @@
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
     bool m_revokes_keys_everywhere = false;
+    testing_support::header_fields m_caller_fields;
     std::atomic<unsigned> m_next_request{1};
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -136,6 +136,8 @@
         return;
     }
     ++replica.runs;
+    replica.saw_key = replica.saw_key || !request.field("authorization").empty();
+    replica.runs_for_team += request.field("x-tamarackstand-tenant") == "divers" ? 1 : 0;
     {
         const std::lock_guard lock{m_records};
         ++m_runs[{replica.service, request.field("x-tamarackstand-request-id")}];
