Answer requests that left no byte behind as not run

Cause: the loss of a connection to which an exchange had been handed over always counted as a request that may have run, also when the target had closed or reset the connection before the request was written, so that the caller got 502 or 504 and could not resend. Ruled out: connections lost while opening and parts that still wait never counted as sent; bytes that the system has taken may have arrived, whatever the target did afterwards, so they remain unknown. Change: before writing, the client connection looks for an end that the peer has sent (one system call), and reports an end without a written byte as request_unsent; when the read fails first, the cancelled write's byte count decides. The engine counts such an exchange as not run, may retry it although a request must not run twice, and takes it for no evidence that the content crashes targets.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -46,7 +46,8 @@
           {[this](target_connection number) { carry_out(m_engine.on_connected(event_time(), number)); },
            [this](target_connection number, connection_end end) {
                m_metrics.count(counter_id::connections_closed_total, to_name(end));
-               carry_out(m_engine.on_connection_lost(event_time(), number, std::string{to_name(end)}));
+               carry_out(m_engine.on_connection_lost(event_time(), number, std::string{to_name(end)},
+                                                     end == connection_end::request_unsent));
            },
            [this](target_connection number, target_reply reply) {
                m_metrics.count(counter_id::exchanges_total, to_name(reply.verdict));
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -46,7 +46,7 @@
     void review_key_lease();
     void on_view(forwarding_view_pointer view);
     void on_connected(target_connection connection);
-    void on_connection_lost(target_connection connection, std::string cause);
+    void on_connection_lost(target_connection connection, std::string cause, bool unsent);
     void on_reply(target_connection connection, target_reply reply);
     void observe(engine_connection& held, const target_reply& reply);
     void observe_backoff(engine_target& target, const target_reply& reply);
@@ -108,7 +108,8 @@
     dispatcher.serve_waiting(*target->service);
 }
 
-void forwarding_engine::implementation::on_connection_lost(target_connection connection, std::string cause) {
+void forwarding_engine::implementation::on_connection_lost(target_connection connection, std::string cause,
+                                                           bool unsent) {
     const auto found = core.connections.find(connection);
     if (found == core.connections.end()) {
         return;
@@ -123,12 +124,12 @@
     }
     if (held.phase == connection_phase::opening) {
         losses.on_unreachable(held.target->info);
-    } else if (held.content) {
+    } else if (held.content && !unsent) {
         losses.on_lost(held, loss_cause::connection_lost);
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (run != nullptr) {
-        flow.on_lost(*run, held.part, connection, std::move(cause));
+        flow.on_lost(*run, held.part, connection, std::move(cause), unsent);
     }
     dispatcher.keep_warm();
 }
@@ -341,9 +342,9 @@
 }
 
 forwarding_actions forwarding_engine::on_connection_lost(time_point now, target_connection connection,
-                                                         std::string cause) {
+                                                         std::string cause, bool unsent) {
     return m_implementation->handle(
-        now, [&] { m_implementation->on_connection_lost(connection, std::move(cause)); });
+        now, [&] { m_implementation->on_connection_lost(connection, std::move(cause), unsent); });
 }
 
 forwarding_actions forwarding_engine::on_reply(time_point now, target_connection connection,
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -62,10 +62,11 @@
     /**
      * A connection could not be opened, was closed by the target, or broke.
      *
-     * @param cause  for the log
+     * @param cause   for the log
+     * @param unsent  it is certain that no byte of the connection's exchange was sent
      */
     forwarding_actions on_connection_lost(time_point now, target_connection connection,
-                                          std::string cause = {});
+                                          std::string cause = {}, bool unsent = false);
     forwarding_actions on_reply(time_point now, target_connection connection, target_reply reply);
     /** To be called when next_timer is due; earlier or additional calls are harmless. */
     forwarding_actions on_timer(time_point now);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -146,13 +146,22 @@
     }
 }
 
+/**
+ * Failure pattern: a target is restarted, or resets connections beyond its limit, just before requests are
+ * written to connections that this host still considers open.
+ */
 void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection,
-                           std::string cause) {
+                           std::string cause, bool unsent) {
     run_part& part = run.parts[part_index];
     trace_end(run, part, connection, trace_step::lost, std::move(cause));
     remove_exchange(part, connection);
-    ++run.lost;
-    retry_or_give_up(run, part_index, false, "connection_lost");
+    if (unsent) {
+        ++run.not_run;
+        --part.possible_runs;
+    } else {
+        ++run.lost;
+    }
+    retry_or_give_up(run, part_index, unsent, "connection_lost");
     answer_if_due(run);
 }
 
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -15,7 +15,9 @@
     /** A target replied to an exchange of a request. */
     void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
     /** The connection of a request's exchange was lost. */
-    void on_lost(forwarding_run& run, std::size_t part, target_connection connection, std::string cause);
+    /** @param unsent  no byte of the exchange was sent, so its target can't have run it */
+    void on_lost(forwarding_run& run, std::size_t part, target_connection connection, std::string cause,
+                 bool unsent);
     /** Gives up those of the waiting parts that no target of the service can serve in time; an extra exchange
      * goes only to targets that the part was not sent to. */
     void give_up_unservable(engine_service& service);
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -15,7 +15,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <future>
 #include <optional>
 #include <string_view>
@@ -125,6 +128,12 @@
         if (closed) {
             return;
         }
+        if (failure && outgoing) {
+            // The write, which is cancelled here, tells whether any byte of the request was sent.
+            end_after_write = end_of(failure);
+            stream.close();
+            return;
+        }
         if (failure) {
             end(end_of(failure));
             return;
@@ -189,26 +198,45 @@
     void send(const http_request& request, http_response_handler on_response) {
         require_invariant(!handler && !outgoing, "a connection carries one request at a time");
         handler = std::move(on_response);
+        if (is_closed_by_peer()) {
+            unsent = true;
+            boost::asio::post(stream.get_executor(), [self = shared_from_this()] {
+                if (!self->closed) {
+                    self->end(connection_end::failed);
+                }
+            });
+            return;
+        }
         outgoing.emplace(to_beast(request, host_field));
-        http::async_write(stream, *outgoing,
-                          [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
-                              self->outgoing.reset();
-                              if (self->closed) {
-                                  return;
-                              }
-                              if (failure) {
-                                  self->end(connection_end::failed);
-                              } else if (self->events.written) {
-                                  self->events.written();
-                              }
-                          });
+        http::async_write(
+            stream, *outgoing,
+            [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
+                self->outgoing.reset();
+                if (self->closed) {
+                    return;
+                }
+                if (failure || self->end_after_write) {
+                    self->unsent = failure && bytes == 0;
+                    self->end(self->end_after_write.value_or(connection_end::failed));
+                } else if (self->events.written) {
+                    self->events.written();
+                }
+            });
+    }
+
+    /** @return whether a read would report the end of the connection; costs one system call */
+    bool is_closed_by_peer() {
+        char next = 0;
+        const ssize_t peeked =
+            ::recv(stream.socket().native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+        return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
     void end(connection_end cause) {
         const auto lost = std::move(events.lost);
         close();
         if (lost) {
-            lost(cause);
+            lost(unsent ? connection_end::request_unsent : cause);
         }
     }
 
@@ -228,6 +256,9 @@
     std::optional<http::response_parser<http::string_body>> parser;
     std::optional<beast_request> outgoing; ///< the request that is being written
     http_response_handler handler;
+    /** The read has failed with this end, which is reported once the write has ended. */
+    std::optional<connection_end> end_after_write;
+    bool unsent = false; ///< no byte of the current request was passed to the system, and none will be
     bool closed = false;
 };
 
--- a/modules/tamarack_transport/http/http_client.h
+++ b/modules/tamarack_transport/http/http_client.h
@@ -20,17 +20,19 @@
     malformed_response, ///< the peer sent bytes that are no response, or a response that is too long
     unexpected_bytes,   ///< the peer sent bytes that belong to no request
     ended_by_response,  ///< a response said so, or came before its request was written
+    request_unsent,     ///< closed or failed before a byte of the request was passed to the system
 };
 
 template <>
 struct name_table<connection_end> {
-    static constexpr std::array<std::pair<connection_end, std::string_view>, 6> entries{{
+    static constexpr std::array<std::pair<connection_end, std::string_view>, 7> entries{{
         {connection_end::unreachable, "unreachable"},
         {connection_end::closed, "closed"},
         {connection_end::failed, "failed"},
         {connection_end::malformed_response, "malformed_response"},
         {connection_end::unexpected_bytes, "unexpected_bytes"},
         {connection_end::ended_by_response, "ended_by_response"},
+        {connection_end::request_unsent, "request_unsent"},
     }};
 };
 
--- a/tests/transport/unexpected_bytes_test.cpp
+++ b/tests/transport/unexpected_bytes_test.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "loopback_server.h"
+#include "waiting_client.h"
 
 #include <tamarack_transport/tamarack_transport.h>
 
@@ -19,95 +20,19 @@
 namespace {
 
 using boost::asio::ip::tcp;
+using testing_support::read_request;
+using testing_support::waiting_client;
 
-constexpr std::size_t response_limit = 64 * kibibyte;
-constexpr duration event_limit = 10s;
 /** Long enough for bytes that were sent on loopback to be received. */
 constexpr duration receipt_time = 100ms;
 
 /** What a connection reported: a response, or its end. */
 using connection_event = std::variant<http_response, connection_end>;
 
-/** An http_connection whose events can be waited for. */
-class waiting_client {
-public:
-    explicit waiting_client(const endpoint& address) {
-        m_thread.start();
-        std::promise<void> opened;
-        http_connection_events events;
-        events.opened = [&] { opened.set_value(); };
-        events.lost = [this](connection_end end) { m_end.set_value(end); };
-        run([&] {
-            m_connection = std::make_unique<http_connection>(m_thread, address, event_limit, response_limit,
-                                                             std::move(events));
-        });
-        opened.get_future().wait();
-    }
-    ~waiting_client() {
-        run([this] { m_connection.reset(); });
-        m_thread.stop();
-    }
-    waiting_client(const waiting_client&) = delete;
-    waiting_client& operator=(const waiting_client&) = delete;
-    waiting_client(waiting_client&&) = delete;
-    waiting_client& operator=(waiting_client&&) = delete;
-
-    /**
-     * @param before  runs on the connection's thread, right before the request is sent
-     * @return the response to a request, if it came before the connection ended
-     */
-    std::optional<http_response> call(const std::function<void()>& before = [] {}) {
-        auto response = std::make_shared<std::promise<http_response>>();
-        auto received = response->get_future();
-        run([this, response, &before] {
-            before();
-            http_request request;
-            request.target = "/";
-            m_connection->send(request,
-                               [response](const http_response& message) { response->set_value(message); });
-        });
-        while (received.wait_for(1ms) != std::future_status::ready) {
-            if (end_within(0ms)) {
-                return std::nullopt;
-            }
-        }
-        return received.get();
-    }
-
-    /** @return why the connection ended, if it did so within a time */
-    std::optional<connection_end> end_within(duration limit) {
-        return m_ended.wait_for(limit) == std::future_status::ready ? std::optional{m_ended.get()}
-                                                                    : std::nullopt;
-    }
-
-private:
-    void run(const std::function<void()>& work) {
-        std::promise<void> ran;
-        m_thread.try_post([&] {
-            work();
-            ran.set_value();
-        });
-        ran.get_future().wait();
-    }
-
-    worker_thread m_thread{"client", 8};
-    std::unique_ptr<http_connection> m_connection;
-    std::promise<connection_end> m_end;
-    std::shared_future<connection_end> m_ended{m_end.get_future()};
-};
-
 std::string response_to(const std::string& request, const std::string& status) {
     return "HTTP/1.1 " + status + "\r\nX-Request: " + request + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
-/** Reads the next request. @return whether there was one */
-bool read_request(tcp::socket& socket) {
-    std::string request;
-    boost::system::error_code failure;
-    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", failure);
-    return !failure;
-}
-
 void write(tcp::socket& socket, const std::string& bytes) {
     boost::system::error_code ignored;
     boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
@@ -132,7 +57,7 @@
     ASSERT_TRUE(first);
     EXPECT_FALSE(first->ends_connection);
     sends_on.set_value();
-    if (const auto end = client.end_within(event_limit)) {
+    if (const auto end = client.end_within(waiting_client::event_limit)) {
         EXPECT_EQ(*end, connection_end::unexpected_bytes);
         return;
     }
@@ -154,7 +79,7 @@
     ASSERT_TRUE(first);
     EXPECT_EQ(first->status, 200U);
     EXPECT_TRUE(first->ends_connection);
-    EXPECT_EQ(client.end_within(event_limit), connection_end::unexpected_bytes);
+    EXPECT_EQ(client.end_within(waiting_client::event_limit), connection_end::unexpected_bytes);
 }
 
 TEST(unexpected_bytes, of_a_whole_response_end_an_idle_connection) {
@@ -168,7 +93,7 @@
     }};
     waiting_client client{server.address()};
     ASSERT_TRUE(client.call());
-    EXPECT_EQ(client.end_within(event_limit), connection_end::unexpected_bytes);
+    EXPECT_EQ(client.end_within(waiting_client::event_limit), connection_end::unexpected_bytes);
 }
 
 /** The beginning of a second copy of a response, cut within a field's value. */
