Share scarce capacity between teams and spread refused callers

Cause: parts waited by priority and objective alone and requests of all teams were refused alike, so that a team at ten times its load took most of its neighbours' connections and admissions; refused callers were told about the same delay and came back in one wave. Change: waiting parts are ordered between teams by start-time fair queueing; while capacity is short, teams above their max-min share of the admitted work give way at half the wait unless they are served less than half as often as all; retry delays are spaced by the rate of completions. Without teams the order is as before; the first refused caller gets the former delay. Mechanisms team_fairness and return_pacing.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -220,6 +220,7 @@
                 [this](const extra_load_report& report) { log_extra_load(report); },
                 [this](const broadcast_request_limit& report) { m_hooks.report_request_limit(report); },
                 [this](const request_limit_report& report) { log_request_limit(report); },
+                [this](const team_gave_way& refused) { log_team_gave_way(refused); },
                 [this](const target_changed& changed) { log_target_change(changed); },
                 [this](const target_leaving& left) {
                     m_hooks.report_target_leaving(left.target, left.incarnation);
@@ -265,6 +266,18 @@
                       {"record_age_ms", std::to_string(report.counting_for / 1ms)}});
 }
 
+void forwarding_worker::log_team_gave_way(const team_gave_way& refused) {
+    m_metrics.count(counter_id::gave_way_total);
+    if (!m_gave_way_lines.take(steady_now())) {
+        return;
+    }
+    log_state_change(log_level::info, "team_gave_way", m_inputs.view->ticket,
+                     {{"team", refused.team},
+                      {"service", refused.service.value()},
+                      {"wait_ms", std::to_string(refused.expected_wait / 1ms)},
+                      {"fraction", std::to_string(refused.fraction)}});
+}
+
 void forwarding_worker::log_request_limit(const request_limit_report& report) {
     m_metrics.count(counter_id::request_limit_steps_total, to_name(report.step));
     m_metrics.count(counter_id::exchanges_under_limit_total, {}, static_cast<double>(report.use.sent));
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -85,6 +85,7 @@
     void log_crash_evidence(const crash_evidence_report& report);
     void log_extra_load(const extra_load_report& report);
     void log_request_limit(const request_limit_report& report);
+    void log_team_gave_way(const team_gave_way& refused);
     void log_anomaly(const exchange_anomaly& anomaly);
     void check_drained();
     void apply_limits();
@@ -102,6 +103,7 @@
     forwarding_inputs m_inputs;
     request_log m_log;
     rate_limiter m_crash_lines;
+    rate_limiter m_gave_way_lines{1.0, 1.0}; ///< a line a second
     rate_limiter m_remote_crash_lines;
     random_source m_random;
     bool m_leaving = false;
--- a/modules/tamarack_forwarding/admission/admission.cpp
+++ b/modules/tamarack_forwarding/admission/admission.cpp
@@ -15,7 +15,6 @@
 /** Each step of lower priority reduces the waiting share by this amount. */
 constexpr double priority_step = 0.15;
 constexpr double min_wait_share = 0.3;
-constexpr duration min_retry_after = 20ms;
 
 duration scaled(duration value, double factor) {
     return duration{static_cast<std::int64_t>(static_cast<double>(value.count()) * factor)};
@@ -44,6 +43,13 @@
     return decision;
 }
 
+bool is_short(const forward_admission_inputs& inputs) {
+    forward_admission_inputs doubled = inputs;
+    doubled.queue_time = 2 * inputs.queue_time;
+    doubled.lag = inputs.lag > tolerated_lag ? 2 * inputs.lag : duration{0};
+    return !admit(doubled).admitted && (doubled.queue_time > duration{0} || doubled.lag > duration{0});
+}
+
 duration add_retry_jitter(duration retry_after, random_source& random) {
     return retry_after + random.between(duration{0}, retry_after / 2);
 }
--- a/modules/tamarack_forwarding/admission/admission.h
+++ b/modules/tamarack_forwarding/admission/admission.h
@@ -7,6 +7,9 @@
 
 namespace tamarack {
 
+/** A caller that retries sooner finds the targets in the same state. */
+inline constexpr duration min_retry_after = 20ms;
+
 /** Inputs of the admission decision for a new request. */
 struct forward_admission_inputs {
     duration until_objective{}; ///< negative once the objective has passed
@@ -34,6 +37,14 @@
  */
 admission_decision admit(const forward_admission_inputs& inputs);
 
+/**
+ * Load pattern: a team sends several times its usual load. By the time at which requests have to be refused,
+ * the queue is so long that those of all teams are.
+ *
+ * @return whether capacity is short: a request that waits must be refused if the wait becomes twice as long
+ */
+bool is_short(const forward_admission_inputs& inputs);
+
 /**
  * Adds random jitter to a retry delay, so that refused callers do not all come back at the same moment.
  *
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -127,11 +127,19 @@
     duration period{};  ///< since the previous report
 };
 
+/** A request was refused because its team was above its share while capacity was short; for the log. */
+struct team_gave_way {
+    service_id service;
+    std::string team;         ///< empty for callers without a key
+    duration expected_wait{}; ///< of a request that is admitted now
+    double fraction = 0.0;    ///< of the recent requests' work that the team sent to this host
+};
+
 /** What the caller of the engine has to do after an event, in order. */
-using forwarding_action =
-    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
-                 target_changed, target_leaving, broadcast_crash_loss, crashing_content_found,
-                 crash_evidence_report, extra_load_report, request_limit_report, broadcast_request_limit>;
+using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
+                                       deliver_answer, target_changed, target_leaving, broadcast_crash_loss,
+                                       crashing_content_found, crash_evidence_report, extra_load_report,
+                                       request_limit_report, broadcast_request_limit, team_gave_way>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -209,6 +209,9 @@
     const forward_number request = held.request;
     const std::size_t part = held.part;
     const duration taken = core.now - held.since;
+    if (reply.verdict == target_verdict::completed && target->service != nullptr) {
+        target->service->returns.on_completed(core.now);
+    }
     if (reply.verdict == target_verdict::completed) {
         losses.on_completed(*held.content);
     }
--- a/modules/tamarack_forwarding/engine/forwarding_run.h
+++ b/modules/tamarack_forwarding/engine/forwarding_run.h
@@ -84,6 +84,8 @@
     time_point latest_send(time_point now) const {
         return times.objective_at > now ? times.objective_at : times.answer_deadline;
     }
+    /** @return name of the team that holds the caller's key; empty if none does */
+    std::string team_name() const { return holder != nullptr ? holder->name : std::string{}; }
     bool merges() const { return selected_route->destination == route_destination::shards; }
 };
 
--- a/modules/tamarack_forwarding/engine/forwarding_statistics.h
+++ b/modules/tamarack_forwarding/engine/forwarding_statistics.h
@@ -15,8 +15,9 @@
     std::uint64_t connections_opened = 0;
     std::uint64_t connections_failed = 0;
     std::uint64_t late_answers = 0;
-    std::size_t running = 0; ///< requests without an answer
-    std::size_t waiting = 0; ///< exchanges that wait for a connection
+    std::uint64_t gave_way = 0; ///< requests refused because their team was above its share
+    std::size_t running = 0;    ///< requests without an answer
+    std::size_t waiting = 0;    ///< exchanges that wait for a connection
     std::size_t connections = 0;
     std::size_t timers = 0; ///< scheduled items
     std::size_t unread = 0; ///< exchanges closed without a reply whose charges are still open
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace tamarack {
 
@@ -121,30 +122,28 @@
     exchange.target = target->info.id;
     exchange.remaining_time = std::max(run.times.answer_deadline - m_core.now, duration{1ms});
     exchange.payload = run.request.payload;
-    exchange.team = run.holder != nullptr ? run.holder->name : std::string{};
+    exchange.team = run.team_name();
     exchange.passes_identity = !run.table->requires_keys;
     m_core.actions.emplace_back(send_target_exchange{connection, std::move(exchange)});
 }
 
 void part_dispatcher::send_or_wait(forwarding_run& run, std::size_t part_index, trace_step step) {
+    run_part& part = run.parts[part_index];
+    waiting_list& waiting = part.service->waiting;
+    waiting_part item = describe_wait(run, part_index, step);
+    waiting.charge(item);
     if (try_send(run, part_index, step)) {
+        waiting.on_sent(item);
         return;
     }
-    run_part& part = run.parts[part_index];
     part.progress = part_progress::waiting;
     part.queued = true;
-    m_core.trace(run, trace_step::waits, part.service->id, nullptr, {}, part.service->waiting.size());
-    const waiting_part item{run.request.number, part_index, run.priority, run.times.objective_at, step};
-    auto& waiting = part.service->waiting;
+    m_core.trace(run, trace_step::waits, part.service->id, nullptr, {}, waiting.size());
     if (!m_core.uses(forwarding_mechanism::wait_order)) {
-        waiting.push_back(item);
+        waiting.push_back(std::move(item));
         return;
     }
-    const auto later = std::find_if(waiting.begin(), waiting.end(), [&](const waiting_part& other) {
-        return other.priority > item.priority ||
-               (other.priority == item.priority && other.objective_at > item.objective_at);
-    });
-    waiting.insert(later, item);
+    waiting.insert(std::move(item));
     await_limits(*part.service);
 }
 
@@ -168,7 +167,7 @@
         forwarding_run* run = m_core.find_run(item->request);
         const bool wanted = run != nullptr && !run->ended && run->parts[item->part].queued;
         if (!wanted) {
-            item = service.waiting.erase(item);
+            item = service.waiting.erase_withdrawn(item);
             continue;
         }
         const bool was_sent = !run->parts[item->part].tried.empty();
@@ -183,7 +182,7 @@
         const bool is_extra = item->step != trace_step::sent;
         if (verdict == crash_verdict::refused || (is_extra && verdict != crash_verdict::clear)) {
             defer(*run, run->parts[item->part]);
-            item = service.waiting.erase(item);
+            item = service.waiting.erase_withdrawn(item);
             continue;
         }
         if (!try_send(*run, item->part, item->step)) {
@@ -196,7 +195,7 @@
             continue;
         }
         run->parts[item->part].queued = false;
-        item = service.waiting.erase(item);
+        item = service.waiting.erase_sent(item);
     }
 }
 
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -18,6 +18,8 @@
 
     /** Sends an exchange for a part now. @return false if no suitable target has a free connection */
     bool try_send(forwarding_run& run, std::size_t part, trace_step step);
+    /** @return the entry of a part in its service's list of waiting parts */
+    waiting_part describe_wait(const forwarding_run& run, std::size_t part, trace_step step) const;
     /** Sends an exchange now, or as soon as a connection is free. */
     void send_or_wait(forwarding_run& run, std::size_t part, trace_step step);
     /** Sends the parts that wait for a service, as long as connections are free. */
@@ -28,6 +30,8 @@
      */
     std::optional<duration> expected_wait(const engine_service& service,
                                           const placement_demand& demand) const;
+    /** @return time in which this host's share of the targets of a service completes one exchange */
+    duration completion_interval(const engine_service& service, duration median_time) const;
     /** @return whether a target that has not been tried for this part may be sent an exchange by `latest` */
     bool has_untried(const run_part& part, time_point latest) const;
     /** @return whether a service has a target that may be sent exchanges, now or once a connection is free */
--- a/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
@@ -117,6 +117,34 @@
            duration{static_cast<std::int64_t>(rounds * static_cast<double>(demand.median_time.count()))};
 }
 
+waiting_part part_dispatcher::describe_wait(const forwarding_run& run, std::size_t part,
+                                            trace_step step) const {
+    waiting_part item;
+    item.request = run.request.number;
+    item.part = part;
+    item.priority = run.priority;
+    item.objective_at = run.times.objective_at;
+    item.step = step;
+    if (run.table->requires_keys && m_core.uses(forwarding_mechanism::team_fairness)) {
+        item.team = run.team_name();
+        item.work = static_cast<double>(run.timing->median().count());
+    }
+    return item;
+}
+
+/** Every host that may have connections to a target is expected to use the same share of its slots. */
+duration part_dispatcher::completion_interval(const engine_service& service, duration median_time) const {
+    double slots = 0.0;
+    for (const engine_target_pointer& target : service.targets) {
+        if (target->is_available(m_core.now)) {
+            slots += static_cast<double>(std::max(target->info.slots, 1U)) /
+                     static_cast<double>(std::max<std::size_t>(target->info.connected_hosts, 1));
+        }
+    }
+    return slots > 0.0 ? duration{static_cast<std::int64_t>(static_cast<double>(median_time.count()) / slots)}
+                       : median_time;
+}
+
 duration part_dispatcher::wait_for_limits(const engine_service& service) const {
     struct next_exchange {
         const request_limit* limit;
--- a/modules/tamarack_forwarding/engine/request_answers.cpp
+++ b/modules/tamarack_forwarding/engine/request_answers.cpp
@@ -8,13 +8,6 @@
 
 namespace tamarack {
 
-namespace {
-
-/** A caller that retries sooner finds the targets in the same state. */
-constexpr duration min_retry_after = 20ms;
-
-} // namespace
-
 std::optional<duration> request_answers::until_coverable(const forwarding_run& run) const {
     std::vector<time_point> moments;
     for (const run_part& part : run.parts) {
@@ -86,14 +79,29 @@
     if (answer.outcome == forward_outcome::not_run) {
         const duration typical_time = std::max(run.timing->p90(), min_retry_after);
         const std::optional<duration> backoff_left = until_coverable(run);
+        const duration capacity_in =
+            std::max(backoff_left.value_or(m_core.options.no_target_retry), typical_time);
+        const bool overloaded =
+            reason == forward_reason::overloaded || reason == forward_reason::targets_refused;
         answer.retry_after =
-            add_retry_jitter(backoff_left ? std::max(*backoff_left, typical_time)
-                                          : std::max(m_core.options.no_target_retry, typical_time),
-                             m_core.random);
+            overloaded ? retry_delay(run, capacity_in) : add_retry_jitter(capacity_in, m_core.random);
     }
     finish(run, std::move(answer));
 }
 
+duration request_answers::retry_delay(const forwarding_run& run, duration capacity_in) {
+    if (!m_core.uses(forwarding_mechanism::return_pacing)) {
+        return add_retry_jitter(capacity_in, m_core.random);
+    }
+    constexpr int honoured_divisor = 3; // callers honour a delay up to a third of their remaining time
+    engine_service& service = *run.parts.front().service;
+    return_request refused;
+    refused.capacity_in = capacity_in;
+    refused.interval = m_dispatcher.completion_interval(service, run.timing->median());
+    refused.useful_for = (run.times.answer_deadline - m_core.now) / honoured_divisor;
+    return service.returns.next(m_core.now, refused, m_core.random);
+}
+
 void request_answers::finish(forwarding_run& run, forward_answer answer) {
     run.ended = true;
     m_core.deferred_requests.erase(run.request.number);
--- a/modules/tamarack_forwarding/engine/request_answers.h
+++ b/modules/tamarack_forwarding/engine/request_answers.h
@@ -23,6 +23,11 @@
     void reply(forwarding_run& run, target_reply reply);
     /** Answers without a reply: `not_run` with a retry delay if no target can have run it, else `unknown`. */
     void failed(forwarding_run& run, forward_reason reason);
+    /**
+     * @param capacity_in  time until capacity is expected to be free
+     * @return the delay to send to the caller of a request that is refused for lack of capacity
+     */
+    duration retry_delay(const forwarding_run& run, duration capacity_in);
     /** Ends a request with this answer and abandons its exchanges. */
     void finish(forwarding_run& run, forward_answer answer);
 
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -288,10 +288,10 @@
     ++m_core.statistics.hedges;
     ++run.trace.hedges;
     if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
-        const waiting_part item{run.request.number, part_index, run.priority, run.times.objective_at,
-                                trace_step::hedged};
+        waiting_part item = m_dispatcher.describe_wait(run, part_index, trace_step::hedged);
+        part.service->waiting.charge(item);
         part.queued = true;
-        part.service->waiting.push_front(item);
+        part.service->waiting.push_front(std::move(item));
     }
 }
 
@@ -309,7 +309,7 @@
             continue;
         }
         const std::size_t part_index = item->part;
-        item = service.waiting.erase(item);
+        item = service.waiting.erase_withdrawn(item);
         if (!wanted) {
             continue;
         }
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../admission/admission.h"
 #include "request_answers.h"
 
 namespace tamarack {
@@ -50,6 +51,10 @@
     /** Gives up parts whose shards cannot reply before the objective, as far as the least coverage allows. */
     void drop_overloaded_parts(forwarding_run& run);
     bool is_admitted(forwarding_run& run);
+    /** Records a request of a team, and turns its admission into a refusal if capacity is short and the team
+     * is above its share. @return whether it did */
+    bool gives_way(const forwarding_run& run, const forward_admission_inputs& inputs,
+                   admission_decision& decision);
     void cover(forwarding_run& run, run_part& part, target_reply reply);
     /** Sends another exchange after one ended without a usable reply, or gives the part up. */
     void retry_or_give_up(forwarding_run& run, std::size_t part, bool did_not_run, const char* cause);
--- a/modules/tamarack_forwarding/engine/request_flow_admission.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow_admission.cpp
@@ -85,18 +85,44 @@
     inputs.priority = run.priority;
     inputs.lag = m_core.current_lag();
     inputs.queue_time = expected_queue(run);
-    const admission_decision decision = admit(inputs);
-    if (decision.admitted || !m_core.uses(forwarding_mechanism::admission_by_wait)) {
+    if (!m_core.uses(forwarding_mechanism::admission_by_wait)) {
+        return true;
+    }
+    admission_decision decision = admit(inputs);
+    if (!gives_way(run, inputs, decision) && decision.admitted) {
         return true;
     }
     forward_answer answer;
     answer.outcome = forward_outcome::not_run;
     answer.reason = is_limited(run) ? forward_reason::targets_limited : forward_reason::overloaded;
-    answer.retry_after = add_retry_jitter(decision.retry_after, m_core.random);
+    answer.retry_after = m_answers.retry_delay(run, decision.retry_after);
     m_answers.finish(run, std::move(answer));
     return false;
 }
 
+bool request_flow::gives_way(const forwarding_run& run, const forward_admission_inputs& inputs,
+                             admission_decision& decision) {
+    if (!run.table->requires_keys || !m_core.uses(forwarding_mechanism::team_fairness)) {
+        return false;
+    }
+    engine_service& service = *run.parts.front().service;
+    const std::string team = run.team_name();
+    const auto work = static_cast<double>(run.timing->median().count());
+    service.shares.on_arrival(m_core.now, team, work);
+    if (decision.admitted && is_short(inputs) && service.shares.gives_way(m_core.now, team)) {
+        decision.admitted = false;
+        decision.retry_after = std::max(min_retry_after, decision.expected_wait);
+        ++m_core.statistics.gave_way;
+        m_core.actions.emplace_back(
+            team_gave_way{service.id, team, decision.expected_wait, service.shares.fraction_of(team)});
+        return true;
+    }
+    if (decision.admitted) {
+        service.shares.on_admitted(team, work);
+    }
+    return false;
+}
+
 /**
  * Failure pattern: a key is removed, or this host loses the lease by which it can confirm keys, while
  * requests with keys wait for a connection, a hedge or a retry. Exchanges that are running are completed.
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "../budget/extra_budget.h"
-#include "../explain/request_trace.h"
+#include "../fairness/return_pacing.h"
+#include "../fairness/team_shares.h"
+#include "../fairness/waiting_list.h"
 #include "../limits/request_limit.h"
 #include "../payload/target_exchange.h"
 #include "../view/forwarding_view.h"
@@ -10,7 +12,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,20 +58,13 @@
 
 using engine_target_pointer = std::shared_ptr<engine_target>;
 
-/** A shard or request that waits for a connection. */
-struct waiting_part {
-    forward_number request = 0;
-    std::size_t part = 0;
-    std::uint32_t priority = 0;
-    time_point objective_at;
-    trace_step step = trace_step::sent;
-};
-
 /** State of one service in the engine: its targets and the parts that wait for them. */
 struct engine_service {
     service_id id;
     std::vector<engine_target_pointer> targets;
-    std::list<waiting_part> waiting;           ///< sorted by priority, then by objective
+    waiting_list waiting;
+    team_shares shares;                        ///< of the requests whose first part is for this service
+    return_pacing returns;                     ///< of the callers of those requests
     std::shared_ptr<extra_budget> budget;      ///< kept when the service leaves the routes, as it may return
     std::uint32_t refused_extra_exchanges = 0; ///< by the budget, since the last report
 
--- a/modules/tamarack_settings/model/forwarding_mechanism.h
+++ b/modules/tamarack_settings/model/forwarding_mechanism.h
@@ -29,11 +29,13 @@
     warm_connections,  ///< opens connections before they are needed
     active_subset,     ///< directs callers to a part of the hosts
     work_cancellation, ///< closes connections whose exchange waits at a target for nothing
+    team_fairness,     ///< shares scarce capacity between teams
+    return_pacing,     ///< spreads the return of refused callers
 };
 
 template <>
 struct name_table<forwarding_mechanism> {
-    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 16> entries{{
+    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 18> entries{{
         {forwarding_mechanism::hedges, "hedges"},
         {forwarding_mechanism::retries, "retries"},
         {forwarding_mechanism::ejection, "ejection"},
@@ -50,6 +52,8 @@
         {forwarding_mechanism::warm_connections, "warm_connections"},
         {forwarding_mechanism::active_subset, "active_subset"},
         {forwarding_mechanism::work_cancellation, "work_cancellation"},
+        {forwarding_mechanism::team_fairness, "team_fairness"},
+        {forwarding_mechanism::return_pacing, "return_pacing"},
     }};
 };
 
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 19> counters{{
+constexpr std::array<metric_description, 20> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -15,6 +15,7 @@
     {"tamarack_repeats_refused_total", "Hedges and retries that the budget for extra load refused.", ""},
     {"tamarack_crash_evidence_total", "Steps in the evidence that requests crash their targets.", "step"},
     {"tamarack_refusals_total", "Callers' requests refused or failed, by reason.", "reason"},
+    {"tamarack_gave_way_total", "Requests refused because their team was above its share.", ""},
     {"tamarack_connections_opened_total", "Connections opened to targets.", ""},
     {"tamarack_connections_closed_total", "Connections to targets closed, by reason.", "reason"},
     {"tamarack_target_changes_total", "Changes of what this host believes of a target, by kind.", "change"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -16,6 +16,7 @@
     repeats_refused_total,
     crash_evidence_total, ///< label: step
     refusals_total,       ///< label: reason
+    gave_way_total,
     connections_opened_total,
     connections_closed_total,  ///< label: reason
     target_changes_total,      ///< label: change
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -156,11 +156,12 @@
     }
 }
 
-void forwarding_world::load(const std::string& route_name, double per_second, duration from, duration until) {
+void forwarding_world::load(const std::string& route_name, double per_second, duration from, duration until,
+                            const std::string& team) {
     const auto mean = duration{static_cast<std::int64_t>(1e6 / per_second)};
     for (time_point when = m_start + from + m_random.exponential(mean); when < m_start + until;
          when += m_random.exponential(mean)) {
-        schedule(when, [this, route_name] { arrive(route_name); });
+        schedule(when, [this, route_name, team] { arrive(route_name, team); });
     }
 }
 
@@ -191,7 +192,8 @@
     m_now = m_start + end;
 }
 
-void forwarding_world::arrive(const std::string& route_name) {
+void forwarding_world::arrive(const std::string& route_name, const std::string& team,
+                              std::optional<time_point> first_arrived) {
     const auto taken = std::find_if(m_published->routes.begin(), m_published->routes.end(),
                                     [&](const route& item) { return item.name == route_name; });
     if (taken == m_published->routes.end()) {
@@ -204,7 +206,7 @@
         }
     }
     if (!active.empty()) {
-        arrive_at(active[m_random.below(active.size())], route_name, false);
+        arrive_at(active[m_random.below(active.size())], route_name, false, team, first_arrived);
     }
 }
 
@@ -212,7 +214,8 @@
     arrive_at(host, route_name, true);
 }
 
-void forwarding_world::arrive_at(std::size_t host, const std::string& route_name, bool crashes) {
+void forwarding_world::arrive_at(std::size_t host, const std::string& route_name, bool crashes,
+                                 const std::string& team, std::optional<time_point> first_arrived) {
     const auto taken = std::find_if(m_published->routes.begin(), m_published->routes.end(),
                                     [&](const route& item) { return item.name == route_name; });
     forward_request request;
@@ -226,7 +229,12 @@
     if (crashes) {
         m_crashing_requests.insert(request.id.value());
     }
-    m_open_requests[request.number] = {host, m_now, &*taken, request.id};
+    if (!team.empty()) {
+        request.credentials = {credentials_state::key, team};
+    }
+    const time_point first = first_arrived.value_or(m_now);
+    request.remaining_time = taken->timeout - (m_now - first);
+    m_open_requests[request.number] = {host, m_now, &*taken, request.id, team, first};
     for (const route_service& service : taken->services) {
         ++m_requests_for[service.service.value()];
         m_extra_load.on_request(m_now.time_since_epoch(), service.service.value());
@@ -379,29 +387,16 @@
     const bool replied =
         answer.outcome == forward_outcome::merged ||
         (answer.outcome == forward_outcome::replied && answer.reason == forward_reason::none);
-    result.in_objective = replied && result.taken <= request.taken->objective;
+    result.in_objective = replied && m_now - request.first_arrived <= request.taken->objective;
+    result.team = request.team;
+    result.is_return = request.first_arrived != request.arrived;
     result.retry_after = answer.retry_after;
     result.priority = request.taken->priority;
     result.arrived = request.arrived;
     m_results.push_back(result);
-}
-
-void forwarding_world::for_each_target(const std::function<void(const std::string&, world_target&)>& visit) {
-    for (auto& [id, target] : m_targets) {
-        visit(id.value(), target.behaviour);
-    }
-}
-
-double forwarding_world::good_share(duration from, duration until, std::int64_t priority) const {
-    double all = 0;
-    double good = 0;
-    for (const world_result& result : m_results) {
-        const bool counts = result.arrived >= m_start + from && result.arrived < m_start + until &&
-                            (priority < 0 || result.priority == static_cast<std::uint32_t>(priority));
-        all += counts ? 1 : 0;
-        good += counts && result.in_objective ? 1 : 0;
+    if (m_callers_return && answer.outcome == forward_outcome::not_run && !result.is_return) {
+        return_caller(request, answer.retry_after);
     }
-    return all > 0 ? good / all : 0.0;
 }
 
 std::size_t forwarding_world::arrivals(const std::string& service) const {
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -52,6 +52,8 @@
     bool in_objective = false;
     duration retry_after{};
     std::uint32_t priority = 0;
+    std::string team;
+    bool is_return = false; ///< of a caller that was refused before
     time_point arrived;
 };
 
@@ -81,7 +83,14 @@
     void resume_reading(const std::string& id);
 
     /** Lets requests of a route arrive at random times, at an average rate. */
-    void load(const std::string& route_name, double per_second, duration from, duration until);
+    void load(const std::string& route_name, double per_second, duration from, duration until,
+              const std::string& team = {});
+    /** Adds a team whose key is its name; all requests need a key from the next publish on. */
+    void add_team(const std::string& name);
+    /** Lets callers send a refused request once more after the delay that they were told. */
+    void let_callers_return() { m_callers_return = true; }
+    /** Sends one request to some host. */
+    void send_one(const std::string& route_name) { arrive(route_name, {}); }
     /** Schedules an action. */
     void at(duration when, std::function<void()> action);
     /** Sends a request to one host that crashes each target that runs it. */
@@ -108,6 +117,11 @@
     const std::vector<world_result>& results() const { return m_results; }
     /** @return share of the requests arriving in a period that were answered within their objective */
     double good_share(duration from, duration until, std::int64_t priority = -1) const;
+    /** @return the same for the teams that are wanted */
+    double good_share_of(duration from, duration until,
+                         const std::function<bool(const std::string&)>& wanted) const;
+    /** @return requests refused because their team was above its share */
+    std::uint64_t gave_way() const;
     std::size_t arrivals(const std::string& service) const;
     std::size_t requests_for(const std::string& service) const;
     std::size_t max_connections(const std::string& id) const {
@@ -187,12 +201,17 @@
         time_point arrived;
         const route* taken = nullptr;
         request_id id;
+        std::string team;
+        time_point first_arrived; ///< of the caller's first attempt
     };
 
     void start_host(std::size_t host);
     void schedule(time_point when, std::function<void()> action);
-    void arrive(const std::string& route_name);
-    void arrive_at(std::size_t host, const std::string& route_name, bool crashes);
+    void arrive(const std::string& route_name, const std::string& team,
+                std::optional<time_point> first_arrived = std::nullopt);
+    void arrive_at(std::size_t host, const std::string& route_name, bool crashes,
+                   const std::string& team = {}, std::optional<time_point> first_arrived = std::nullopt);
+    void return_caller(const open_request& refused, duration retry_after);
     void crash_target(const target_id& id);
     void lose_connection(std::size_t host, std::size_t incarnation, target_connection connection,
                          duration after);
@@ -232,6 +251,7 @@
     std::uint64_t m_next_event_order = 0;
     time_point m_paused_until{};
     bool m_partitioned = false;
+    bool m_callers_return = false;
     bool m_limit_reports_lost = false;
     time_point m_start{1h};
     time_point m_now{1h};
