--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -146,13 +146,22 @@
     }
 }
 
+/**
+ * Failure pattern: a target is restarted, or resets connections beyond its limit, just before requests are
+ * written to connections that this host still considers open.
+ */
 void request_flow::on_lost(forwarding_run& run, std::size_t part_index, target_connection connection,
-                           std::string cause) {
+                           std::string cause, bool unsent) {
     run_part& part = run.parts[part_index];
     trace_end(run, part, connection, trace_step::lost, std::move(cause));
     remove_exchange(part, connection);
-    ++run.lost;
-    retry_or_give_up(run, part_index, false, "connection_lost");
+    if (unsent) {
+        ++run.not_run;
+        --part.possible_runs;
+    } else {
+        ++run.lost;
+    }
+    retry_or_give_up(run, part_index, unsent, "connection_lost");
     answer_if_due(run);
 }
 
@@ -279,10 +288,10 @@
     ++m_core.statistics.hedges;
     ++run.trace.hedges;
     if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
-        const waiting_part item{run.request.number, part_index, run.priority, run.times.objective_at,
-                                trace_step::hedged};
+        waiting_part item = m_dispatcher.describe_wait(run, part_index, trace_step::hedged);
+        part.service->waiting.charge(item);
         part.queued = true;
-        part.service->waiting.push_front(item);
+        part.service->waiting.push_front(std::move(item));
     }
 }
 
@@ -300,7 +309,7 @@
             continue;
         }
         const std::size_t part_index = item->part;
-        item = service.waiting.erase(item);
+        item = service.waiting.erase_withdrawn(item);
         if (!wanted) {
             continue;
         }
