Keep evacuation orders in the replicated log and send them with leases

Cause: operators must be able to evacuate a data centre, and the order must outlive leaders, disks and restarts. Ruled out: tickets (an order would need a whole configuration) and gossip (no acknowledgement that holds). Change: an order is a command of the log; the state keeps the evacuated data centres under an epoch, which lease renewals, grants and announcements name. The new members are written only after the first order, because earlier versions refuse members that they don't know.

--- a/modules/tamarack_control/client/control_client.cpp
+++ b/modules/tamarack_control/client/control_client.cpp
@@ -137,6 +137,12 @@
 bool control_client::assignment_settled() const {
     return m_implementation->m_lease.assignment_settled();
 }
+const evacuation_orders& control_client::evacuations() const {
+    return m_implementation->m_lease.evacuations();
+}
+bool control_client::evacuations_known() const {
+    return m_implementation->m_lease.evacuations_known();
+}
 time_point control_client::lease_ends_at() const {
     return m_implementation->m_lease.lease_ends_at();
 }
--- a/modules/tamarack_control/client/control_client.h
+++ b/modules/tamarack_control/client/control_client.h
@@ -83,6 +83,10 @@
     const assignment& assigned_before() const;
     /** @return whether every lease holder applies assigned() */
     bool assignment_settled() const;
+    /** @return the latest evacuation orders that this host has received */
+    const evacuation_orders& evacuations() const;
+    /** @return whether the orders were current at some time since the start, by a grant of the leader */
+    bool evacuations_known() const;
     time_point lease_ends_at() const;
     /** @return whether requests may be served under current() now */
     bool may_serve(time_point now) const;
--- a/modules/tamarack_control/client/control_client_actions.h
+++ b/modules/tamarack_control/client/control_client_actions.h
@@ -14,7 +14,8 @@
     control_message message;
 };
 
-/** The configuration or the assignment changed; apply it before the actions that follow. */
+/** The configuration, the assignment or the evacuation orders changed; apply it before the actions that
+ * follow. */
 struct configuration_changed {};
 
 /** The lease was extended or has ended. */
--- a/modules/tamarack_control/client/lease_client.cpp
+++ b/modules/tamarack_control/client/lease_client.cpp
@@ -23,7 +23,10 @@
         return;
     }
     if (!m_lease.expects(message.grant.number)) {
-        // Too late for the lease, but the configuration has been accepted all the same.
+        // Too late for the lease, but what it holds has been accepted all the same.
+        if (apply_evacuations(message)) {
+            actions.emplace_back(configuration_changed{});
+        }
         if (message.newer_configuration != nullptr) {
             adopt(now, message.newer_configuration, actions);
         }
@@ -36,9 +39,11 @@
     }
     const bool was_settled = assignment_settled();
     const bool changed = apply_update(message);
+    const bool orders_just_known = !std::exchange(m_evacuations_known, true);
+    const bool orders_changed = apply_evacuations(message) || orders_just_known;
     const bool applied = m_current->number == message.grant.latest && m_assigned.epoch == message.grant.epoch;
     const bool extended = applied && m_lease.on_grant(now, message.grant);
-    if (changed || assignment_settled() != was_settled) {
+    if (changed || orders_changed || assignment_settled() != was_settled) {
         actions.emplace_back(configuration_changed{});
     }
     if (changed) {
@@ -63,6 +68,14 @@
     return changed;
 }
 
+bool lease_client::apply_evacuations(const lease_granted& message) {
+    if (!message.evacuations || message.evacuations->epoch <= m_evacuations.epoch) {
+        return false;
+    }
+    m_evacuations = *message.evacuations;
+    return true;
+}
+
 /**
  * The previous assignment is known only when no epoch was missed. Otherwise it is left empty, so that this
  * host uses no part of the new assignment until that is settled: other hosts may still use the assignment of
@@ -88,7 +101,8 @@
 }
 
 void lease_client::on_update_announced(time_point now, const announce_update& message) {
-    const bool newer = message.latest > m_current->number || message.epoch > m_assigned.epoch;
+    const bool newer = message.latest > m_current->number || message.epoch > m_assigned.epoch ||
+                       message.evacuations > m_evacuations.epoch;
     const bool settled = message.settled_epoch > m_lease.settled_epoch();
     if (!m_released && (newer || settled)) {
         m_lease.renew_soon(now);
@@ -126,6 +140,7 @@
     message.renewal = *renewal;
     message.held_ticket = m_current->number;
     message.held_epoch = m_assigned.epoch;
+    message.held_evacuations = m_evacuations.epoch;
     actions.emplace_back(send_to_control{route.target(), std::move(message)});
 }
 
--- a/modules/tamarack_control/client/lease_client.h
+++ b/modules/tamarack_control/client/lease_client.h
@@ -30,12 +30,15 @@
     const shared_configuration& current() const { return m_current; }
     const assignment& assigned() const { return m_assigned; }
     const assignment& assigned_before() const { return m_previous_assignment; }
+    const evacuation_orders& evacuations() const { return m_evacuations; }
+    bool evacuations_known() const { return m_evacuations_known; }
     bool assignment_settled() const { return m_lease.settled_epoch() >= m_assigned.epoch; }
     time_point lease_ends_at() const { return m_lease.ends_at(); }
     bool may_serve(time_point now) const { return m_lease.may_serve(now); }
 
 private:
     bool apply_update(const lease_granted& message);
+    bool apply_evacuations(const lease_granted& message);
     void apply_assignment(const assignment& next);
     void report_expiry(time_point now, control_client_actions& actions);
     void renew_when_due(time_point now, const control_route& route, control_client_actions& actions);
@@ -45,6 +48,8 @@
     shared_configuration m_current = std::make_shared<const configuration>();
     assignment m_assigned;
     assignment m_previous_assignment;
+    evacuation_orders m_evacuations;
+    bool m_evacuations_known = false;        ///< a grant to this process has been received
     std::uint64_t m_outstanding_renewal = 0; ///< number of the latest renewal if unanswered, else 0
     time_point m_renewal_sent_at{};
     time_point m_renewal_retry_at = time_point::max();
--- a/modules/tamarack_control/messages/control_message.h
+++ b/modules/tamarack_control/messages/control_message.h
@@ -17,16 +17,19 @@
     bool serves_callers = true; ///< whether it may be assigned services
     bool draining = false;
     lease_renewal renewal;
-    ticket_number held_ticket;    ///< ticket of the configuration that the sender has
-    std::uint64_t held_epoch = 0; ///< epoch of the assignment that the sender has
+    ticket_number held_ticket;          ///< ticket of the configuration that the sender has
+    std::uint64_t held_epoch = 0;       ///< epoch of the assignment that the sender has
+    std::uint64_t held_evacuations = 0; ///< epoch of the evacuation orders that the sender has
 };
 
-/** The leader grants a lease, and sends the configuration and the assignment if the host's are older. */
+/** The leader grants a lease, and sends the configuration, the assignment and the evacuation orders if
+ * the host's are older. */
 struct lease_granted {
     host_id from;
     lease_grant grant;
     shared_configuration newer_configuration; ///< null if the host has the latest one
     std::optional<assignment> assigned;
+    std::optional<evacuation_orders> evacuations; ///< absent if the host has the latest ones
 };
 
 /** Answer of a control host that can't serve a request; it names the leader, if it knows one. */
@@ -43,6 +46,7 @@
     ticket_number latest;
     std::uint64_t epoch = 0;
     std::uint64_t settled_epoch = 0;
+    std::uint64_t evacuations = 0; ///< epoch of the latest evacuation orders
 };
 
 /** A host releases its lease. */
--- a/modules/tamarack_control/messages/control_message_codec.cpp
+++ b/modules/tamarack_control/messages/control_message_codec.cpp
@@ -15,6 +15,8 @@
 /** Members that hold the configuration. */
 const std::string granted_configuration = "news";
 const std::string known_configuration = "known";
+/** Member with the epoch of the evacuation orders. */
+const std::string evacuation_epoch = "evacuation_epoch";
 
 /** Name of each message type, as written in "kind". */
 template <typename Message>
@@ -80,6 +82,13 @@
     return Json::Value::UInt64{value};
 }
 
+/** Written only once there was an order: hosts of earlier versions refuse members that they don't know. */
+void encode_evacuation_epoch(std::uint64_t epoch, Json::Value& json) {
+    if (epoch > 0) {
+        json[evacuation_epoch] = encode_number(epoch);
+    }
+}
+
 void encode_members(const renew_lease& message, Json::Value& json) {
     json["life"] = encode_number(message.incarnation.value);
     json["reply_to"] = message.reply_to.value();
@@ -91,6 +100,7 @@
     json["serving_epoch"] = encode_number(message.renewal.serving_epoch);
     json["holds"] = encode_number(message.held_ticket.value);
     json["holds_epoch"] = encode_number(message.held_epoch);
+    encode_evacuation_epoch(message.held_evacuations, json);
 }
 
 void encode_members(const lease_granted& message, Json::Value& json) {
@@ -101,6 +111,9 @@
     if (message.assigned) {
         json["assigned"] = encode_assignment(*message.assigned);
     }
+    if (message.evacuations) {
+        json["evacuations"] = encode_evacuation_orders(*message.evacuations);
+    }
 }
 
 void encode_members(const leader_redirect& message, Json::Value& json) {
@@ -112,6 +125,7 @@
     json["latest"] = encode_number(message.latest.value);
     json["epoch"] = encode_number(message.epoch);
     json["settled_epoch"] = encode_number(message.settled_epoch);
+    encode_evacuation_epoch(message.evacuations, json);
 }
 
 void encode_members(const release_lease& message, Json::Value& json) {
@@ -160,6 +174,7 @@
     message.renewal.serving_epoch = reader.number("serving_epoch");
     message.held_ticket.value = reader.number("holds");
     message.held_epoch = reader.number("holds_epoch");
+    message.held_evacuations = reader.number(evacuation_epoch, presence::optional);
 }
 
 void read_members(object_reader& reader, lease_granted& message) {
@@ -174,6 +189,9 @@
     if (const Json::Value& assigned = reader.any("assigned", presence::optional); !assigned.isNull()) {
         message.assigned = take_nested(reader, "assigned", decode_assignment(assigned));
     }
+    if (const Json::Value& orders = reader.any("evacuations", presence::optional); !orders.isNull()) {
+        message.evacuations = take_nested(reader, "evacuations", decode_evacuation_orders(orders));
+    }
 }
 
 void read_members(object_reader& reader, leader_redirect& message) {
@@ -188,6 +206,7 @@
     message.latest.value = reader.number("latest");
     message.epoch = reader.number("epoch");
     message.settled_epoch = reader.number("settled_epoch");
+    message.evacuations = reader.number(evacuation_epoch, presence::optional);
 }
 
 void read_members(object_reader& reader, release_lease& message) {
--- a/modules/tamarack_control/node/control_node.cpp
+++ b/modules/tamarack_control/node/control_node.cpp
@@ -56,7 +56,7 @@
 
 void control_node::implementation::announce() {
     const announce_update update{m_raft.self().host, m_state.tickets().current().number,
-                                 m_state.assigned().epoch, m_settled_epoch};
+                                 m_state.assigned().epoch, m_settled_epoch, m_state.evacuations().epoch};
     for (const auto& [host, contact] : m_lease_manager->contacts()) {
         send(host, contact.address, update);
     }
@@ -68,13 +68,18 @@
 }
 
 control_changed control_node::implementation::summary() const {
-    return {m_raft.role(), m_raft.term(), leader_host(), m_state.tickets().current().number,
-            m_state.assigned().epoch};
+    return {m_raft.role(),
+            m_raft.term(),
+            leader_host(),
+            m_state.tickets().current().number,
+            m_state.assigned().epoch,
+            m_state.evacuations().epoch};
 }
 
 control_actions control_node::implementation::finish() {
     const control_changed current = summary();
-    const bool new_state = current.latest != m_last_summary.latest || current.epoch != m_last_summary.epoch;
+    const bool new_state = current.latest != m_last_summary.latest || current.epoch != m_last_summary.epoch ||
+                           current.evacuations != m_last_summary.evacuations;
     if (new_state && is_leader()) {
         announce();
     }
@@ -159,6 +164,23 @@
     return m_implementation->finish();
 }
 
+control_actions control_node::submit_order(time_point now, wall_time wall, std::uint64_t operation,
+                                           const evacuation_order& order) {
+    const evacuation_orders& current = m_implementation->m_state.evacuations();
+    const bool too_many = order.active && current.is_changed_by(order) &&
+                          current.data_centers.size() >= max_evacuated_data_centers;
+    if (!m_implementation->is_leader()) {
+        m_implementation->refuse(order_waiter{operation},
+                                 {error_code::not_leader, "this control host does not lead"});
+    } else if (too_many) {
+        m_implementation->refuse(order_waiter{operation},
+                                 {error_code::overloaded, "too many data centres are evacuated"});
+    } else {
+        m_implementation->propose(now, wall, order, order_waiter{operation});
+    }
+    return m_implementation->finish();
+}
+
 control_actions control_node::read_latest(time_point now, std::uint64_t operation) {
     if (!m_implementation->is_leader()) {
         const error not_leader{error_code::not_leader, "this control host does not lead"};
--- a/modules/tamarack_control/node/control_node.h
+++ b/modules/tamarack_control/node/control_node.h
@@ -74,6 +74,16 @@
      */
     control_actions submit_ticket(time_point now, wall_time wall, std::uint64_t operation, ticket candidate);
 
+    /**
+     * An operator orders the evacuation of a data centre, or withdraws an order. Acknowledged once committed
+     * by a majority; a repeated order is acknowledged again and changes nothing.
+     *
+     * @param operation  returned in answer_order; the error is not_leader on a host that doesn't lead, and
+     *                   overloaded if too many data centres are evacuated
+     */
+    control_actions submit_order(time_point now, wall_time wall, std::uint64_t operation,
+                                 const evacuation_order& order);
+
     /**
      * An operator reads the latest accepted ticket; a majority confirms first that no later one was accepted.
      *
--- a/modules/tamarack_control/node/control_node_log.cpp
+++ b/modules/tamarack_control/node/control_node_log.cpp
@@ -86,6 +86,8 @@
     }
     if (const auto* waiter = std::get_if<ticket_waiter>(&settled.waiter)) {
         m_actions.emplace_back(answer_ticket{waiter->operation, std::get<ticket_answer>(effect)});
+    } else if (const auto* ordered = std::get_if<order_waiter>(&settled.waiter)) {
+        m_actions.emplace_back(answer_order{ordered->operation, done{}});
     } else if (const auto* asked = std::get_if<claim_waiter>(&settled.waiter)) {
         send(asked->from, asked->reply_to,
              claim_decided{m_raft.self().host, asked->operation, std::get<claim_answer>(effect)});
--- a/modules/tamarack_control/node/control_node_requests.cpp
+++ b/modules/tamarack_control/node/control_node_requests.cpp
@@ -80,6 +80,8 @@
 void control_node::implementation::refuse(const proposal_waiter& waiter, const error& reason) {
     if (const auto* operation = std::get_if<ticket_waiter>(&waiter)) {
         m_actions.emplace_back(answer_ticket{operation->operation, reason});
+    } else if (const auto* ordered = std::get_if<order_waiter>(&waiter)) {
+        m_actions.emplace_back(answer_order{ordered->operation, reason});
     } else if (const auto* asked = std::get_if<claim_waiter>(&waiter)) {
         redirect(asked->from, asked->reply_to, asked->operation);
     } else if (const auto* reported = std::get_if<result_waiter>(&waiter)) {
@@ -105,6 +107,9 @@
     if (renewal.held_epoch < assigned.epoch) {
         message.assigned = assigned;
     }
+    if (renewal.held_evacuations < m_state.evacuations().epoch) {
+        message.evacuations = m_state.evacuations();
+    }
     m_lease_manager->on_granted(now, renewal, message.grant);
     send(renewal.from, renewal.reply_to, std::move(message));
 }
--- a/modules/tamarack_control/node/pending_proposals.h
+++ b/modules/tamarack_control/node/pending_proposals.h
@@ -17,6 +17,11 @@
     std::uint64_t operation = 0;
 };
 
+/** An operator waits until an evacuation order is committed. */
+struct order_waiter {
+    std::uint64_t operation = 0;
+};
+
 /** A host waits for the decision on a claim. */
 struct claim_waiter {
     host_id from;
@@ -37,7 +42,7 @@
 /** An operation of a host, identified by the host's own number for it. */
 using host_operation = std::pair<host_id, std::uint64_t>;
 
-using proposal_waiter = std::variant<ticket_waiter, claim_waiter, result_waiter, own_waiter>;
+using proposal_waiter = std::variant<ticket_waiter, order_waiter, claim_waiter, result_waiter, own_waiter>;
 
 /** Waiter of an applied entry, and whether the entry is the one that was proposed. */
 struct settled_proposal {
--- a/modules/tamarack_control/state/control_command.cpp
+++ b/modules/tamarack_control/state/control_command.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view claim_kind = "claim";
 constexpr std::string_view result_kind = "claim_result";
 constexpr std::string_view assignment_kind = "assignment";
+constexpr std::string_view evacuation_kind = "evacuation";
 
 struct change_encoder {
     Json::Value& json;
@@ -20,6 +21,9 @@
     void operator()(const claim& value) const { put(claim_kind, encode_claim(value)); }
     void operator()(const claim_result& value) const { put(result_kind, encode_claim_result(value)); }
     void operator()(const assignment& value) const { put(assignment_kind, encode_assignment(value)); }
+    void operator()(const evacuation_order& value) const {
+        put(evacuation_kind, encode_evacuation_order(value));
+    }
 
     void put(std::string_view kind, Json::Value change) const {
         json["kind"] = std::string{kind};
@@ -32,7 +36,8 @@
     if (!succeeded(decoded)) {
         return error_of(decoded);
     }
-    return control_change{value_of(std::move(decoded))};
+    return outcome<control_change>{std::in_place_type<control_change>, std::in_place_type<Value>,
+                                   value_of(std::move(decoded))};
 }
 
 outcome<control_change> decode_change(const std::string& kind, const Json::Value& json) {
@@ -48,6 +53,9 @@
     if (kind == assignment_kind) {
         return as_change(decode_assignment(json));
     }
+    if (kind == evacuation_kind) {
+        return as_change(decode_evacuation_order(json));
+    }
     return error{error_code::malformed, "unknown kind of command: " + kind};
 }
 
--- a/modules/tamarack_control/state/control_command.h
+++ b/modules/tamarack_control/state/control_command.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "evacuation_orders.h"
+
 #include <tamarack_ledger/tamarack_ledger.h>
 #include <tamarack_membership/tamarack_membership.h>
 #include <tamarack_tickets/tamarack_tickets.h>
@@ -10,7 +12,7 @@
 namespace tamarack {
 
 /** Content of a command entry of the log. */
-using control_change = std::variant<ticket, claim, claim_result, assignment>;
+using control_change = std::variant<ticket, claim, claim_result, assignment, evacuation_order>;
 
 /** A command entry of the log. */
 struct control_command {
--- a/modules/tamarack_control/state/control_state.cpp
+++ b/modules/tamarack_control/state/control_state.cpp
@@ -12,12 +12,16 @@
 struct state_head {
     assignment assigned;
     std::size_t ticket_bytes = 0;
+    evacuation_orders evacuations; ///< not written before the first order, as earlier versions can't read it
 };
 
 std::string encode_head(const state_head& head) {
     Json::Value json{Json::objectValue};
     json["assigned"] = encode_assignment(head.assigned);
     json["ticket_bytes"] = Json::Value::UInt64{head.ticket_bytes};
+    if (head.evacuations.epoch > 0) {
+        json["evacuations"] = encode_evacuation_orders(head.evacuations);
+    }
     return write_json(json);
 }
 
@@ -30,6 +34,10 @@
     object_reader reader{value_of(json), "", faults};
     const auto assigned = decode_assignment(reader.any("assigned"));
     const std::size_t ticket_bytes = reader.number("ticket_bytes");
+    outcome<evacuation_orders> evacuations = evacuation_orders{};
+    if (const Json::Value& written = reader.any("evacuations", presence::optional); !written.isNull()) {
+        evacuations = decode_evacuation_orders(written);
+    }
     reader.refuse_unknown();
     if (!faults.empty()) {
         return error_of_faults(faults);
@@ -37,7 +45,10 @@
     if (!succeeded(assigned)) {
         return error_of(assigned);
     }
-    return state_head{value_of(assigned), ticket_bytes};
+    if (!succeeded(evacuations)) {
+        return error_of(evacuations);
+    }
+    return state_head{value_of(assigned), ticket_bytes, value_of(evacuations)};
 }
 
 } // namespace
@@ -56,6 +67,10 @@
         m_claims.apply(*ended, command.proposed_at);
         return done{};
     }
+    if (const auto* order = std::get_if<evacuation_order>(&command.change)) {
+        m_evacuations.apply(*order);
+        return done{};
+    }
     apply(std::get<assignment>(command.change));
     return done{};
 }
@@ -68,7 +83,8 @@
 
 std::string control_state::save() const {
     const std::string tickets = m_tickets.save();
-    return pack_text(encode_head({m_assigned, tickets.size()}) + "\n" + tickets + m_claims.save());
+    return pack_text(encode_head({m_assigned, tickets.size(), m_evacuations}) + "\n" + tickets +
+                     m_claims.save());
 }
 
 outcome<done> control_state::restore(const std::string& saved) {
@@ -96,6 +112,7 @@
     }
     m_tickets = std::move(tickets);
     m_assigned = value_of(head).assigned;
+    m_evacuations = value_of(head).evacuations;
     return done{};
 }
 
--- a/modules/tamarack_control/state/control_state.h
+++ b/modules/tamarack_control/state/control_state.h
@@ -11,8 +11,8 @@
 using control_effect = std::variant<ticket_answer, claim_answer, done>;
 
 /**
- * The replicated state: tickets, claims and the assignment. Commands are applied in log order, so the state
- * is equal on every control host.
+ * The replicated state: tickets, claims, the assignment and the evacuation orders. Commands are applied in
+ * log order, so the state is equal on every control host.
  */
 class control_state {
 public:
@@ -24,6 +24,7 @@
     const ticket_register& tickets() const { return m_tickets; }
     const claim_ledger& claims() const { return m_claims; }
     const assignment& assigned() const { return m_assigned; }
+    const evacuation_orders& evacuations() const { return m_evacuations; }
 
     /** @return the serialised state; equal states give equal text */
     std::string save() const;
@@ -37,6 +38,7 @@
     ticket_register m_tickets;
     claim_ledger m_claims;
     assignment m_assigned;
+    evacuation_orders m_evacuations;
 };
 
 } // namespace tamarack
--- a/modules/tamarack_control/tamarack_control.h
+++ b/modules/tamarack_control/tamarack_control.h
@@ -11,6 +11,7 @@
 
 #include "state/control_command.h"
 #include "state/control_state.h"
+#include "state/evacuation_orders.h"
 
 #include "messages/control_message.h"
 #include "messages/control_message_codec.h"
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -13,7 +13,9 @@
         claim{service_id{"s"}, idempotency_key{"k"}, digest_of("b"), wall_time{1}, host_id{"h"},
               incarnation_id{2}, 3},
         claim_result{service_id{"s"}, idempotency_key{"k"}, 3, run_result::answered, "reply", false},
-        assignment{4, {{service_id{"s"}, {host_id{"h"}}}}}};
+        assignment{4, {{service_id{"s"}, {host_id{"h"}}}}},
+        evacuation_order{data_center_id{"a"}, true},
+        evacuation_order{data_center_id{"a"}, false}};
     for (const auto& change : changes) {
         const auto read = decode_command(encode_command({wall_time{9}, change}));
         ASSERT_TRUE(succeeded(read));
--- a/tests/control/control_process.cpp
+++ b/tests/control/control_process.cpp
@@ -60,6 +60,12 @@
     }
 }
 
+void control_process::order(std::uint64_t operation, const evacuation_order& order) {
+    if (is_up()) {
+        perform(m_node->submit_order(local_now(), wall(), operation, order));
+    }
+}
+
 void control_process::perform(control_actions actions) {
     const host_id self = m_disk.owner().host;
     for (auto& action : actions) {
@@ -71,6 +77,8 @@
             store(change->change);
         } else if (const auto* answer = std::get_if<answer_ticket>(&action)) {
             m_hooks.answer(self, answer->operation, answer->answer);
+        } else if (const auto* ordered = std::get_if<answer_order>(&action)) {
+            m_hooks.order_answer(self, ordered->operation, ordered->answer);
         }
     }
     schedule_timer();
--- a/tests/control/control_process.h
+++ b/tests/control/control_process.h
@@ -15,6 +15,7 @@
     std::function<void(const host_id& from, const raft_envelope&)> send_raft;
     std::function<void(const host_id& from, const host_id& to, const control_message&)> send_control;
     std::function<void(const host_id& from, std::uint64_t operation, const outcome<ticket_answer>&)> answer;
+    std::function<void(const host_id& from, std::uint64_t operation, const outcome<done>&)> order_answer;
 };
 
 /** The process of a control host on a fake disk: starts, crashes, and can lose its folder. */
@@ -34,6 +35,7 @@
     void on_raft(const raft_envelope& envelope);
     void on_control(const control_message& message);
     void submit(std::uint64_t operation, const ticket& candidate);
+    void order(std::uint64_t operation, const evacuation_order& order);
 
     /** @return the node; only while the process is up */
     control_node& node() { return *m_node; }
--- a/tests/control/control_world.cpp
+++ b/tests/control/control_world.cpp
@@ -2,6 +2,7 @@
 
 #include "tickets/sample_tickets.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -68,6 +69,12 @@
     hooks.answer = [this](const host_id& from, std::uint64_t operation, const auto& answer) {
         on_answer(from, operation, answer);
     };
+    hooks.order_answer = [this](const host_id& from, std::uint64_t operation, const outcome<done>& answer) {
+        if (succeeded(answer) && !m_order_answers_lost) {
+            m_network.send(from, operators,
+                           [this, operation] { m_acknowledged_orders += m_orders.erase(operation); });
+        }
+    };
     return hooks;
 }
 
@@ -162,6 +169,28 @@
     });
 }
 
+void control_world::order(const evacuation_order& order, std::size_t control) {
+    const std::uint64_t operation = m_next_operation++;
+    m_orders[operation] = order;
+    m_network.send(operators, control_name(control), [this, operation, control] {
+        if (m_orders.contains(operation)) {
+            m_controls[control]->order(operation, m_orders.at(operation));
+        }
+    });
+    m_events.after(operator_retry, [this, operation, control] {
+        if (const auto open = m_orders.extract(operation); !open.empty()) {
+            this->order(open.mapped(), (control + 1) % m_controls.size());
+        }
+    });
+}
+
+bool control_world::all_know(const std::set<data_center_id>& evacuated) const {
+    return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return !entry->is_up() || (entry->client().evacuations_known() &&
+                                   entry->client().evacuations().data_centers == evacuated);
+    });
+}
+
 void control_world::on_answer(const host_id& from, std::uint64_t operation,
                               const outcome<ticket_answer>& answer) {
     const auto open = m_submitted.find(operation);
@@ -244,6 +273,9 @@
         if (host->client().current().number != latest || (latest.value > 0 && !host->may_serve())) {
             m_checks.add(host->self().value() + " does not serve the latest ticket");
         }
+        if (host->client().evacuations() != control(leading).node().state().evacuations()) {
+            m_checks.add(host->self().value() + " has other evacuation orders than the leader");
+        }
         if (host->client().unrecorded_results() > 0) {
             m_checks.add(host->self().value() + " still has results to record");
         }
--- a/tests/control/control_world.h
+++ b/tests/control/control_world.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,14 @@
 
     /** Sends an operator's ticket to a control host, and to others until it is decided. */
     void submit(const ticket& candidate, std::size_t control);
+    /** Sends an operator's evacuation order to a control host, and to others until it is acknowledged. */
+    void order(const evacuation_order& order, std::size_t control);
+    /** @return the number of orders that were acknowledged to the operator */
+    std::size_t acknowledged_orders() const { return m_acknowledged_orders; }
+    /** Drops the acknowledgements of orders on their way to the operator. */
+    void lose_order_answers(bool lost) { m_order_answers_lost = lost; }
+    /** @return whether all running entry hosts know exactly these data centres as evacuated */
+    bool all_know(const std::set<data_center_id>& evacuated) const;
     /** Sends a caller's keyed request to an entry host. */
     void request(const std::string& key, std::size_t entry);
     /** @return the last answer for a key, or nothing */
@@ -73,6 +82,9 @@
     std::vector<std::unique_ptr<control_process>> m_controls;
     std::vector<std::unique_ptr<entry_process>> m_entries;
     std::map<std::uint64_t, ticket> m_submitted;
+    std::map<std::uint64_t, evacuation_order> m_orders;
+    std::size_t m_acknowledged_orders = 0;
+    bool m_order_answers_lost = false;
     std::map<idempotency_key, claim_answer> m_answers;
     std::uint64_t m_next_operation = 1;
 };
