Order evacuations in the random runs of the control plane

Cause: an acknowledged evacuation order must survive every combination of crashes, lost disks and partitions that the random runs produce, and scenarios cover only a few. Change: an operator gives one order after the other; at the end the state must equal the acknowledged orders.

--- a/tests/control/control_world.cpp
+++ b/tests/control/control_world.cpp
@@ -72,7 +72,7 @@
     hooks.order_answer = [this](const host_id& from, std::uint64_t operation, const outcome<done>& answer) {
         if (succeeded(answer) && !m_order_answers_lost) {
             m_network.send(from, operators,
-                           [this, operation] { m_acknowledged_orders += m_orders.erase(operation); });
+                           [this, operation] { on_order_acknowledged(operation); });
         }
     };
     return hooks;
@@ -184,6 +184,19 @@
     });
 }
 
+void control_world::on_order_acknowledged(std::uint64_t operation) {
+    const auto open = m_orders.extract(operation);
+    if (open.empty()) {
+        return;
+    }
+    ++m_acknowledged_orders;
+    if (open.mapped().active) {
+        m_evacuated.insert(open.mapped().data_center);
+    } else {
+        m_evacuated.erase(open.mapped().data_center);
+    }
+}
+
 bool control_world::all_know(const std::set<data_center_id>& evacuated) const {
     return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
         return !entry->is_up() || (entry->client().evacuations_known() &&
@@ -269,6 +282,9 @@
             m_checks.add(other->member().host.value() + " has another state than the leader");
         }
     }
+    if (m_orders.empty() && control(leading).node().state().evacuations().data_centers != m_evacuated) {
+        m_checks.add("an acknowledged evacuation order is lost");
+    }
     for (auto& host : m_entries) {
         if (host->client().current().number != latest || (latest.value > 0 && !host->may_serve())) {
             m_checks.add(host->self().value() + " does not serve the latest ticket");
--- a/tests/control/control_world.h
+++ b/tests/control/control_world.h
@@ -45,6 +45,7 @@
     void order(const evacuation_order& order, std::size_t control);
     /** @return the number of orders that were acknowledged to the operator */
     std::size_t acknowledged_orders() const { return m_acknowledged_orders; }
+    std::size_t unacknowledged_orders() const { return m_orders.size(); }
     /** Drops the acknowledgements of orders on their way to the operator. */
     void lose_order_answers(bool lost) { m_order_answers_lost = lost; }
     /** @return whether all running entry hosts know exactly these data centres as evacuated */
@@ -71,6 +72,7 @@
     entry_process_hooks entry_hooks();
     void deliver_control(const host_id& to, const control_message& message);
     void on_answer(const host_id& from, std::uint64_t operation, const outcome<ticket_answer>& answer);
+    void on_order_acknowledged(std::uint64_t operation);
     void check_agreement();
     std::vector<host_id> all_hosts() const;
 
@@ -84,6 +86,7 @@
     std::map<std::uint64_t, ticket> m_submitted;
     std::map<std::uint64_t, evacuation_order> m_orders;
     std::size_t m_acknowledged_orders = 0;
+    std::set<data_center_id> m_evacuated; ///< by the acknowledged orders
     bool m_order_answers_lost = false;
     std::map<idempotency_key, claim_answer> m_answers;
     std::uint64_t m_next_operation = 1;
--- a/tests/control/random_faults.cpp
+++ b/tests/control/random_faults.cpp
@@ -20,6 +20,7 @@
     while (m_world.events().now() < end) {
         submit_racing_tickets();
         send_requests();
+        order_evacuations();
         disturb_control();
         disturb_entry();
         disturb_network();
@@ -50,6 +51,15 @@
     }
 }
 
+/** One operator gives one order after the other, each once the one before is acknowledged. */
+void random_faults::order_evacuations() {
+    if (!chance(0.1) || m_world.unacknowledged_orders() > 0) {
+        return;
+    }
+    const data_center_id name{"d" + std::to_string(m_world.random().below(3))};
+    m_world.order({name, chance(0.5)}, random_control_host());
+}
+
 void random_faults::disturb_control() {
     control_process& control = m_world.control(random_control_host());
     if (!control.is_up()) {
--- a/tests/control/random_faults.h
+++ b/tests/control/random_faults.h
@@ -18,6 +18,7 @@
 private:
     void submit_racing_tickets();
     void send_requests();
+    void order_evacuations();
     void disturb_control();
     void disturb_entry();
     void disturb_network();
