Evacuate data centres on orders from the platform's edge

Cause: an order in the log had no way in from operators and no effect on hosts. Ruled out: a check at each choice of a target, because first sends, waits, retries, hedges and warm connections would each need it; orders on each host's disk, because most hosts have none. Change: the edge decodes, checks and acknowledges orders; hosts put the evacuated data centres into the forwarding view, and the engine treats targets there as removed.

--- a/apps/tamarackd/control/control_worker.cpp
+++ b/apps/tamarackd/control/control_worker.cpp
@@ -106,6 +106,15 @@
     });
 }
 
+bool control_worker::post_order(const evacuation_order& order,
+                                std::function<void(outcome<done>, host_id)> answer) {
+    return m_thread.try_post([this, order, answer = std::move(answer)] {
+        const std::uint64_t operation = m_next_operation++;
+        m_orders[operation] = answer;
+        carry_out(m_node.submit_order(steady_now(), wall_now(), operation, order));
+    });
+}
+
 bool control_worker::post_overview(std::function<void(control_overview)> answer) {
     return m_thread.try_post([this, answer = std::move(answer)] { answer(overview()); });
 }
@@ -176,6 +185,7 @@
                        [this](send_control_message& send) { m_hooks.send_control(std::move(send)); },
                        [this](store_change& store) { carry_out(std::move(store)); },
                        [this](const answer_ticket& answer) { carry_out(answer); },
+                       [this](const answer_order& answer) { carry_out(answer); },
                        [this](const answer_read& answer) { carry_out(answer); },
                        [this](const control_changed& changed) { carry_out(changed); },
                    },
@@ -238,6 +248,13 @@
     answer(action.answer, m_node.report(steady_now()).leader);
 }
 
+void control_worker::carry_out(const answer_order& action) {
+    const auto found = m_orders.extract(action.operation);
+    if (!found.empty()) {
+        found.mapped()(action.answer, m_node.report(steady_now()).leader);
+    }
+}
+
 void control_worker::carry_out(const answer_read& action) {
     const auto found = m_reads.find(action.operation);
     if (found == m_reads.end()) {
--- a/apps/tamarackd/control/control_worker.h
+++ b/apps/tamarackd/control/control_worker.h
@@ -61,6 +61,8 @@
     bool post_bootstrap(std::vector<member_id> voters, std::function<void(outcome<done>)> answer);
     bool post_change_voters(std::vector<member_id> voters, std::function<void(outcome<done>)> answer);
     bool post_ticket(ticket candidate, std::function<void(outcome<ticket_answer>, host_id leader)> answer);
+    /** From any thread: has an evacuation order committed. Fails with not_leader like post_read_latest. */
+    bool post_order(const evacuation_order& order, std::function<void(outcome<done>, host_id leader)> answer);
     bool post_overview(std::function<void(control_overview)> answer);
     /** Reads the latest configuration, confirmed by a majority. On a host that is not the leader, fails
      * with not_leader and passes the leader. */
@@ -77,6 +79,7 @@
     void carry_out(control_actions actions);
     void carry_out(store_change&& action);
     void carry_out(const answer_ticket& action);
+    void carry_out(const answer_order& action);
     void carry_out(const answer_read& action);
     void carry_out(const control_changed& action);
     /** Stores a change, on the storage thread; tries again until the disk takes it. */
@@ -96,6 +99,7 @@
     timer_loop m_timer;
     std::map<std::uint64_t, ticket_answerer> m_operations;
     std::map<std::uint64_t, std::function<void(outcome<shared_configuration>, host_id)>> m_reads;
+    std::map<std::uint64_t, std::function<void(outcome<done>, host_id)>> m_orders;
     voter_plan_options m_voter_options;
     std::uint64_t m_next_operation = 1;
     control_changed m_last;
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -18,7 +18,11 @@
     : m_settings(host_settings), m_started(started),
       m_allowance(host_settings.host, host_settings.forwarding.extra_window,
                   host_settings.formation.first_start ? earlier_processes::none
-                                                      : earlier_processes::possible) {}
+                                                      : earlier_processes::possible),
+      m_evacuations(host_settings.edge.kind == edge_kind::platform &&
+                        !host_settings.formation.data_centers.empty(),
+                    started),
+      m_sent_may_send(m_evacuations.may_send(started)) {}
 
 bool forwarding_inputs_builder::on_hosts(time_point now, const std::vector<host_record>& hosts,
                                          bool isolated) {
@@ -63,7 +67,8 @@
     const bool discovery_ended = now >= m_started + discovery_time;
     const bool just_ended = discovery_ended && !std::exchange(m_discovery_ended, true);
     const bool limit_hosts_changed = m_limit_hosts && *m_limit_hosts != m_limit_sharing.hosts(now);
-    return m_allowance.part(now) != m_sent_allowance || just_ended || limit_hosts_changed;
+    return m_allowance.part(now) != m_sent_allowance || just_ended || limit_hosts_changed ||
+           m_evacuations.may_send(now) != m_sent_may_send;
 }
 
 forwarding_inputs forwarding_inputs_builder::build(time_point now, const shared_configuration& current,
@@ -82,6 +87,9 @@
     }
     view->limit_hosts = m_limit_hosts;
     view->takes_callers = m_is_active;
+    m_sent_may_send = m_evacuations.may_send(now);
+    view->evacuations_known = m_sent_may_send;
+    view->evacuated = m_evacuations.evacuated();
     view->targets = list_targets(now, registry);
     return {std::move(view), std::make_shared<const std::vector<host_record>>(m_entries), in_directory};
 }
@@ -125,7 +133,7 @@
     inputs.has_targets = [&registry](const service_id& service) { return !registry.usable(service).empty(); };
     inputs.others_listed = std::ranges::any_of(
         m_entries, [this](const host_record& host) { return host.host != m_settings.host; });
-    return m_directory_admission.may_enter(now, inputs);
+    return m_directory_admission.may_enter(now, inputs) && m_evacuations.may_send(now);
 }
 
 } // namespace tamarack
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../forwarding/forwarding_worker.h"
+#include "evacuation_gate.h"
 
 #include <tamarack_membership/tamarack_membership.h>
 #include <tamarack_settings/tamarack_settings.h>
@@ -32,6 +33,11 @@
      */
     bool on_hosts(time_point now, const std::vector<host_record>& hosts, bool isolated);
 
+    /** The evacuation orders may have changed. @see evacuation_gate::on_orders */
+    void on_evacuations(const evacuation_orders& latest, bool known) {
+        m_evacuations.on_orders(latest, known);
+    }
+
     /** @return whether the inputs have changed merely because time has passed */
     bool on_time(time_point now);
 
@@ -62,6 +68,8 @@
     std::shared_ptr<const route_table> m_routes;
     ticket_number m_routes_ticket;
     directory_admission m_directory_admission;
+    evacuation_gate m_evacuations;
+    bool m_sent_may_send; ///< as in the last inputs
     std::map<target_id, std::pair<incarnation_id, time_point>> m_warmup_ends;
 };
 
--- a/apps/tamarackd/hosts/hosts_worker_inputs.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_inputs.cpp
@@ -78,6 +78,7 @@
     m_hosts_stale = false;
     if (m_settings.edge.kind == edge_kind::platform) {
         const bool hosts_changed = m_inputs_builder->on_hosts(now, m_detector->hosts(), m_isolated);
+        m_inputs_builder->on_evacuations(m_control->evacuations(), m_control->evacuations_known());
         if (!stale && !hosts_changed) {
             return;
         }
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -2,6 +2,7 @@
 
 #include "../process_memory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -70,6 +71,7 @@
     std::visit(overloaded{
                    [&](submit_configuration& submitted) { submit(std::move(submitted.candidate), answer); },
                    [&](const read_configuration& /*asked*/) { read_latest(answer); },
+                   [&](const order_evacuation& ordered) { order(ordered, answer); },
                    [&](announce_target& announced) { announce(std::move(announced.value), answer); },
                    [&](const deregister_target& deregistered) { deregister(deregistered, answer); },
                    [&](const unreadable_call& unreadable) {
@@ -140,6 +142,40 @@
     }
 }
 
+void control_edge::order(const order_evacuation& ordered, const answerer& answer) {
+    const auto& known = m_settings.formation.data_centers;
+    if (!known.empty() && std::ranges::find(known, ordered.data_center) == known.end()) {
+        answer(failed(control_result::not_found, "unknown data center: " + ordered.data_center.value()));
+        return;
+    }
+    if (m_hooks.control == nullptr) {
+        answer_with_redirect(answer);
+        return;
+    }
+    const evacuation_order wanted{ordered.data_center, ordered.active};
+    const bool posted = m_hooks.control->post_order(
+        wanted, [this, wanted, answer](const outcome<done>& result, const host_id& leader) {
+            if (succeeded(result)) {
+                log_state_change(log_level::info, "evacuation_ordered", {},
+                                 {{"data_center", wanted.data_center.value()},
+                                  {"active", wanted.active ? "true" : "false"}});
+                answer(control_outcome{});
+                return;
+            }
+            const error& reason = error_of(result);
+            if (reason.code == error_code::not_leader) {
+                answer(redirect_to(leader));
+            } else if (reason.code == error_code::invalid_argument) {
+                answer(failed(control_result::refused, reason.message));
+            } else {
+                answer(unavailable(reason.message));
+            }
+        });
+    if (!posted) {
+        answer(unavailable(busy));
+    }
+}
+
 void control_edge::announce(announcement value, const answerer& answer) {
     const bool posted = m_hooks.hosts->post_announcement(
         std::move(value), [this, answer](const outcome<announcement_receipt>& receipt) {
--- a/apps/tamarackd/operators/control_edge.h
+++ b/apps/tamarackd/operators/control_edge.h
@@ -33,6 +33,7 @@
     void on_http(const http_request& message, const http_responder& respond);
     void submit(ticket candidate, const answerer& answer);
     void read_latest(const answerer& answer);
+    void order(const order_evacuation& ordered, const answerer& answer);
     void announce(announcement value, const answerer& answer);
     void deregister(const deregister_target& deregistered, const answerer& answer);
     /** Redirects to the leader, or answers `unavailable` if no leader is known. */
--- a/modules/tamarack_control/node/control_node.cpp
+++ b/modules/tamarack_control/node/control_node.cpp
@@ -174,7 +174,7 @@
                                  {error_code::not_leader, "this control host does not lead"});
     } else if (too_many) {
         m_implementation->refuse(order_waiter{operation},
-                                 {error_code::overloaded, "too many data centres are evacuated"});
+                                 {error_code::invalid_argument, "too many data centers are evacuated"});
     } else {
         m_implementation->propose(now, wall, order, order_waiter{operation});
     }
--- a/modules/tamarack_control/node/control_node.h
+++ b/modules/tamarack_control/node/control_node.h
@@ -79,7 +79,7 @@
      * by a majority; a repeated order is acknowledged again and changes nothing.
      *
      * @param operation  returned in answer_order; the error is not_leader on a host that doesn't lead, and
-     *                   overloaded if too many data centres are evacuated
+     *                   invalid_argument if too many data centres are evacuated
      */
     control_actions submit_order(time_point now, wall_time wall, std::uint64_t operation,
                                  const evacuation_order& order);
--- a/modules/tamarack_edge/calls/control_call.h
+++ b/modules/tamarack_edge/calls/control_call.h
@@ -17,6 +17,12 @@
 /** An operator requests the newest configuration. */
 struct read_configuration {};
 
+/** An operator orders the evacuation of a data centre, or withdraws an order. */
+struct order_evacuation {
+    data_center_id data_center;
+    bool active = true; ///< false: the order is withdrawn
+};
+
 /** A target announces its state. */
 struct announce_target {
     announcement value;
@@ -34,7 +40,7 @@
 };
 
 /** A call from an operator or a target. */
-using control_call = std::variant<submit_configuration, read_configuration, announce_target,
+using control_call = std::variant<submit_configuration, read_configuration, order_evacuation, announce_target,
                                   deregister_target, unreadable_call>;
 
 /** Result of a call. */
@@ -42,7 +48,7 @@
     done,        ///< carried out, or there was nothing to change
     invalid,     ///< the content is invalid; nothing has changed
     refused,     ///< the content conflicts with the current state; nothing has changed
-    not_found,   ///< no such call
+    not_found,   ///< no such call, or it names something unknown
     redirected,  ///< another host has to answer the call
     unavailable, ///< temporarily not possible; the same call may be retried
 };
--- a/modules/tamarack_forwarding/engine/caller_check.cpp
+++ b/modules/tamarack_forwarding/engine/caller_check.cpp
@@ -5,6 +5,10 @@
 caller_verdict check_caller(const forwarding_core& core, const route& selected,
                             const caller_credentials& stated) {
     caller_verdict verdict;
+    if (!core.view->evacuations_known) {
+        verdict.reason = forward_reason::no_lease;
+        return verdict;
+    }
     if (!core.index->table()->requires_keys) {
         return verdict;
     }
--- a/modules/tamarack_forwarding/engine/caller_check.h
+++ b/modules/tamarack_forwarding/engine/caller_check.h
@@ -19,6 +19,10 @@
  * restarted. A key is therefore accepted only under a lease that was granted with the latest ticket; without
  * a lease the request is refused as not run, so that the caller can use another host.
  *
+ * Failure pattern: all hosts lose power while a data centre is evacuated. A host that has started knows
+ * targets from its disk or from other hosts before it knows the evacuation orders, so it refuses all requests
+ * as not run until it has received its first lease.
+ *
  * @param core      must know a route table
  * @param selected  the request's route
  * @param stated    credentials of the request
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -46,12 +46,13 @@
     leaving,               ///< announced in a reply that it takes no new work
     in_backoff,            ///< requested a backoff from this host
     backoff_invalid,       ///< requested a backoff of implausible length, which is ignored
+    evacuated,             ///< in a data centre that operators have ordered to evacuate
     request_limit_invalid, ///< stated a limit on requests that is not a valid number, which is ignored
 };
 
 template <>
 struct name_table<target_change> {
-    static constexpr std::array<std::pair<target_change, std::string_view>, 9> entries{{
+    static constexpr std::array<std::pair<target_change, std::string_view>, 10> entries{{
         {target_change::added, "added"},
         {target_change::removed, "removed"},
         {target_change::replaced, "replaced"},
@@ -60,6 +61,7 @@
         {target_change::leaving, "leaving"},
         {target_change::in_backoff, "resting"},
         {target_change::backoff_invalid, "rest_unreadable"},
+        {target_change::evacuated, "evacuated"},
         {target_change::request_limit_invalid, "request_limit_invalid"},
     }};
 };
--- a/modules/tamarack_forwarding/engine/target_list.cpp
+++ b/modules/tamarack_forwarding/engine/target_list.cpp
@@ -1,5 +1,6 @@
 #include "target_list.h"
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -43,7 +44,7 @@
         if (!m_core.services.contains(item.service)) {
             continue;
         }
-        if (m_core.withheld.has_left(item.id, item.incarnation)) {
+        if (m_core.withheld.has_left(item.id, item.incarnation) || is_evacuated(item.data_center)) {
             continue;
         }
         listed.insert(item.id.value());
@@ -73,10 +74,15 @@
         }
     }
     for (const engine_target_pointer& target : gone) {
-        remove(target, target_change::removed);
+        const bool evacuated = is_evacuated(target->info.data_center);
+        remove(target, evacuated ? target_change::evacuated : target_change::removed);
     }
 }
 
+bool target_list::is_evacuated(const data_center_id& data_center) const {
+    return std::ranges::find(m_core.view->evacuated, data_center) != m_core.view->evacuated.end();
+}
+
 void target_list::add(const forwarding_target& listed) {
     auto target = std::make_shared<engine_target>();
     target->info = listed;
--- a/modules/tamarack_forwarding/engine/target_list.h
+++ b/modules/tamarack_forwarding/engine/target_list.h
@@ -19,13 +19,20 @@
 
     /** Adds and removes services, after a change of the routes. */
     void update_services(const forwarding_view& view);
-    /** Adds, updates and removes targets. */
+    /**
+     * Adds, updates and removes targets.
+     *
+     * Load pattern: operators evacuate a data centre, and its targets are still healthy and announce
+     * themselves. They are treated as removed ones: exchanges that run there finish, waiting parts, retries
+     * and hedges go to other targets, and idle connections are closed.
+     */
     void update_targets(const forwarding_view& view);
     /** Withdraws a target from use: it gets no new exchanges, and its idle connections are closed. */
     void remove(const engine_target_pointer& target, target_change change);
 
 private:
     void add(const forwarding_target& listed);
+    bool is_evacuated(const data_center_id& data_center) const;
 
     forwarding_core& m_core;
     part_dispatcher& m_dispatcher;
--- a/modules/tamarack_forwarding/payload/forward_answer.h
+++ b/modules/tamarack_forwarding/payload/forward_answer.h
@@ -50,7 +50,7 @@
     caller_gone,
     malformed_credentials, ///< the request states no readable key, or several
     unknown_key,           ///< no team holds the request's key, or it states none
-    no_lease,              ///< this host can't confirm that the key is still valid
+    no_lease,              ///< this host can't confirm the caller's key, or which targets may be used
     team_limited,          ///< the team's limit leaves no room for it
 };
 
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -89,7 +89,8 @@
 struct formation_settings {
     bool automatic = false;   ///< seeds are named by their IP address; the hosts choose the voters themselves
     bool first_start = false; ///< the whole deployment starts for the first time, with empty disks
-    std::uint32_t tolerated_losses = 1; ///< number of control hosts that may be lost at the same time
+    std::uint32_t tolerated_losses = 1;       ///< number of control hosts that may be lost at the same time
+    std::vector<data_center_id> data_centers; ///< all of the deployment's; empty: any name is accepted
 };
 
 /** Limits on the extra exchanges (hedges and retries) of forwarded requests. */
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::uint64_t max_tolerated_losses = 3;
+constexpr std::size_t max_data_centers = 100;
+constexpr std::size_t max_data_center_name = 200;
 constexpr double max_processor_cores = 1'000.0;
 constexpr double max_extra_ratio = 1.0;
 constexpr double max_extra_allowance = 1e6;
@@ -202,7 +204,29 @@
     }
 }
 
+namespace {
+
+void read_data_centers(settings_source& source, std::vector<data_center_id>& into) {
+    std::istringstream list{source.find("formation", "data_centers").value_or("")};
+    std::string name;
+    while (std::getline(list, name, ',')) {
+        const bool valid = !name.empty() && name.size() <= max_data_center_name &&
+                           name.find_first_of("/? ") == std::string::npos &&
+                           std::ranges::find(into, data_center_id{name}) == into.end();
+        if (!valid || into.size() == max_data_centers) {
+            source.report("formation", "data_centers",
+                          "up to " + std::to_string(max_data_centers) +
+                              " different names, separated by commas");
+            return;
+        }
+        into.emplace_back(name);
+    }
+}
+
+} // namespace
+
 void read_formation(settings_source& source, settings& into) {
+    read_data_centers(source, into.formation.data_centers);
     const auto listed = source.find("formation", "seeds");
     const auto first = source.find("formation", "first_start");
     const auto losses = source.find("formation", "tolerated_losses");
--- a/tests/control/control_world.cpp
+++ b/tests/control/control_world.cpp
@@ -71,8 +71,7 @@
     };
     hooks.order_answer = [this](const host_id& from, std::uint64_t operation, const outcome<done>& answer) {
         if (succeeded(answer) && !m_order_answers_lost) {
-            m_network.send(from, operators,
-                           [this, operation] { on_order_acknowledged(operation); });
+            m_network.send(from, operators, [this, operation] { on_order_acknowledged(operation); });
         }
     };
     return hooks;
--- a/tests/platform/control_codec_test.cpp
+++ b/tests/platform/control_codec_test.cpp
@@ -146,6 +146,21 @@
     EXPECT_FALSE(std::get<deregister_target>(without).incarnation);
 }
 
+TEST(control_call, decodes_evacuation_orders) {
+    const control_call start = wire::read_control_call(post("/tamarackstand/Evacuations.Start/bzh-a", ""));
+    ASSERT_TRUE(std::holds_alternative<order_evacuation>(start));
+    EXPECT_EQ(std::get<order_evacuation>(start).data_center.value(), "bzh-a");
+    EXPECT_TRUE(std::get<order_evacuation>(start).active);
+    const control_call stop = wire::read_control_call(post("/tamarackstand/Evacuations.Stop/bzh-a", ""));
+    ASSERT_TRUE(std::holds_alternative<order_evacuation>(stop));
+    EXPECT_FALSE(std::get<order_evacuation>(stop).active);
+    for (const std::string path : {"Evacuations.Start/", "Evacuations.Stop/a/b", "Evacuations.Pause/a"}) {
+        EXPECT_TRUE(std::holds_alternative<unreadable_call>(
+            wire::read_control_call(post("/tamarackstand/" + path, ""))))
+            << path;
+    }
+}
+
 TEST(control_call, rejects_any_other_path) {
     for (const char* path : {"/", "/tamarackstand/Config.Describe", "/tamarackstand/Replicas.Heartbeat/",
                              "/tamarackstand/Replicas.Heartbeat/a/b"}) {
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -50,6 +50,24 @@
     }
 }
 
+/** Renders the section of a table: its keys in turn, with commas between. */
+void render_table(std::string& text, const std::string& name, const std::vector<std::string>& keys) {
+    const std::string open = "{{#" + name + "}}";
+    const std::string close = "{{/" + name + "}}";
+    for (auto begin = text.find(open); begin != std::string::npos; begin = text.find(open)) {
+        const auto end = text.find(close, begin);
+        const std::string inner = text.substr(begin + open.size(), end - begin - open.size());
+        std::string rendered;
+        for (const std::string& key : keys) {
+            std::string item = inner;
+            replace_placeholder(item, "@", key);
+            replace_placeholder(item, ",", key == keys.back() ? "" : ",");
+            rendered += item;
+        }
+        text.replace(begin, end + close.size() - begin, rendered);
+    }
+}
+
 /** Replaces the fixed port in the value of a key, because several hosts run on this machine. */
 void replace_port(std::string& text, const std::string& key, const std::string& value) {
     const auto begin = text.find(key) + key.size();
@@ -96,6 +114,7 @@
     }
     resolve_section(text, "data-dir", has_disk);
     resolve_section(text, "bounds.strict-revocation", m_revokes_keys_everywhere);
+    render_table(text, "zones", {"zone-0", "zone-1", "zone-2"});
     replace_placeholder(text, "bounds.revoke-ms", revocation_milliseconds);
     replace_placeholder(text, "ip", ip);
     replace_placeholder(text, "zone", "zone-" + std::to_string(host % 3));
@@ -182,6 +201,20 @@
     return status;
 }
 
+unsigned platform_deployment::order_evacuation(const std::string& zone, bool active, std::size_t first_host) {
+    plain_request request;
+    request.method = "POST";
+    request.path = std::string{"/tamarackstand/Evacuations."} + (active ? "Start/" : "Stop/") + zone;
+    unsigned status = 0;
+    std::size_t host = first_host;
+    eventually([&] {
+        const auto response = control_call(host++, request);
+        status = response ? response->status : 0;
+        return status >= 200 && status < 500;
+    });
+    return status;
+}
+
 std::optional<plain_response> platform_deployment::describe() {
     plain_request request;
     request.path = "/tamarackstand/Config.Describe";
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -39,6 +39,7 @@
 
     std::string id;
     std::string service;
+    std::string zone = "zone-0"; ///< set before its first heartbeat
     std::string address;
     std::uint64_t born = 0;
     std::atomic<std::uint64_t> sequence{0};
@@ -131,6 +132,9 @@
     /** Submits a configuration to one host after the other, following redirects, until the answer is
      * conclusive. */
     unsigned submit(const std::string& document);
+    /** Orders the evacuation of a zone, or withdraws the order, at one host after the other until the answer
+     * is conclusive. @return its status */
+    unsigned order_evacuation(const std::string& zone, bool active, std::size_t first_host = 0);
     std::optional<plain_response> describe();
 
     /**
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -184,7 +184,7 @@
     Json::Value body;
     body["service"] = replica.service;
     body["address"] = replica.address;
-    body["zone"] = "zone-0";
+    body["zone"] = replica.zone;
     body["version"] = "v1";
     body["max-concurrency"] = 2;
     body["state"] = state;
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -68,6 +68,21 @@
                 ElementsAre(mistake_at("ablation", "hedges")));
 }
 
+TEST(settings, reads_the_names_of_the_data_centers) {
+    const auto read = parse_settings(std::string{good_text} + "[formation]\ndata_centers = bzh-a,bzh-b\n");
+    ASSERT_TRUE(succeeded(read)) << describe(error_of(read).front());
+    EXPECT_THAT(value_of(read).formation.data_centers,
+                ElementsAre(data_center_id{"bzh-a"}, data_center_id{"bzh-b"}));
+    const auto none = parse_settings(std::string{good_text} + "[formation]\ndata_centers =\n");
+    ASSERT_TRUE(succeeded(none)) << "a deployment may have no table of data centres";
+    EXPECT_TRUE(value_of(none).formation.data_centers.empty());
+    for (const std::string list : {"a,,b", "a,a", "a/b", "a, b"}) {
+        EXPECT_THAT(mistakes_of(std::string{good_text} + "[formation]\ndata_centers = " + list + "\n"),
+                    ElementsAre(mistake_at("formation", "data_centers")))
+            << list;
+    }
+}
+
 TEST(settings, reads_what_is_given_and_keeps_defaults) {
     const auto read = parse_settings(good_text);
     ASSERT_TRUE(succeeded(read)) << describe(error_of(read).front());
