Render the data centres only for deployments with evacuations

Cause: the list of data centres makes a started host wait for the evacuation orders before it sends anything. Deployments without evacuation orders would have waited too, up to 10 s without a leader, where they serve the last known ticket today. Change: the template renders the list only if the settings bound evacuations; the test's renderer resolves repeated sections.

--- a/tests/platform_integration/evacuation_test.cpp
+++ b/tests/platform_integration/evacuation_test.cpp
@@ -28,6 +28,7 @@
     std::vector<stand_in_replica*> m_replicas;
 
     void SetUp() override {
+        m_deployment.evacuate_data_centers();
         for (std::size_t number = 0; number < replicas; ++number) {
             m_replicas.push_back(&m_deployment.add_replica("orders"));
             m_replicas.back()->zone = "zone-" + std::to_string(number);
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -40,13 +40,13 @@
     for (const bool when : {true, false}) {
         const std::string open = (when ? "{{#" : "{{^") + name + "}}";
         const std::string close = "{{/" + name + "}}";
-        const auto begin = text.find(open);
-        const auto end = text.find(close, begin);
-        if (begin == std::string::npos || end == std::string::npos) {
-            continue;
+        auto begin = text.find(open);
+        while (begin != std::string::npos) {
+            const auto end = text.find(close, begin);
+            const std::string inner = text.substr(begin + open.size(), end - begin - open.size());
+            text.replace(begin, end + close.size() - begin, when == present ? inner : "");
+            begin = text.find(open);
         }
-        const std::string inner = text.substr(begin + open.size(), end - begin - open.size());
-        text.replace(begin, end + close.size() - begin, when == present ? inner : "");
     }
 }
 
@@ -114,6 +114,7 @@
     }
     resolve_section(text, "data-dir", has_disk);
     resolve_section(text, "bounds.strict-revocation", m_revokes_keys_everywhere);
+    resolve_section(text, "bounds.evacuation-ms", m_evacuates_data_centers);
     render_table(text, "zones", {"zone-0", "zone-1", "zone-2"});
     replace_placeholder(text, "bounds.revoke-ms", revocation_milliseconds);
     replace_placeholder(text, "ip", ip);
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -104,6 +104,8 @@
 
     /** Sets that a removed key may be used on no host after some time. Call before the hosts are started. */
     void revoke_keys_everywhere() { m_revokes_keys_everywhere = true; }
+    /** Lets operators evacuate data centres. Call before the hosts are started. */
+    void evacuate_data_centers() { m_evacuates_data_centers = true; }
     void start_host(std::size_t host);
     void start_all();
     void kill_host(std::size_t host) { m_processes.kill(name_of(host)); }
@@ -219,6 +221,7 @@
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
     bool m_revokes_keys_everywhere = false;
+    bool m_evacuates_data_centers = false;
     testing_support::header_fields m_caller_fields;
     std::atomic<unsigned> m_next_request{1};
     std::atomic<unsigned> m_crashes{0};
