Test that teams above their share are neither starved nor misjudged

Cause: the test of starvation passed without the rule that ends giving way, since the queue shortened in between. Change: the small teams alone exceed the capacity in it, and tests of team_shares cover the rule, the judgement by a single request, the moment before any refusal and the end of a surge.

--- a/tests/forwarding/fair_sharing_test.cpp
+++ b/tests/forwarding/fair_sharing_test.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace tamarack {
@@ -42,10 +44,10 @@
     return world;
 }
 
-/** Load pattern: seventy small teams send 6 requests a second each; a large one sends 40, then 400. */
-void run_surge(forwarding_world& world) {
+/** Load pattern: seventy small teams send a few requests a second each; a large one sends 40, then 400. */
+void run_surge(forwarding_world& world, double small_rate = 6.0) {
     for (int team = 0; team < small_teams; ++team) {
-        world.load("fetch", 6.0, 1s, until, "small-" + std::to_string(team));
+        world.load("fetch", small_rate, 1s, until, "small-" + std::to_string(team));
     }
     world.load("fetch", 40.0, 1s, from, "large");
     world.load("fetch", 400.0, from, until, "large");
@@ -65,23 +67,89 @@
     EXPECT_EQ(unfair->gave_way(), 0U);
 }
 
-/** Guards against starvation of the team that gives way. */
+/** Guards against starvation: the small teams alone exceed the capacity, so that it is short all the time. */
 TEST(fair_sharing, serves_every_team_at_least_a_quarter_as_often_as_all) {
     const auto world = teams_world({});
-    run_surge(*world);
+    run_surge(*world, 12.0);
+    EXPECT_GT(world->gave_way(), 0U);
     const double all = world->good_share_of(from, until, [](const std::string&) { return true; });
-    std::map<std::string, bool> teams;
+    std::set<std::string> teams;
     for (const world_result& result : world->results()) {
-        teams[result.team] = true;
+        teams.insert(result.team);
     }
     ASSERT_EQ(teams.size(), small_teams + 1U);
-    for (const auto& [name, known] : teams) {
+    for (const std::string& name : teams) {
         EXPECT_GE(world->good_share_of(from, until, [&](const std::string& team) { return team == name; }),
                   0.25 * all)
             << name;
     }
 }
 
+/** Guards the neighbours: the large team gives way as soon as capacity is short, before any is refused. */
+TEST(team_shares, names_the_largest_team_before_any_request_is_refused) {
+    team_shares shares;
+    const time_point now{1h};
+    for (int request = 0; request < 30; ++request) {
+        for (const std::string& team : {std::string{"large"}, "small-" + std::to_string(request % 10)}) {
+            shares.on_arrival(now, team, 100.0);
+            shares.on_admitted(team, 100.0);
+        }
+    }
+    EXPECT_TRUE(shares.gives_way(now, "large"));
+    EXPECT_FALSE(shares.gives_way(now, "small-0"));
+    EXPECT_FALSE(shares.gives_way(now, "unknown"));
+}
+
+/** Guards against starvation of a team above its share if capacity stays short for a minute. */
+TEST(team_shares, never_starve_the_team_that_gives_way) {
+    team_shares shares;
+    time_point now{1h};
+    int admitted = 0;
+    for (int step = 0; step < 600; ++step) {
+        now += 100ms;
+        for (const std::string& team : {std::string{"large"}, "small-" + std::to_string(step % 10)}) {
+            shares.on_arrival(now, team, 100.0);
+            if (!shares.gives_way(now, team)) {
+                shares.on_admitted(team, 100.0);
+                admitted += team == "large" ? 1 : 0;
+            }
+        }
+    }
+    EXPECT_GE(admitted, 600 / 4);
+    EXPECT_LE(admitted, 600 / 2);
+}
+
+/** Guards teams that send little: one request with more work than those of others is no surge. */
+TEST(team_shares, do_not_judge_a_team_by_a_single_request) {
+    team_shares shares;
+    const time_point now{1h};
+    for (const std::string team : {"one", "two", "three"}) {
+        const double work = team == "one" ? 1'000.0 : 100.0;
+        shares.on_arrival(now, team, work);
+        shares.on_admitted(team, work);
+    }
+    EXPECT_FALSE(shares.gives_way(now, "one"));
+}
+
+/** Guards against a surge that is held against a team for long, and against endless memory. */
+TEST(team_shares, forget_a_surge) {
+    team_shares shares;
+    time_point now{1h};
+    for (int request = 0; request < 100; ++request) {
+        shares.on_arrival(now, "former-" + std::to_string(request % 20), 100.0);
+        shares.on_admitted("former-" + std::to_string(request % 20), 100.0);
+    }
+    for (int second = 0; second < 300; ++second) {
+        now += 1s;
+        for (const std::string team : {"one", "two"}) {
+            shares.on_arrival(now, team, 100.0);
+            shares.on_admitted(team, 100.0);
+        }
+    }
+    EXPECT_FALSE(shares.gives_way(now, "former-1"));
+    EXPECT_EQ(shares.teams(), 2U);
+}
+
 /** Guards against refusals of a large team while there is capacity for all. */
 TEST(fair_sharing, refuses_nobody_without_shortage) {
     const auto world = teams_world({}, 4);
