Order each priority's waiting parts by tags of its own

Cause: an urgent part of a team with a long backlog was sent first and moved the virtual time past that backlog, so that less urgent parts of other teams waited behind all of it; hedges, which go in front, did the same. The share of 5,000 teams was computed ten times a second, 17 us for each decision. Change: a fair queue for each priority, hedges aren't charged, and the share is computed less often the more teams there are.

--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -289,7 +289,7 @@
     ++run.trace.hedges;
     if (!m_dispatcher.try_send(run, part_index, trace_step::hedged)) {
         waiting_part item = m_dispatcher.describe_wait(run, part_index, trace_step::hedged);
-        part.service->waiting.charge(item);
+        item.work = 0.0; // hedges have a budget of their own
         part.queued = true;
         part.service->waiting.push_front(std::move(item));
     }
--- a/modules/tamarack_forwarding/fairness/team_shares.cpp
+++ b/modules/tamarack_forwarding/fairness/team_shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <vector>
 
 namespace tamarack {
@@ -23,7 +24,10 @@
 /** A team gives way only while it is served at least this fraction as often as all; callers need a quarter.
  */
 constexpr double served_floor = 0.5;
+/** The share is computed again after this period, plus a delay for each team, which keeps its cost constant.
+ */
 constexpr duration level_period = 100ms;
+constexpr duration level_period_of_team = 200us;
 /** A team with fewer weighted requests is forgotten. */
 constexpr double forgotten_requests = 0.01;
 
@@ -88,7 +92,7 @@
     }
     if (now >= m_level_until) {
         m_level = fair_level();
-        m_level_until = now + level_period;
+        m_level_until = now + level_period + static_cast<std::int64_t>(m_teams.size()) * level_period_of_team;
     }
     const sums& own = found->second;
     const bool is_starved = own.admitted * m_all.offered < served_floor * m_all.admitted * own.offered;
--- a/modules/tamarack_forwarding/fairness/waiting_list.cpp
+++ b/modules/tamarack_forwarding/fairness/waiting_list.cpp
@@ -6,7 +6,13 @@
 
 void waiting_list::charge(waiting_part& part) {
     if (part.work > 0.0) {
-        part.start_tag = m_queue.start(part.team, part.work);
+        part.start_tag = m_queues[part.priority].start(part.team, part.work);
+    }
+}
+
+void waiting_list::on_sent(const waiting_part& part) {
+    if (part.work > 0.0) {
+        m_queues[part.priority].on_served(part.start_tag);
     }
 }
 
@@ -29,13 +35,13 @@
 }
 
 waiting_list::position waiting_list::erase_sent(position at) {
-    m_queue.on_served(at->start_tag);
+    on_sent(*at);
     return erase(at);
 }
 
 waiting_list::position waiting_list::erase_withdrawn(position at) {
     if (at->work > 0.0) {
-        m_queue.on_withdrawn(at->team, at->work);
+        m_queues[at->priority].on_withdrawn(at->team, at->work);
     }
     return erase(at);
 }
--- a/modules/tamarack_forwarding/fairness/waiting_list.h
+++ b/modules/tamarack_forwarding/fairness/waiting_list.h
@@ -28,7 +28,8 @@
 
 /**
  * The parts that wait for a service: by priority, then between teams by start-time fair queueing, then by
- * objective, then by arrival. Parts without work all have the start tag 0.
+ * objective, then by arrival. A team's urgent parts don't change its place among the less urgent ones. Parts
+ * without work all have the start tag 0.
  *
  * Inserting costs a search in a balanced tree, however many parts wait.
  */
@@ -69,11 +70,11 @@
     /** Charges the work of a part to its team, and sets the part's start tag. */
     void charge(waiting_part& part);
     /** A charged part was sent without waiting. */
-    void on_sent(const waiting_part& part) { m_queue.on_served(part.start_tag); }
+    void on_sent(const waiting_part& part);
 
     /** Adds a charged part in order. */
     void insert(waiting_part part);
-    /** Adds a part in front of all others. */
+    /** Adds a part in front of all others. It must not be charged, since it is sent out of turn. */
     void push_front(waiting_part part) { m_entries.push_front({std::move(part), std::nullopt}); }
     /** Adds a charged part behind all others. */
     void push_back(waiting_part part) { m_entries.push_back({std::move(part), std::nullopt}); }
@@ -89,8 +90,8 @@
 private:
     position erase(position at);
 
-    fair_queue m_queue;
-    std::list<entry> m_entries; ///< parts outside the order, then the sorted ones
+    std::map<std::uint32_t, fair_queue> m_queues; ///< by priority, as each priority is served by itself
+    std::list<entry> m_entries;                   ///< parts outside the order, then the sorted ones
     sorted_entries m_sorted;
 };
 
--- a/tests/forwarding/fair_queue_test.cpp
+++ b/tests/forwarding/fair_queue_test.cpp
@@ -58,6 +58,23 @@
     EXPECT_NEAR(served["long"], 20, 1);
 }
 
+/** Guards against an urgent part of a team with a long backlog that moves the others behind that backlog. */
+TEST(fair_queue, keeps_the_places_of_less_urgent_parts_when_urgent_ones_are_sent) {
+    waiting_list list;
+    for (forward_number number = 0; number < 100; ++number) {
+        waiting_part part = part_of("large", number);
+        part.priority = 2;
+        add(list, part);
+    }
+    add(list, part_of("large", 1'000));
+    EXPECT_EQ(list.begin()->request, 1'000U);
+    list.erase_sent(list.begin());
+    waiting_part part = part_of("small", 1'001);
+    part.priority = 2;
+    add(list, part);
+    EXPECT_EQ(serve(list, 2)["small"], 1);
+}
+
 /** Guards against starvation: a team that was idle must neither wait behind the others' past work nor be
  * served alone because of its own idle time. */
 TEST(fair_queue, lets_an_idle_team_start_at_the_current_virtual_time) {
