Limit requests to cold targets by their service's rate

Cause: targets that come back cold together got their usual load, although the configuration says how much a cold target takes; a target that became cold again in the same process was not noticed. Ruled out: a limiter of its own, because the stated request limits already divide a rate between hosts. Change: a cold target's rate is a second source of its request limit; half as many hosts share it, so that it holds in each second. A warm-up that grows is disseminated, and replies may state it too.

--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -100,15 +100,11 @@
     if (!m_routes) {
         return targets;
     }
-    std::map<target_id, std::pair<incarnation_id, time_point>> warmup_ends;
+    m_warmup_ends.begin_listing();
     for (const routed_service& service : m_routes->services) {
         for (const target_record& record : registry.usable(service.id)) {
             const announcement& latest = record.latest;
-            const auto known = m_warmup_ends.find(latest.target);
-            const bool same_incarnation =
-                known != m_warmup_ends.end() && known->second.first == latest.incarnation;
-            const time_point warm = same_incarnation ? known->second.second : now + latest.remaining_warmup;
-            warmup_ends[latest.target] = {latest.incarnation, warm};
+            const time_point warm = m_warmup_ends.warm_at(now, record);
             forwarding_target target{latest.target,      latest.incarnation, latest.service, latest.address,
                                      latest.data_center, latest.slots,       warm,           0};
             target.connections = m_is_active
@@ -121,7 +117,7 @@
             }
         }
     }
-    m_warmup_ends = std::move(warmup_ends);
+    m_warmup_ends.end_listing();
     return targets;
 }
 
--- a/apps/tamarackd/hosts/forwarding_inputs_builder.h
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.h
@@ -2,6 +2,7 @@
 
 #include "../forwarding/forwarding_worker.h"
 #include "evacuation_gate.h"
+#include "warmup_ends.h"
 
 #include <tamarack_membership/tamarack_membership.h>
 #include <tamarack_settings/tamarack_settings.h>
@@ -70,7 +71,7 @@
     directory_admission m_directory_admission;
     evacuation_gate m_evacuations;
     bool m_sent_may_send; ///< as in the last inputs
-    std::map<target_id, std::pair<incarnation_id, time_point>> m_warmup_ends;
+    warmup_ends m_warmup_ends;
 };
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -58,6 +58,7 @@
     limit_reports, ///< the targets with a request limit are to be reported
     crash_reports, ///< losses are to be reported to other hosts
     lease,         ///< the lease stops confirming keys
+    warmup,        ///< a cold target becomes warm
 };
 
 struct due_item {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -289,6 +289,13 @@
             dispatcher.serve_waiting(*service);
         }
         break;
+    case due_kind::warmup:
+        limits.end_warmups();
+        dispatcher.keep_warm();
+        for (auto& [id, service] : core.services) {
+            dispatcher.serve_waiting(*service);
+        }
+        break;
     case due_kind::limit_reports:
         limits.report_in_force();
         break;
--- a/modules/tamarack_forwarding/engine/limit_tracker.cpp
+++ b/modules/tamarack_forwarding/engine/limit_tracker.cpp
@@ -1,5 +1,6 @@
 #include "limit_tracker.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -46,19 +47,53 @@
 
 void limit_tracker::on_removed(const engine_target& target) {
     // A limit that has ended replaces one that was saved earlier.
-    if (target.limit.in_force() || m_core.withheld.limit_of(target.info.id, target.info.incarnation)) {
+    if (target.limit.is_stated() || m_core.withheld.limit_of(target.info.id, target.info.incarnation)) {
         m_core.withheld.save_limit(target.info.id, target.info.incarnation, target.limit);
     }
 }
 
-void limit_tracker::update_share(engine_target& target) const {
+void limit_tracker::update_cold(engine_target& target) {
+    const double rate = target.service != nullptr ? target.service->warmup_rate : 0.0;
+    const time_point until = target.warm_at();
+    const bool cold = rate > 0.0 && m_core.now < until && m_core.options.protections.honour_request_limits;
+    const bool was_cold = target.limit.is_cold();
+    if (!cold && !was_cold) {
+        return;
+    }
+    if (!cold) {
+        report(limit_step::warm, target);
+        target.limit.set_cold(m_core.now, std::nullopt, until);
+        return;
+    }
+    if (!was_cold || until != target.limit.cold_until()) {
+        m_core.schedule(until, due_kind::warmup, 0);
+    }
+    target.limit.set_cold(m_core.now, rate, until);
+    if (!was_cold) {
+        report(limit_step::cold, target);
+    }
+}
+
+void limit_tracker::end_warmups() {
+    for (const auto& [id, target] : m_core.targets) {
+        if (target->limit.is_cold() && m_core.now >= target->limit.cold_until()) {
+            update_share(*target);
+        }
+    }
+}
+
+void limit_tracker::update_share(engine_target& target) {
+    update_cold(target);
     if (!target.limit.in_force()) {
         return;
     }
     double share = 0.0;
     if (m_core.view && m_core.view->limit_hosts) {
-        share = limit_share(target.limit.rate(), *m_core.view->limit_hosts, m_core.options.host,
-                            target.info.id, target.info.connected_hosts);
+        // A cold target's limit holds in each second. A host's bucket holds what half a second adds, but one
+        // exchange at least; so each sharing host gets two requests a second, if the limit allows that many.
+        const double divided = target.limit.is_cold() ? target.limit.rate() / 2.0 : target.limit.rate();
+        share = limit_share(divided, *m_core.view->limit_hosts, m_core.options.host, target.info.id,
+                            target.info.connected_hosts);
     }
     if (share != target.limit.share()) {
         target.limit.set_share(m_core.now, share);
@@ -69,6 +104,11 @@
     if (reply.request_limit_invalid) {
         m_core.report_target_change(target_change::request_limit_invalid, target);
     }
+    if (reply.remaining_warmup && reply.verdict != target_verdict::wrong_target &&
+        reply.verdict != target_verdict::malformed) {
+        target.stated_warm_at = std::max(target.stated_warm_at, m_core.now + *reply.remaining_warmup);
+        update_share(target);
+    }
     if (!m_core.options.protections.honour_request_limits || !speaks_for_target(reply)) {
         return;
     }
--- a/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher_waits.cpp
@@ -82,7 +82,7 @@
         candidate.error_share = error_share_of(target, m_core.now);
     }
     candidate.far = target.far && m_core.uses(forwarding_mechanism::near_targets);
-    candidate.cold = m_core.now < target.info.warm_at && m_core.uses(forwarding_mechanism::cold_targets);
+    candidate.cold = m_core.now < target.warm_at() && m_core.uses(forwarding_mechanism::cold_targets);
     candidate.ejected = m_core.now < target.ejected_until && m_core.uses(forwarding_mechanism::ejection);
     if (!target.running_since.empty() && m_core.uses(forwarding_mechanism::stall_detection)) {
         candidate.oldest_exchange = m_core.now - target.running_since.front();
--- a/modules/tamarack_forwarding/engine/target_list.cpp
+++ b/modules/tamarack_forwarding/engine/target_list.cpp
@@ -23,6 +23,7 @@
         if (!service) {
             service = std::make_shared<engine_service>(listed.id, m_core.budget_of(listed.id));
         }
+        service->warmup_rate = listed.warmup_requests_per_second;
     }
     for (auto item = m_core.services.begin(); item != m_core.services.end();) {
         if (routed.contains(item->first)) {
@@ -88,9 +89,9 @@
     target->info = listed;
     target->far = listed.data_center != m_core.options.data_center;
     target->backoff = m_core.withheld.backoff_of(listed.id, listed.incarnation);
-    m_limits.on_added(*target);
     engine_service& service = *m_core.services.at(listed.service);
     target->service = &service;
+    m_limits.on_added(*target);
     service.targets.push_back(target);
     m_core.targets[listed.id.value()] = target;
     m_core.report_target_change(target_change::added, *target);
--- a/modules/tamarack_forwarding/limits/request_limit.cpp
+++ b/modules/tamarack_forwarding/limits/request_limit.cpp
@@ -25,7 +25,7 @@
  */
 std::optional<limit_step> request_limit::on_reply(time_point now, time_point sent_at,
                                                   std::optional<double> stated) {
-    const bool tells_nothing_new = !stated && (!in_force() || sent_at <= m_heard_at);
+    const bool tells_nothing_new = !stated && (!m_rate || sent_at <= m_heard_at);
     return tells_nothing_new ? std::nullopt : apply(now, {stated, now});
 }
 
@@ -39,11 +39,11 @@
 
 std::optional<limit_step> request_limit::apply(time_point now, const limit_statement& statement) {
     m_heard_at = statement.heard_at;
+    m_tokens = in_force() ? tokens_at(now) : 0.0;
+    m_refilled_at = now;
     if (!statement.per_second) {
         return std::exchange(m_rate, std::nullopt) ? std::optional{limit_step::lifted} : std::nullopt;
     }
-    m_tokens = in_force() ? tokens_at(now) : 0.0;
-    m_refilled_at = now;
     const std::optional<double> before = std::exchange(m_rate, statement.per_second);
     if (!before) {
         return limit_step::stated;
@@ -52,6 +52,20 @@
     return changed ? std::optional{limit_step::changed} : std::nullopt;
 }
 
+void request_limit::set_cold(time_point now, std::optional<double> per_second, time_point until) {
+    m_tokens = in_force() ? tokens_at(now) : 0.0;
+    m_refilled_at = now;
+    m_cold_rate = per_second;
+    m_cold_until = until;
+}
+
+double request_limit::rate() const {
+    if (m_rate && m_cold_rate) {
+        return std::min(*m_rate, *m_cold_rate);
+    }
+    return m_rate ? *m_rate : m_cold_rate.value_or(0.0);
+}
+
 void request_limit::set_share(time_point now, double share) {
     m_tokens = tokens_at(now);
     m_refilled_at = now;
@@ -81,6 +95,9 @@
     if (!in_force()) {
         return now;
     }
+    if (m_share <= 0.0 && !m_rate) {
+        return std::max(now, m_cold_until); // no check is needed: the limit ends by itself
+    }
     if (m_share <= 0.0) {
         const double interval = (1.0 + m_spread) * static_cast<double>(min_check_interval.count());
         const time_point check =
--- a/modules/tamarack_forwarding/limits/request_limit.h
+++ b/modules/tamarack_forwarding/limits/request_limit.h
@@ -17,15 +17,19 @@
     changed,  ///< the target states a considerably different limit
     lifted,   ///< the target no longer states a limit
     in_force, ///< periodic report while a limit is in force
+    cold,     ///< the target is cold, and its service limits requests to cold targets
+    warm,     ///< the target is no longer cold
 };
 
 template <>
 struct name_table<limit_step> {
-    static constexpr std::array<std::pair<limit_step, std::string_view>, 4> entries{{
+    static constexpr std::array<std::pair<limit_step, std::string_view>, 6> entries{{
         {limit_step::stated, "stated"},
         {limit_step::changed, "changed"},
         {limit_step::lifted, "lifted"},
         {limit_step::in_force, "in_force"},
+        {limit_step::cold, "cold"},
+        {limit_step::warm, "warm"},
     }};
 };
 
@@ -53,6 +57,10 @@
  * at its share of the limit. The bucket starts empty and holds what accumulates in half a second, so that all
  * hosts together stay below the limit in any window of a few seconds.
  *
+ * Load pattern: the targets of a data centre come back from a restart together, and each takes only a few
+ * requests a second while it is cold. Hosts know this rate from the configuration and the targets'
+ * announcements. It counts like a stated limit, and the lower of the two applies; it ends by itself.
+ *
  * A host without a share sends nothing, and learns from the others when the limit ends. In case their reports
  * are lost, it checks by itself after a long time, with a single exchange.
  */
@@ -72,18 +80,31 @@
     std::optional<limit_step> on_reply(time_point now, time_point sent_at, std::optional<double> stated);
     /** Handles another host's report. @return the step, if the report changes what is known */
     std::optional<limit_step> on_report(time_point now, const limit_statement& statement);
+    /**
+     * Sets the limit on requests to the target while it is cold.
+     *
+     * @param per_second  requests a second from all hosts together; absent if the target is warm, or its
+     *                    service states no limit
+     * @param until       when it will be warm
+     */
+    void set_cold(time_point now, std::optional<double> per_second, time_point until);
     /** Sets the fraction of the limit that this host may use. */
     void set_share(time_point now, double share);
     /** An exchange was sent to the target. */
     void on_sent(time_point now);
     /** @return whether to report the limit to the other hosts now, because no host has done so lately */
-    bool is_report_due(time_point now) const { return in_force() && now >= m_reported_at + report_interval; }
+    bool is_report_due(time_point now) const { return m_rate && now >= m_reported_at + report_interval; }
     /** The limit was reported to the other hosts. */
     void on_reported(time_point now) { m_reported_at = now; }
 
-    bool in_force() const { return m_rate.has_value(); }
+    bool in_force() const { return m_rate || m_cold_rate; }
+    /** @return whether the target itself states a limit */
+    bool is_stated() const { return m_rate.has_value(); }
+    /** @return whether a limit is in force because the target is cold */
+    bool is_cold() const { return m_cold_rate.has_value(); }
+    time_point cold_until() const { return m_cold_until; }
     /** @return requests a second from all hosts together; 0 if no limit is in force */
-    double rate() const { return m_rate.value_or(0.0); }
+    double rate() const;
     limit_statement statement() const { return {m_rate, m_heard_at}; }
     double share() const { return m_share; }
     /** @return whether this host may use the target regularly, or at all if no limit is in force */
@@ -115,7 +136,9 @@
     double tokens_at(time_point now) const;
 
     double m_spread;
-    std::optional<double> m_rate;
+    std::optional<double> m_rate;      ///< stated by the target
+    std::optional<double> m_cold_rate; ///< by its service, while it is cold
+    time_point m_cold_until{};
     time_point m_heard_at{};
     time_point m_reported_at{}; ///< by this or another host
     double m_share = 0.0;
--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -81,12 +81,13 @@
     std::string token; ///< opaque proof that the reply is the target's own
     std::optional<target_load> load;
     bool keeps_connection = true;
-    bool leaving = false;                ///< the target takes no new work in this incarnation
-    std::optional<duration> backoff;     ///< after a refusal: how long to send it nothing
-    bool backoff_invalid = false;        ///< the requested backoff is not plausible
-    std::optional<double> request_limit; ///< requests a second that it takes from all hosts together
-    bool request_limit_invalid = false;  ///< the stated limit is not a valid number
-    std::optional<duration> idle_limit;  ///< the target closes the connection after this idle time
+    bool leaving = false;                     ///< the target takes no new work in this incarnation
+    std::optional<duration> backoff;          ///< after a refusal: how long to send it nothing
+    bool backoff_invalid = false;             ///< the requested backoff is not plausible
+    std::optional<double> request_limit;      ///< requests a second that it takes from all hosts together
+    bool request_limit_invalid = false;       ///< the stated limit is not a valid number
+    std::optional<duration> remaining_warmup; ///< for this long, the target stays cold
+    std::optional<duration> idle_limit;       ///< the target closes the connection after this idle time
 };
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -41,10 +41,13 @@
     time_point ejected_until{};
     target_backoff backoff;
     request_limit limit;
-    limit_use use_under_limit; ///< since the last report
+    time_point stated_warm_at{}; ///< end of its warm-up, as stated in a reply
+    limit_use use_under_limit;   ///< since the last report
     time_point limit_reported_at{};
     std::vector<time_point> running_since; ///< start times of this host's exchanges, oldest first
 
+    /** @return the end of its warm-up */
+    time_point warm_at() const { return std::max(info.warm_at, stated_warm_at); }
     std::size_t connections() const { return idle.size() + opening + busy; }
     /** @return whether exchanges may be sent to it, now, or once a connection is free or its limit allows it
      */
@@ -72,6 +75,7 @@
     std::vector<engine_target_pointer> targets;
     std::list<waiting_part> waiting;           ///< sorted by priority, then by objective
     std::shared_ptr<extra_budget> budget;      ///< kept when the service leaves the routes, as it may return
+    double warmup_rate = 0.0;                  ///< requests a second that a cold target takes; 0: no limit
     std::uint32_t refused_extra_exchanges = 0; ///< by the budget, since the last report
 
     engine_service(service_id name, std::shared_ptr<extra_budget> own_budget)
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -16,6 +16,9 @@
            before.connections != after.connections;
 }
 
+/** Difference from which a later end of a target's warm-up is disseminated. */
+constexpr duration warmup_margin = 500ms;
+
 } // namespace
 
 bool is_newer(const target_record& record, const target_record& than) {
@@ -65,6 +68,7 @@
     announcement repeated = found->second.record.latest;
     repeated.sequence = value.sequence;
     repeated.load = value.load;
+    repeated.remaining_warmup = std::max(found->second.warm_at - now, duration{0});
     accept(now, found->second, repeated);
     return receipt_for(repeated);
 }
@@ -205,7 +209,9 @@
     const bool is_new = current.record.latest.target.empty();
     const bool new_incarnation = !is_new && current.record.latest.incarnation != value.incarnation;
     const bool changed = is_new || !current.record.alive || current.record.registrar != m_self ||
-                         differs_beyond_load(current.record.latest, value);
+                         differs_beyond_load(current.record.latest, value) ||
+                         (value.remaining_warmup > duration{0} &&
+                          now + value.remaining_warmup > current.warm_at + warmup_margin);
     if (!is_new) {
         m_index.remove(current.record.latest);
     }
@@ -226,6 +232,7 @@
     set_registered_here(current, true);
     set_deadline(current, now + m_options.target_lease);
     if (changed) {
+        current.warm_at = now + value.remaining_warmup;
         ++m_generation;
         publish_change(now, current);
     }
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -215,6 +215,7 @@
         std::uint64_t received_sequence =
             0; ///< of the last announcement received here; a change of it alone is not disseminated
         time_point changed_at{};
+        time_point warm_at{};  ///< end of the warm-up, by the announcement that was disseminated last
         time_point deadline{}; ///< expiry of the lease or of the orphan time, or the time at which the record
                                ///< is removed
         bool has_deadline = false;
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -77,6 +77,14 @@
     void remove_route(const std::string& name);
     /** Makes a target state a limit on requests in its replies, or no longer. */
     void limit_requests(const std::string& id, std::optional<double> per_second);
+    /** Sets how many requests a second a cold target of a service takes, from the next publish on. */
+    void limit_cold_targets(const std::string& service, double per_second) {
+        for (routed_service& listed : m_table.services) {
+            if (listed.id.value() == service) {
+                listed.warmup_requests_per_second = per_second;
+            }
+        }
+    }
     /** Lets a target resume reading, starting with what has arrived in the meantime. */
     void resume_reading(const std::string& id);
 
--- a/tests/membership/start_time_incarnations_test.cpp
+++ b/tests/membership/start_time_incarnations_test.cpp
@@ -100,6 +100,29 @@
     EXPECT_EQ(usable(m_registry), 0U);
 }
 
+/** Guards against hosts that never hear that a target has become cold again while its process runs. */
+TEST_F(start_time_incarnations,
+       a_warmup_that_grows_is_known_everywhere_and_one_that_shrinks_changes_nothing) {
+    const auto heartbeat = [this](std::uint64_t sequence, time_point at, duration remaining) {
+        announcement value = make_announcement("i-1", 100, sequence);
+        value.remaining_warmup = remaining;
+        EXPECT_TRUE(succeeded(m_registry.on_announcement(at, value, {})));
+        m_other.on_changes(at, m_registry.take_changes());
+    };
+    const auto known = [this] { return m_other.find(target_id{"i-1"})->latest; };
+    heartbeat(1, start + 1s, 5s);
+    heartbeat(2, start + 2s, 4s);
+    EXPECT_EQ(known().sequence, 1U) << "the same end of the warm-up";
+    heartbeat(3, start + 3s, 0s);
+    EXPECT_EQ(known().sequence, 1U);
+    heartbeat(4, start + 8s, 0s);
+    heartbeat(5, start + 9s, 3s);
+    EXPECT_EQ(known().sequence, 5U);
+    EXPECT_EQ(known().remaining_warmup, duration{3s});
+    heartbeat(6, start + 10s, 10s);
+    EXPECT_EQ(known().remaining_warmup, duration{10s}) << "again, before it was warm";
+}
+
 TEST_F(start_time_incarnations, the_announcement_carries_the_remaining_warmup) {
     announcement cold = make_announcement("i-1", 100, 1);
     cold.remaining_warmup = 2500ms;
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -225,6 +225,20 @@
     EXPECT_EQ(wire::read_reply(id, std::move(message)).request_limit, 0.0);
 }
 
+TEST(read_reply, reads_for_how_long_a_replica_stays_cold) {
+    http_response message = good_reply();
+    EXPECT_FALSE(wire::read_reply(id, http_response{message}).remaining_warmup);
+    message.fields.emplace_back("X-Tamarackstand-Warmup-Remaining-Ms", "2500");
+    const target_reply reply = wire::read_reply(id, std::move(message));
+    EXPECT_EQ(reply.remaining_warmup, duration{2500ms});
+    EXPECT_EQ(field(reply.fields, "X-Tamarackstand-Warmup-Remaining-Ms"), "") << "not meant for the caller";
+    for (const char* text : {"-1", "soon", "1.5", "3600001", "99999999999999999999"}) {
+        http_response odd = good_reply();
+        odd.fields.emplace_back("X-Tamarackstand-Warmup-Remaining-Ms", text);
+        EXPECT_FALSE(wire::read_reply(id, std::move(odd)).remaining_warmup) << text;
+    }
+}
+
 TEST(read_reply, reads_the_backoff_of_a_refusal) {
     http_response message = good_reply();
     message.status = 503;
