Test a surge that finds unused shares of cold targets' limits

Cause: the surge test passed also if as many hosts shared a cold target's limit as it allows requests a second. Ruled out: steady load, because a host's second token comes just after the window.

--- a/tests/forwarding/cold_targets_test.cpp
+++ b/tests/forwarding/cold_targets_test.cpp
@@ -89,10 +89,14 @@
 /** Guards against a surge that finds unused shares of all hosts at once: one exchange of each host would
  * exceed the limit if as many hosts shared it as it allows requests a second. */
 TEST(cold_targets, keep_their_limit_in_a_surge_after_a_quiet_time) {
-    for (const double limit : {20.0, 40.0}) {
+    for (const double limit : {20.0, 42.0}) { // 42: each of 40 hosts could send two exchanges in a second
         SCOPED_TRACE(limit);
         cold_targets test{31, 40, 3};
         test.world.limit_cold_targets("s", limit);
+        for (const char* id : {"s-1", "s-2"}) {
+            test.world.target(id).slots = 200; // none is refused, so no host passes it over for that
+            test.world.target(id).info.slots = 200;
+        }
         test.world.publish();
         test.come_back_cold(3s, 10s, true);
         test.sample(3s + reaction_time, 13s);
