--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -114,7 +114,7 @@
     replace_placeholder(text, "bounds.retry-budget-ratio", extra_ratio);
     replace_placeholder(text, "bounds.budget-min-retries", extra_allowance);
     replace_placeholder(text, "bounds.budget-window-s", extra_window_seconds);
-    return text;
+    return text + "\n" + m_more_limits;
 }
 
 void platform_deployment::start_host(std::size_t host) {
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -99,6 +99,8 @@
     platform_deployment(platform_deployment&&) = delete;
     platform_deployment& operator=(platform_deployment&&) = delete;
 
+    /** Adds a line to the section `[limits]` of the hosts' settings. Call before the hosts are started. */
+    void add_limit(const std::string& line) { m_more_limits += line + "\n"; }
     /** Sets that a removed key may be used on no host after some time. Call before the hosts are started. */
     void revoke_keys_everywhere() { m_revokes_keys_everywhere = true; }
     void start_host(std::size_t host);
@@ -176,6 +178,10 @@
     std::set<std::string> directory(std::size_t host);
 
     std::string callers_address(std::size_t host) const { return ip_of(host) + ":" + port(0); }
+    /** @return the address of a listener: front, ready, control, directory, hosts, operators */
+    std::string address_of(std::size_t host, std::size_t listener) const {
+        return ip_of(host) + ":" + port(listener);
+    }
     std::string ip_of(std::size_t host) const { return "127.0.77." + std::to_string(host + 1); }
     std::size_t hosts() const { return m_disk_hosts + m_entry_hosts; }
     std::string logs() const { return m_processes.logs(); }
@@ -211,6 +217,7 @@
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
     bool m_revokes_keys_everywhere = false;
+    std::string m_more_limits; ///< lines that follow the section `[limits]` of the template
     std::atomic<unsigned> m_next_request{1};
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
--- a/tests/support/process/child_process.cpp
+++ b/tests/support/process/child_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <system_error>
@@ -119,4 +120,10 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const {
+    std::error_code ended;
+    std::filesystem::directory_iterator entries{"/proc/" + std::to_string(m_id) + "/fd", ended};
+    return ended ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace tamarack::testing_support
--- a/tests/support/process/child_process.h
+++ b/tests/support/process/child_process.h
@@ -52,6 +52,9 @@
     /** @return the most memory that it had in use at any time, in KiB; 0 if it has ended */
     std::size_t peak_memory_kib() const;
 
+    /** @return the number of its open file descriptors; 0 if it has ended */
+    std::size_t open_descriptors() const;
+
 private:
     std::string m_output_base;
     pid_t m_id = -1;
