Bound the memory that callers' connections can take

Cause: each server held the bodies, fields and responses of any number of connections, and allocated a declared body length at once; a TRACE request with a body threw an exception in Beast when it was forwarded.

Ruled out: one atomic budget for all servers, which lets a crowd at one listener take the memory of the others and needs messages between threads; ending the newest or the most silent connection first.

Change: connection_budget decides which connections of a server end (oldest request or response first, large ones before small ones); request_reader counts fields before the parser creates them and grows bodies as bytes arrive; refusals are 503 with Retry-After, 431, 413 or 400. New settings connection_bytes, machine_memory (rendered from the machine's memory) and header_fields, a counter and a log event. When connections run out, the oldest one that never sent a byte gives way.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -60,19 +60,23 @@
                 [this](http_request message, const http_responder& respond) {
                     return on_request(std::move(message), respond);
                 }),
-      m_readiness(m_thread, {},
+      m_readiness(m_thread, server_limits_of(host_settings, server_kind::readiness),
                   [this](const http_request& message, const http_responder& respond) {
                       on_readiness(message, respond);
                       return std::function<void()>{};
                   }),
-      m_directory(m_thread, {},
+      m_directory(m_thread, server_limits_of(host_settings, server_kind::directory),
                   [this](const http_request& message, const http_responder& respond) {
                       on_directory(message, respond);
                       return std::function<void()>{};
                   }),
       m_crash_lines(crash_lines_per_second, crash_lines_burst),
       m_remote_crash_lines(crash_lines_per_second, crash_lines_burst), m_random(system_random()),
-      m_hooks(std::move(hooks)) {}
+      m_hooks(std::move(hooks)) {
+    report_refusals(m_callers, server_kind::callers, m_metrics);
+    report_refusals(m_readiness, server_kind::readiness, m_metrics);
+    report_refusals(m_directory, server_kind::directory, m_metrics);
+}
 
 outcome<endpoint> forwarding_worker::start() {
     if (auto readiness = m_readiness.listen(m_settings.edge.readiness); !succeeded(readiness)) {
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -126,7 +126,7 @@
         m_hosts->post_request_limit(report);
     };
     m_forwarding = std::make_unique<forwarding_worker>(m_settings, m_edge, m_metrics, std::move(hooks));
-    m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
+    m_control_edge = std::make_unique<control_edge>(m_settings, m_edge, m_metrics,
                                                     control_edge_hooks{m_hosts.get(), m_control.get()});
     return m_forwarding->start();
 }
--- a/apps/tamarackd/hosts/hosts_options.cpp
+++ b/apps/tamarackd/hosts/hosts_options.cpp
@@ -1,5 +1,7 @@
 #include "hosts_options.h"
 
+#include "../server_limits.h"
+
 #include <cmath>
 #include <utility>
 
@@ -27,8 +29,8 @@
     return host_settings.role != host_role::control;
 }
 
-http_server_limits host_server_limits() {
-    http_server_limits limits;
+http_server_limits host_server_limits(const settings& host_settings) {
+    http_server_limits limits = server_limits_of(host_settings, server_kind::hosts);
     limits.body_bytes = host_message_bytes;
     limits.idle = idle_host_connection;
     return limits;
--- a/apps/tamarackd/hosts/hosts_options.h
+++ b/apps/tamarackd/hosts/hosts_options.h
@@ -13,7 +13,7 @@
 bool serves_callers(const settings& host_settings);
 
 /** @return limits of the HTTP server for messages from other hosts */
-http_server_limits host_server_limits();
+http_server_limits host_server_limits(const settings& host_settings);
 
 /** @return options of the control client. @param address  address that control hosts reply to */
 control_client_options client_options_of(const settings& host_settings, incarnation_id incarnation,
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -1,6 +1,7 @@
 #include "hosts_worker.h"
 
 #include "../process_memory.h"
+#include "../server_limits.h"
 #include "../system_random.h"
 #include "hosts_options.h"
 
@@ -33,7 +34,7 @@
                            metric_registry& metrics, hosts_hooks hooks)
     : m_settings(host_settings), m_incarnation(incarnation), m_identity(std::move(identity)),
       m_metrics(metrics), m_hooks(std::move(hooks)), m_thread("hosts", ring_capacity),
-      m_server(m_thread, host_server_limits(),
+      m_server(m_thread, host_server_limits(host_settings),
                [this](const http_request& message, const http_responder& respond) {
                    observe_suspension(steady_now());
                    http_response response;
@@ -48,6 +49,7 @@
                              m_links.send(address, method, std::move(parameters));
                          }),
       m_load_reporter(own_record_of(m_settings, incarnation, {}, {}).capacity), m_inquiry(system_random()) {
+    report_refusals(m_server, server_kind::hosts, m_metrics);
     m_seeds = m_settings.seeds;
     m_suspended = suspended_time();
     register_methods();
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -1,6 +1,7 @@
 #include "control_edge.h"
 
 #include "../process_memory.h"
+#include "../server_limits.h"
 
 #include <utility>
 
@@ -11,8 +12,8 @@
 constexpr std::size_t ring_capacity = 4'096;
 constexpr std::size_t max_configuration_size = 8 * mebibyte;
 
-http_server_limits server_limits() {
-    http_server_limits limits;
+http_server_limits control_limits_of(const settings& host_settings) {
+    http_server_limits limits = server_limits_of(host_settings, server_kind::control);
     limits.body_bytes = max_configuration_size;
     return limits;
 }
@@ -35,13 +36,17 @@
 
 } // namespace
 
-control_edge::control_edge(const settings& host_settings, edge_protocol edge, control_edge_hooks hooks)
+control_edge::control_edge(const settings& host_settings, edge_protocol edge, metric_registry& metrics,
+                           control_edge_hooks hooks)
     : m_settings(host_settings), m_edge(std::move(edge)), m_hooks(hooks),
       m_thread("control_edge", ring_capacity),
-      m_server(m_thread, server_limits(), [this](const http_request& message, const http_responder& respond) {
-          on_http(message, respond);
-          return std::function<void()>{};
-      }) {}
+      m_server(m_thread, control_limits_of(host_settings),
+               [this](const http_request& message, const http_responder& respond) {
+                   on_http(message, respond);
+                   return std::function<void()>{};
+               }) {
+    report_refusals(m_server, server_kind::control, metrics);
+}
 
 outcome<endpoint> control_edge::start() {
     auto listening = m_server.listen(m_settings.edge.control);
--- a/apps/tamarackd/operators/control_edge.h
+++ b/apps/tamarackd/operators/control_edge.h
@@ -20,8 +20,14 @@
  */
 class control_edge {
 public:
-    /** @param host_settings  the host's settings; must outlive the edge */
-    control_edge(const settings& host_settings, edge_protocol edge, control_edge_hooks hooks);
+    /**
+     * @param host_settings  the host's settings; must outlive the edge
+     * @param edge           codecs of the edge
+     * @param metrics        must outlive the edge
+     * @param hooks          the workers that process calls
+     */
+    control_edge(const settings& host_settings, edge_protocol edge, metric_registry& metrics,
+                 control_edge_hooks hooks);
 
     /** Starts to listen, and starts the thread. @return the bound address */
     outcome<endpoint> start();
--- a/apps/tamarackd/operators/operators_edge.cpp
+++ b/apps/tamarackd/operators/operators_edge.cpp
@@ -1,5 +1,7 @@
 #include "operators_edge.h"
 
+#include "../server_limits.h"
+
 #include "../serving/caller_codec.h"
 #include "operators_codec.h"
 
@@ -36,9 +38,12 @@
                                operator_tokens tokens, operators_hooks hooks)
     : m_settings(host_settings), m_metrics(metrics), m_tokens(std::move(tokens)), m_hooks(std::move(hooks)),
       m_thread("operators", ring_capacity),
-      m_server(m_thread, {}, [this](const http_request& message, const http_responder& respond) {
-          return on_http(message, respond);
-      }) {}
+      m_server(m_thread, server_limits_of(host_settings, server_kind::operators),
+               [this](const http_request& message, const http_responder& respond) {
+                   return on_http(message, respond);
+               }) {
+    report_refusals(m_server, server_kind::operators, m_metrics);
+}
 
 outcome<endpoint> operators_edge::start() {
     auto listening = m_server.listen(m_settings.listen.operators);
--- a/apps/tamarackd/serving/serving_worker.cpp
+++ b/apps/tamarackd/serving/serving_worker.cpp
@@ -37,7 +37,9 @@
       m_server(m_thread, caller_limits_of(host_settings),
                [this](const http_request& message, http_responder respond) {
                    return on_http(message, std::move(respond));
-               }) {}
+               }) {
+    report_refusals(m_server, server_kind::callers, m_metrics);
+}
 
 outcome<endpoint> serving_worker::start() {
     auto listening = m_server.listen(m_settings.listen.callers);
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -57,12 +57,29 @@
     std::size_t header_bytes = 16'384;
     std::size_t body_bytes = 1'048'576;
     std::size_t reply_bytes = 16'777'216; ///< maximum size of a target's reply; a longer one is abandoned
+    std::size_t header_fields = 256;      ///< number of header fields of one request
+    std::size_t machine_memory = 0;       ///< memory that the process may use; 0 if it is not stated
+    std::size_t connection_bytes = 0;     ///< memory for requests and responses; 0: see connection_memory_of
     std::size_t caller_connections = 2'000;
     std::size_t queued_requests = 1'000;
     duration idle_connection = 60s; ///< an idle caller connection is closed after this time
     duration request_receipt = 10s; ///< maximum time to receive one request
 };
 
+/**
+ * @return the memory that the connections of all servers of the process may hold together for requests and
+ * responses: as set, or else a third of the stated memory, since an idle host takes about 19 MB, and reading
+ * a configuration several times its size; 64 MiB if no memory is stated
+ */
+constexpr std::size_t connection_memory_of(const host_limits& limits) {
+    constexpr std::size_t default_bytes = 67'108'864;
+    constexpr std::size_t machine_part = 3;
+    if (limits.connection_bytes > 0) {
+        return limits.connection_bytes;
+    }
+    return limits.machine_memory > 0 ? limits.machine_memory / machine_part : default_bytes;
+}
+
 /** Interface that is offered to callers, targets and operators. */
 enum class edge_kind {
     own,      ///< the product's own interface: JSON over HTTP
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -56,13 +56,16 @@
     std::size_t max_value;
 };
 
-constexpr std::array<number_key, 3> size_keys{{
+constexpr std::array<number_key, 5> size_keys{{
     {"header_bytes", &host_limits::header_bytes, 1'024, 1'048'576},
     {"body_bytes", &host_limits::body_bytes, 1'024, 67'108'864},
     {"reply_bytes", &host_limits::reply_bytes, 1'024, 67'108'864},
+    {"machine_memory", &host_limits::machine_memory, 33'554'432, 1'099'511'627'776},
+    {"connection_bytes", &host_limits::connection_bytes, 4'194'304, 1'099'511'627'776},
 }};
 
-constexpr std::array<number_key, 2> count_keys{{
+constexpr std::array<number_key, 3> count_keys{{
+    {"header_fields", &host_limits::header_fields, 16, 10'000},
     {"caller_connections", &host_limits::caller_connections, 1, 60'000},
     {"queued_requests", &host_limits::queued_requests, 1, 60'000},
 }};
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 19> counters{{
+constexpr std::array<metric_description, 20> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -28,6 +28,8 @@
     {"tamarack_host_messages_total", "Messages received from other hosts, by method.", "method"},
     {"tamarack_host_message_bytes_total", "Bytes of messages between hosts, by direction.", "direction"},
     {"tamarack_configurations_sent_total", "Configurations that were queued for other hosts.", ""},
+    {"tamarack_connection_refusals_total",
+     "Requests and connections of callers refused or ended because of a limit, by cause.", "cause"},
 }};
 
 constexpr std::array<metric_description, 10> gauges{{
@@ -52,7 +54,7 @@
 constexpr std::array<double, 17> bounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.055, 0.075,
                                         0.1,   0.15,  0.25,  0.5,  1.0,  2.5,  5.0,  10.0};
 
-static_assert(counters.size() == static_cast<std::size_t>(counter_id::configurations_sent_total) + 1);
+static_assert(counters.size() == static_cast<std::size_t>(counter_id::connection_refusals_total) + 1);
 static_assert(gauges.size() == static_cast<std::size_t>(gauge_id::memory_allocated_bytes) + 1);
 static_assert(histograms.size() == static_cast<std::size_t>(histogram_id::sync_duration_seconds) + 1);
 
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -28,6 +28,7 @@
     host_messages_total,      ///< label: method
     host_message_bytes_total, ///< label: direction
     configurations_sent_total,
+    connection_refusals_total, ///< label: cause
 };
 
 /** Gauges: current values. */
--- a/modules/tamarack_transport/http/beast_conversion.cpp
+++ b/modules/tamarack_transport/http/beast_conversion.cpp
@@ -54,7 +54,7 @@
 
 } // namespace
 
-http_request from_beast(beast_request&& request) {
+http_request from_beast(received_request&& request) {
     http_request converted;
     converted.method = from_verb(request.method());
     converted.method_name = std::string{request.method_string()};
@@ -81,6 +81,9 @@
     }
     insert_request_fields(converted, request.fields);
     converted.body() = request.body;
+    if (converted.method() == http::verb::trace) {
+        converted.body().clear(); // prepare_payload throws otherwise; servers refuse such requests
+    }
     converted.prepare_payload();
     return converted;
 }
--- a/modules/tamarack_transport/http/beast_conversion.h
+++ b/modules/tamarack_transport/http/beast_conversion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_message.h"
+#include "received_body.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -13,7 +14,7 @@
 using beast_response = boost::beast::http::response<boost::beast::http::string_body>;
 
 /** @return the request as http_request; its body is moved from Beast's request */
-http_request from_beast(beast_request&& request);
+http_request from_beast(received_request&& request);
 /** @return the response as http_response; its body is moved from Beast's response */
 http_response from_beast(beast_response&& response);
 
--- a/modules/tamarack_transport/http/http_server.cpp
+++ b/modules/tamarack_transport/http/http_server.cpp
@@ -21,10 +21,7 @@
 struct http_server::implementation : std::enable_shared_from_this<implementation> {
     implementation(worker_thread& owner, http_server_limits limits, http_handler handler)
         : thread(owner), acceptor(owner.internals().context),
-          context(std::make_shared<http_session_context>()) {
-        context->limits = limits;
-        context->handler = std::move(handler);
-    }
+          context(std::make_shared<http_session_context>(limits, std::move(handler))) {}
 
     ~implementation() { std::exchange(context->answering, {}).clear(); }
     implementation(const implementation&) = delete;
@@ -74,9 +71,11 @@
     }
 
     void serve(tcp::socket socket) const {
-        if (context->sessions.size() < context->limits.connections) {
-            std::make_shared<http_session>(std::move(socket), context)->start();
+        if (context->sessions.size() >= context->limits.connections && !context->end_unused_connection()) {
+            context->report(connection_refusal::too_many_connections);
+            return;
         }
+        std::make_shared<http_session>(std::move(socket), context)->start();
     }
 
     /** Accepts the connections in the backlog, which would be reset when the listening socket is closed. */
@@ -117,6 +116,11 @@
 
 void http_server::set_limits(const http_server_limits& limits) {
     m_implementation->context->limits = limits;
+    m_implementation->context->budget.set_limit(limits.memory);
+}
+
+void http_server::on_refusal(std::function<void(connection_refusal)> refused) {
+    m_implementation->context->on_refusal = std::move(refused);
 }
 
 void http_server::close_after_responses() {
--- a/modules/tamarack_transport/http/http_server.h
+++ b/modules/tamarack_transport/http/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../threads/worker_thread.h"
+#include "connection_refusal.h"
 #include "http_message.h"
 
 #include <cstddef>
@@ -13,6 +14,10 @@
 struct http_server_limits {
     std::size_t header_bytes = 16 * kibibyte;
     std::size_t body_bytes = 1 * mebibyte;
+    std::size_t header_fields = 256; ///< number of fields of one request
+    /** Memory of all connections together for requests that are received or handled and responses that are
+     * sent, beyond a buffer of 4 KiB per connection. */
+    std::size_t memory = 64 * mebibyte;
     std::size_t connections = 2'000; ///< further connections are closed at once
     duration idle = 60s;             ///< an idle connection is closed after this time
     duration receipt = 10s;          ///< maximum time to receive one request, and to send one response
@@ -32,7 +37,10 @@
  * An HTTP/1.1 server on one address.
  *
  * A malformed or oversized request is answered with 4xx, and its connection is closed. A connection whose
- * request arrives too slowly is closed without a response.
+ * request arrives too slowly is closed without a response. When the memory for connections is short, those
+ * that have held it longest without completing a request or response are ended.
+ *
+ * @see connection_budget
  */
 class http_server {
 public:
@@ -54,6 +62,12 @@
     /** Replaces the limits; open connections apply the new ones from their next request on. */
     void set_limits(const http_server_limits& limits);
 
+    /**
+     * Sets a function that is called on the server's thread for each request or connection that was refused
+     * or ended because of a limit. To be called before the thread starts.
+     */
+    void on_refusal(std::function<void(connection_refusal)> refused);
+
     /** Closes each connection after its next response; new connections are still accepted. */
     void close_after_responses();
 
--- a/modules/tamarack_transport/http/http_session.cpp
+++ b/modules/tamarack_transport/http/http_session.cpp
@@ -4,10 +4,9 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <algorithm>
+#include <string_view>
 
 namespace tamarack {
 
@@ -16,33 +15,48 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned bad_request = 400;
-constexpr unsigned payload_too_large = 413;
-constexpr unsigned header_too_large = 431;
+constexpr unsigned unavailable = 503;
 
-/** @return the status for a request that can't be parsed; 0 when the connection was closed or timed out */
-unsigned error_status(const boost::system::error_code& failure) {
-    if (failure == http::error::body_limit) {
-        return payload_too_large;
-    }
-    if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
-        return header_too_large;
+/** Time after which a request that was refused for memory may be repeated, in seconds: by then, connections
+ * that hold memory without completing their request have reached the age at which others may end them. */
+constexpr auto retry_after = "1.0";
+
+/** Sent to a connection that is ended within its request, as far as the socket takes it at once. */
+constexpr std::string_view ended_response =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.0\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+http_session_context::http_session_context(const http_server_limits& server_limits,
+                                           http_handler server_handler)
+    : limits(server_limits), handler(std::move(server_handler)),
+      budget(server_limits.memory, [](budget_holder& holder) {
+          static_cast<http_session&>(holder).end_early(connection_refusal::ended_for_memory);
+      }) {}
+
+bool http_session_context::end_unused_connection() {
+    if (unused.empty()) {
+        return false;
     }
-    const bool disconnected = failure == http::error::end_of_stream ||
-                              failure == boost::beast::error::timeout ||
-                              failure == boost::asio::error::operation_aborted;
-    const bool malformed = failure.category() == http::make_error_code(http::error::bad_method).category();
-    return malformed && !disconnected ? bad_request : 0;
+    auto& oldest = static_cast<http_session&>(unused.front());
+    oldest.unlink();
+    oldest.end_early(connection_refusal::unused);
+    return true;
 }
 
-} // namespace
+void http_session_context::report(connection_refusal cause) const {
+    if (on_refusal) {
+        on_refusal(cause);
+    }
+}
 
 http_session::http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_session_context> context)
-    : m_stream(std::move(socket)), m_context(std::move(context)),
-      m_buffer(2 * m_context->limits.header_bytes) {
+    : m_stream(std::move(socket)), m_context(std::move(context)), m_reader(m_context->limits.header_bytes) {
     m_context->sessions.insert(this);
 }
 
 http_session::~http_session() {
+    m_context->budget.release(*this);
     m_context->sessions.erase(this);
     if (m_context->sessions.empty() && m_context->on_all_closed) {
         std::exchange(m_context->on_all_closed, nullptr)();
@@ -52,14 +66,13 @@
 void http_session::start() {
     boost::system::error_code ignored;
     m_stream.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    m_context->unused.push_back(*this);
     read_next();
 }
 
 void http_session::read_next() {
-    m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_context->limits.header_bytes));
-    m_parser->body_limit(m_context->limits.body_bytes);
-    if (m_buffer.size() > 0) {
+    m_reader.begin(m_context->limits);
+    if (m_reader.has_bytes()) {
         read_request();
         return;
     }
@@ -67,18 +80,18 @@
 }
 
 void http_session::wait_for_first_bytes() {
-    constexpr std::size_t first_read = 4 * kibibyte;
     m_stream.expires_after(m_context->limits.idle);
     m_is_idle = true;
     m_stream.async_read_some(
-        m_buffer.prepare(std::min(first_read, m_buffer.max_size())),
+        m_reader.prepare(),
         [self = shared_from_this()](const boost::system::error_code& failure, std::size_t size) {
             self->m_is_idle = false;
-            if (failure) {
+            if (failure || self->m_ended) {
                 self->close();
                 return;
             }
-            self->m_buffer.commit(size);
+            self->m_was_used = true;
+            self->m_reader.commit(size);
             self->read_request();
         });
     if (m_context->on_all_closed) {
@@ -96,26 +109,56 @@
 
 void http_session::read_request() {
     m_stream.expires_after(m_context->limits.receipt);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](const boost::system::error_code& failure, std::size_t) {
-                         self->on_read(failure);
-                     });
+    m_context->budget.begin(*this, steady_now());
+    advance();
 }
 
-void http_session::on_read(const boost::system::error_code& failure) {
-    if (!failure) {
-        handle();
+void http_session::read_more() {
+    m_stream.async_read_some(m_reader.prepare(), [self = shared_from_this()](
+                                                     const boost::system::error_code& failure,
+                                                     std::size_t bytes) { self->on_read(failure, bytes); });
+}
+
+void http_session::on_read(const boost::system::error_code& failure, std::size_t bytes) {
+    if (m_ended) {
         return;
     }
-    if (const unsigned status = error_status(failure); status != 0) {
-        refuse(status, "the request can't be read");
+    if (failure == boost::asio::error::eof && m_reader.is_cut_off_by_end()) {
+        refuse(bad_request, connection_refusal::malformed, "the request can't be read");
         return;
     }
-    close();
+    if (failure) {
+        if (failure == boost::beast::error::timeout) {
+            m_context->report(connection_refusal::too_slow);
+        }
+        close();
+        return;
+    }
+    m_reader.commit(bytes);
+    advance();
+}
+
+void http_session::advance() {
+    const receipt progress = m_reader.advance();
+    if (progress == receipt::unreadable) {
+        refuse(m_reader.failure().status, m_reader.failure().cause, "the request can't be read");
+        return;
+    }
+    const std::size_t held = m_reader.held_bytes();
+    if (held != held_bytes() && !m_context->budget.resize(*this, held, steady_now())) {
+        refuse(unavailable, connection_refusal::refused_for_memory, "the host is short of memory");
+        return;
+    }
+    if (progress == receipt::complete) {
+        handle();
+        return;
+    }
+    read_more();
 }
 
 void http_session::handle() {
-    beast_request request = m_parser->release();
+    connection_budget::finish(*this);
+    received_request request = m_reader.release();
     m_version = request.version();
     m_keep_alive = request.keep_alive();
     m_awaiting_response = true;
@@ -173,25 +216,44 @@
         return;
     }
     m_on_disconnect = nullptr;
+    m_reader.on_handled();
     const bool keep_alive = m_keep_alive && m_context->allow_keep_alive && !response.ends_connection;
     write(std::move(response), keep_alive);
 }
 
-void http_session::refuse(unsigned status, const char* message) {
+void http_session::refuse(unsigned status, connection_refusal cause, const char* message) {
+    m_context->report(cause);
+    m_reader.free();
     http_response response;
     response.status = status;
     response.fields.emplace_back("Content-Type", "application/json");
-    response.body = std::string{R"({"error":"malformed","message":")"} + message + "\"}";
+    if (status == unavailable) {
+        response.fields.emplace_back("Retry-After", retry_after);
+    }
+    const auto* const error = status == unavailable ? "unavailable" : "malformed";
+    response.body = std::string{R"({"error":")"} + error + R"(","message":")" + message + "\"}";
     write(std::move(response), false);
 }
 
 void http_session::write(http_response response, bool keep_alive) {
+    const time_point now = steady_now();
+    m_context->budget.begin(*this, now);
+    if (!m_context->budget.resize(*this, m_reader.held_bytes() + response.body.capacity(), now)) {
+        m_context->report(connection_refusal::refused_for_memory);
+        close();
+        return;
+    }
     m_response.emplace(to_beast(std::move(response), m_version, keep_alive));
     m_stream.expires_after(m_context->limits.receipt);
     http::async_write(
         m_stream, *m_response,
         [self = shared_from_this(), keep_alive](const boost::system::error_code& failure, std::size_t) {
-            if (failure || !keep_alive) {
+            self->m_response.reset();
+            self->m_context->budget.release(*self);
+            if (failure == boost::beast::error::timeout) {
+                self->m_context->report(connection_refusal::too_slow);
+            }
+            if (failure || !keep_alive || self->m_ended) {
                 self->close();
                 return;
             }
@@ -199,6 +261,18 @@
         });
 }
 
+void http_session::end_early(connection_refusal cause) {
+    m_context->report(cause);
+    m_ended = true;
+    if (m_was_used && !m_response) {
+        boost::system::error_code ignored;
+        m_stream.socket().non_blocking(true, ignored);
+        m_stream.socket().send(boost::asio::buffer(ended_response), 0, ignored);
+    }
+    m_reader.free();
+    close();
+}
+
 void http_session::close() {
     boost::system::error_code ignored;
     m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
--- /dev/null
+++ b/modules/tamarack_transport/http/received_body.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace tamarack {
+
+/**
+ * Beast's body type for received requests: a string that grows as bytes arrive.
+ *
+ * Beast's own string_body allocates the declared length at once, so that a header alone takes the memory of
+ * its body.
+ */
+struct received_body {
+    using value_type = std::string;
+
+    class reader {
+    public:
+        template <bool is_request, class Fields>
+        reader(boost::beast::http::header<is_request, Fields>& /*header*/, value_type& body) : m_body(body) {}
+
+        template <class Length>
+        void init(const Length& declared, boost::system::error_code& failure) {
+            constexpr std::size_t first_allocation = 16 * 1'024;
+            if (declared) {
+                m_declared = static_cast<std::size_t>(*declared);
+                m_body.reserve(std::min(m_declared, first_allocation));
+            }
+            failure = {};
+        }
+
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, boost::system::error_code& failure) {
+            std::size_t size = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                make_room(m_body.size() + buffer.size());
+                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+            failure = {};
+            return size;
+        }
+
+        static void finish(boost::system::error_code& failure) { failure = {}; }
+
+    private:
+        /** Allocates the declared length once doubling would exceed it, as std::string does. */
+        void make_room(std::size_t needed) {
+            const std::size_t doubled = 2 * m_body.capacity();
+            if (needed <= m_body.capacity() || m_declared < needed || doubled < m_declared) {
+                return;
+            }
+            value_type exact;
+            exact.reserve(m_declared);
+            exact.append(m_body);
+            m_body.swap(exact);
+        }
+
+        value_type& m_body;
+        std::size_t m_declared = 0;
+    };
+};
+
+/** Beast's type of a received request. */
+using received_request = boost::beast::http::request<received_body>;
+
+} // namespace tamarack
--- a/tests/misbehaving_callers/misbehaving_callers_test.cpp
+++ b/tests/misbehaving_callers/misbehaving_callers_test.cpp
@@ -77,6 +77,7 @@
     void SetUp() override {
         // Crowds must not be ended by time before their memory is measured, however slow the machine is.
         m_deployment.add_limit("request_receipt = 2min");
+        m_deployment.add_limit("connection_bytes = 8MiB");
         m_deployment.start_all();
         ASSERT_EQ(m_deployment.submit(document()), 200U) << m_deployment.logs();
         m_deployment.add_replica("orders");
@@ -117,6 +118,8 @@
             ASSERT_FALSE(m_deployment.process(0).poll()) << at.name << m_deployment.process(0).errors();
             EXPECT_LE(m_deployment.process(0).peak_memory_kib(), memory_before + growth_bound_kib)
                 << at.name << ", KiB before: " << memory_before;
+            RecordProperty("peak_kib after " + std::string{at.name},
+                           std::to_string(m_deployment.process(0).peak_memory_kib()));
             EXPECT_LE(m_deployment.process(0).open_descriptors(), descriptors_before + descriptor_bound)
                 << at.name;
             EXPECT_TRUE(serves(0)) << at.name;
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -110,6 +110,8 @@
     replace_placeholder(text, "bootstrap", m_first_start ? "true" : "false");
     replace_placeholder(text, "limits.cpu-share", has_disk ? "0.45" : "0.25");
     replace_placeholder(text, "limits.cores", "1");
+    resolve_section(text, "limits.memory-mb", true);
+    replace_placeholder(text, "limits.memory-mb", "160");
     replace_placeholder(text, "fault-tolerance.machines", "1");
     replace_placeholder(text, "bounds.retry-budget-ratio", extra_ratio);
     replace_placeholder(text, "bounds.budget-min-retries", extra_allowance);
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -11,6 +11,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 namespace {
@@ -237,6 +238,63 @@
     EXPECT_NE(received.find("two", first), std::string::npos);
 }
 
+/** Guards against a crowd that connects, sends nothing and locks out ordinary callers. */
+TEST(http_server, gives_the_place_of_a_connection_that_was_never_used_to_a_new_one) {
+    http_server_limits limits;
+    limits.connections = 3;
+    const echo_server server{limits};
+    raw_peer used{server.address()};
+    used.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n");
+    raw_peer oldest{server.address()};
+    const raw_peer newer{server.address()};
+    const auto result = fetch_and_wait(server.address(), post("/echo", "ordinary"), test_timeout);
+    ASSERT_TRUE(succeeded(result));
+    EXPECT_EQ(value_of(result).body, "ordinary");
+    EXPECT_EQ(oldest.receive_all(), "");
+    used.send("x");
+    used.shut_down_sending();
+    EXPECT_NE(used.receive_all().find(" 200 "), std::string::npos);
+}
+
+/** Guards against ending a caller's request for a new connection. */
+TEST(http_server, closes_a_new_connection_while_all_others_are_in_use) {
+    http_server_limits limits;
+    limits.connections = 1;
+    const echo_server server{limits};
+    raw_peer used{server.address()};
+    used.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_FALSE(succeeded(fetch_and_wait(server.address(), post("/echo", "too many"), test_timeout)));
+}
+
+/** Guards against bodies that stop before their end and take the memory of later requests. */
+TEST(http_server, answers_a_small_request_while_unfinished_bodies_hold_its_memory) {
+    http_server_limits limits;
+    limits.memory = 256 * kibibyte;
+    const echo_server server{limits};
+    std::vector<std::unique_ptr<raw_peer>> crowd;
+    for (std::size_t sent = 0; sent < 4 * limits.memory; sent += 60'000) {
+        crowd.push_back(std::make_unique<raw_peer>(server.address()));
+        crowd.back()->send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+                           std::string(60'000, 'x'));
+        ASSERT_TRUE(succeeded(fetch_and_wait(server.address(), post("/echo", "ordinary"), test_timeout)));
+    }
+}
+
+/** Guards against a refusal that doesn't say that the request has not run. */
+TEST(http_server, refuses_a_body_that_does_not_fit_into_its_memory_as_not_run) {
+    http_server_limits limits;
+    limits.memory = 64 * kibibyte;
+    const echo_server server{limits};
+    raw_peer peer{server.address()};
+    // The last byte makes the body's allocation grow beyond the limit. Unread bytes would reset the
+    // connection.
+    peer.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+              std::string(32 * kibibyte + 1, 'x'));
+    const std::string received = peer.receive_all();
+    EXPECT_NE(received.find(" 503 "), std::string::npos) << received;
+    EXPECT_NE(received.find("Retry-After: "), std::string::npos) << received;
+}
+
 TEST(fetch, reports_an_address_where_nobody_listens) {
     const auto result = fetch_and_wait(endpoint{"127.0.0.1:1"}, post("/", ""), test_timeout);
     ASSERT_FALSE(succeeded(result));
