Treat a reply whose status is no final one as malformed

Cause: a faulty target's reply with status 000 was passed to the caller as the response; statuses below 200 and above 599 took the same path. Ruled out: ending the connection in the HTTP client, since the log would then not say what the target sent, nor the request.

--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -45,16 +45,18 @@
 /** Why a reply is not taken for the reply to its exchange. */
 enum class reply_defect {
     none,
-    other_request, ///< it names another request
-    no_request,    ///< it names no request
-    encoded,       ///< its body is encoded, which no caller asks for
+    invalid_status, ///< its status is none of a final response: 200 to 599
+    other_request,  ///< it names another request
+    no_request,     ///< it names no request
+    encoded,        ///< its body is encoded, which no caller asks for
     success_without_token,
 };
 
 template <>
 struct name_table<reply_defect> {
-    static constexpr std::array<std::pair<reply_defect, std::string_view>, 5> entries{{
+    static constexpr std::array<std::pair<reply_defect, std::string_view>, 6> entries{{
         {reply_defect::none, "none"},
+        {reply_defect::invalid_status, "invalid_status"},
         {reply_defect::other_request, "other_request"},
         {reply_defect::no_request, "no_request"},
         {reply_defect::encoded, "encoded"},
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -156,6 +156,24 @@
     EXPECT_EQ(wire::read_reply(id, good_reply()).defect, reply_defect::none);
 }
 
+/** Guards against a reply of a faulty target that reaches the caller with a status which is no final one. */
+TEST(read_reply, rejects_a_status_that_is_no_final_one) {
+    for (const unsigned status : {0U, 7U, 99U, 100U, 101U, 199U, 600U, 999U}) {
+        http_response invalid = good_reply();
+        invalid.status = status;
+        const target_reply reply = wire::read_reply(id, http_response{invalid});
+        EXPECT_EQ(reply.verdict, target_verdict::malformed) << status;
+        EXPECT_EQ(to_name(reply.defect), "invalid_status") << status;
+        invalid.fields.emplace_back("X-Tamarackstand-Not-Executed", "1");
+        EXPECT_EQ(wire::read_reply(id, std::move(invalid)).verdict, target_verdict::malformed) << status;
+    }
+    for (const unsigned status : {204U, 304U, 404U, 500U, 599U}) {
+        http_response valid = good_reply();
+        valid.status = status;
+        EXPECT_EQ(wire::read_reply(id, std::move(valid)).defect, reply_defect::none) << status;
+    }
+}
+
 /** Guards against a rejection that a target sends twice: its second copy arrives where the reply to the next
  * request is due, which may be running by then. */
 TEST(read_reply, takes_no_rejection_of_another_request_for_one_of_this_request) {
