Adapt the fraction of exchanges that leaves the data centre

Change: a controller per service and host (modules/tamarack_forwarding/locality), applied to first exchanges only with [forwarding] locality = adaptive; rendered for deployments that have bounds.evacuation-ms.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -17,6 +17,10 @@
  * report: when many targets crash, there is a burst of lines. Metrics count every step. */
 constexpr double crash_lines_per_second = 10.0;
 constexpr double crash_lines_burst = 100.0;
+/** Rate limit for log lines about locality: with a surge, the fractions of all services change each second.
+ */
+constexpr double locality_lines_per_second = 10.0;
+constexpr double locality_lines_burst = 100.0;
 
 /** Part of the revocation time for which a lease confirms keys; the rest covers requests under way. */
 constexpr double key_lease_share = 0.6;
@@ -27,6 +31,7 @@
     options.data_center = host_settings.data_center;
     options.extra = {host_settings.forwarding.extra_ratio, host_settings.forwarding.extra_allowance,
                      host_settings.forwarding.extra_window};
+    options.locality = host_settings.forwarding.locality;
     options.mechanisms = host_settings.forwarding.mechanisms;
     const duration revocation = host_settings.teams.revocation_time;
     const auto key_lease = std::chrono::duration_cast<duration>(key_lease_share * revocation);
@@ -71,7 +76,8 @@
                       return std::function<void()>{};
                   }),
       m_crash_lines(crash_lines_per_second, crash_lines_burst),
-      m_remote_crash_lines(crash_lines_per_second, crash_lines_burst), m_random(system_random()),
+      m_remote_crash_lines(crash_lines_per_second, crash_lines_burst),
+      m_locality_lines(locality_lines_per_second, locality_lines_burst), m_random(system_random()),
       m_hooks(std::move(hooks)) {}
 
 outcome<endpoint> forwarding_worker::start() {
@@ -207,6 +213,7 @@
                 [this](const close_target_connection& close) { m_connections.close(close.connection); },
                 [this](const send_target_exchange& send) {
                     ++m_exchanges;
+                    m_metrics.count(counter_id::exchanges_by_distance_total, send.far ? "far" : "near");
                     m_connections.send(send);
                 },
                 [this](deliver_answer& delivered) { deliver(std::move(delivered.answer)); },
@@ -219,6 +226,7 @@
                 [this](const extra_load_report& report) { log_extra_load(report); },
                 [this](const broadcast_request_limit& report) { m_hooks.report_request_limit(report); },
                 [this](const request_limit_report& report) { log_request_limit(report); },
+                [this](const locality_changed& changed) { log_locality(changed); },
                 [this](const target_changed& changed) { log_target_change(changed); },
                 [this](const target_leaving& left) {
                     m_hooks.report_target_leaving(left.target, left.incarnation);
@@ -240,6 +248,21 @@
                       {"for_ms", std::to_string(changed.until / 1ms)}});
 }
 
+void forwarding_worker::log_locality(const locality_changed& changed) {
+    m_metrics.count(counter_id::locality_steps_total, to_name(changed.step));
+    if (!m_locality_lines.take(steady_now())) {
+        return;
+    }
+    log_state_change(log_level::info, "locality_changed", m_inputs.view->ticket,
+                     {{"service", changed.service.value()},
+                      {"step", std::string{to_name(changed.step)}},
+                      {"fraction", std::to_string(changed.fraction)},
+                      {"near_late", std::to_string(changed.near_late)},
+                      {"far_late", std::to_string(changed.far_late)},
+                      {"near_load", std::to_string(changed.near_load)},
+                      {"far_load", std::to_string(changed.far_load)}});
+}
+
 void forwarding_worker::log_crash_evidence(const crash_evidence_report& report) {
     m_metrics.count(counter_id::crash_evidence_total, to_name(report.step));
     if (!m_crash_lines.take(steady_now())) {
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -81,6 +81,7 @@
     void on_directory(const http_request& message, const http_responder& respond);
     void carry_out(forwarding_actions actions);
     void deliver(forward_answer answer);
+    void log_locality(const locality_changed& changed);
     void log_target_change(const target_changed& changed);
     void log_crash_evidence(const crash_evidence_report& report);
     void log_extra_load(const extra_load_report& report);
@@ -103,6 +104,7 @@
     request_log m_log;
     rate_limiter m_crash_lines;
     rate_limiter m_remote_crash_lines;
+    rate_limiter m_locality_lines;
     random_source m_random;
     bool m_leaving = false;
     forward_number m_next_request = 1;
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -3,6 +3,7 @@
 #include "../crashes/crash_loss.h"
 #include "../crashes/crash_step.h"
 #include "../limits/request_limit.h"
+#include "../locality/locality_controller.h"
 #include "../payload/forward_answer.h"
 #include "../payload/target_exchange.h"
 
@@ -29,6 +30,7 @@
 struct send_target_exchange {
     target_connection connection = 0;
     target_exchange exchange;
+    bool far = false; ///< the target is in another data centre
 };
 
 /** Answer a caller; the last action for this request. */
@@ -127,11 +129,22 @@
     duration period{};  ///< since the previous report
 };
 
+/** The fraction of a service's first exchanges that leaves the data centre changed; for the log. */
+struct locality_changed {
+    service_id service;
+    locality_step step = locality_step::raised;
+    double fraction = 0.0;
+    double near_late = 0.0; ///< share of late exchanges with near targets
+    double far_late = 0.0;
+    double near_load = 0.0; ///< reported load per slot; 0 if there are no reports
+    double far_load = 0.0;
+};
+
 /** What the caller of the engine has to do after an event, in order. */
-using forwarding_action =
-    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
-                 target_changed, target_leaving, broadcast_crash_loss, crashing_content_found,
-                 crash_evidence_report, extra_load_report, request_limit_report, broadcast_request_limit>;
+using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
+                                       deliver_answer, target_changed, target_leaving, broadcast_crash_loss,
+                                       crashing_content_found, crash_evidence_report, extra_load_report,
+                                       request_limit_report, broadcast_request_limit, locality_changed>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -37,6 +37,7 @@
     time_point since;                   ///< start of the phase
     std::optional<duration> idle_limit; ///< as the target last stated
     duration median_time{};             ///< of the route's exchanges, when its exchange was sent
+    duration late_after{};              ///< running time after which its exchange is late
     std::vector<extra_exchange_charge_pointer> charges; ///< that its exchange keeps open
     sent_content_pointer content;                       ///< of its exchange
 };
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -3,6 +3,7 @@
 #include "../targets/target_observations.h"
 #include "exchange_losses.h"
 #include "limit_tracker.h"
+#include "locality_router.h"
 #include "request_flow.h"
 #include "target_list.h"
 
@@ -22,7 +23,8 @@
 /** The engine's parts, and the dispatch of events to them. */
 struct forwarding_engine::implementation {
     forwarding_core core;
-    part_dispatcher dispatcher{core};
+    locality_router locality{core};
+    part_dispatcher dispatcher{core, locality};
     request_flow flow{core, dispatcher};
     exchange_losses losses{core};
     limit_tracker limits{core};
@@ -125,6 +127,7 @@
         losses.on_unreachable(held.target->info);
     } else if (held.content) {
         losses.on_lost(held, loss_cause::connection_lost);
+        locality.on_unanswered(held, true);
     }
     forwarding_run* run = held.phase == connection_phase::busy ? core.find_run(held.request) : nullptr;
     if (run != nullptr) {
@@ -212,6 +215,7 @@
         losses.on_completed(*held.content);
     }
     observe(held, reply);
+    locality.on_reply(held, reply);
     core.close_charges(target->info.id);
     const bool keep = reply.keeps_connection && reply.verdict != target_verdict::malformed &&
                       reply.verdict != target_verdict::wrong_target;
@@ -251,6 +255,7 @@
     }
     const engine_connection held = found->second;
     core.hold_charges_open(found->second);
+    locality.on_unanswered(held, false);
     dispatcher.close(connection);
     if (core.now - held.since > unanswered_factor * held.median_time + min_unanswered_delay) {
         on_failure(*held.target);
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -38,6 +38,7 @@
     bool keys_need_lease = false;
     duration key_lease_margin{0};   ///< a lease confirms keys until this long before its end
     duration no_lease_retry = 20ms; ///< another host can serve the request at once
+    locality_mode locality = locality_mode::fixed;
     mechanisms_in_use mechanisms;
     forwarding_protections protections;
 };
--- a/modules/tamarack_forwarding/engine/forwarding_statistics.h
+++ b/modules/tamarack_forwarding/engine/forwarding_statistics.h
@@ -9,6 +9,8 @@
 struct forwarding_statistics {
     std::uint64_t requests = 0;
     std::uint64_t exchanges = 0;
+    std::uint64_t first_near = 0; ///< first exchanges sent to targets in this data centre
+    std::uint64_t first_far = 0;  ///< first exchanges sent to targets in other data centres
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t refused_by_budget = 0; ///< extra exchanges
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -22,8 +22,8 @@
 } // namespace
 
 void part_dispatcher::list_candidates(const run_part& part) {
-    m_eligible.clear();
-    m_candidates.clear();
+    m_choice.targets.clear();
+    m_choice.candidates.clear();
     for (const engine_target_pointer& target : part.service->targets) {
         const std::size_t busy = m_core.uses(forwarding_mechanism::gradual_return) ? target->busy : 0;
         const bool unfit = !target->usable || target->idle.empty() || part.was_tried(target) ||
@@ -35,8 +35,8 @@
             ++target->use_under_limit.withheld;
             continue;
         }
-        m_eligible.push_back(target);
-        m_candidates.push_back(describe(*target));
+        m_choice.targets.push_back(target);
+        m_choice.candidates.push_back(describe(*target));
     }
 }
 
@@ -64,17 +64,35 @@
     }
     const placement_demand demand{run.timing->median(), run.timing->p90(), run.selected_route->objective};
     list_candidates(part);
-    while (!m_candidates.empty()) {
-        const std::size_t chosen = place(m_candidates, demand, m_core.random);
-        const engine_target_pointer target = m_eligible[chosen];
+    if (step == trace_step::sent && m_locality.is_in_use()) {
+        if (m_locality.select_side(*part.service, m_choice, demand)) {
+            open_for(*part.service, part, true);
+        }
+        if (send_to_best(run, part_index, step, demand)) {
+            return true;
+        }
+        list_candidates(part);
+    }
+    if (send_to_best(run, part_index, step, demand)) {
+        return true;
+    }
+    open_for(*part.service, part, false);
+    return false;
+}
+
+bool part_dispatcher::send_to_best(forwarding_run& run, std::size_t part_index, trace_step step,
+                                   const placement_demand& demand) {
+    auto& [targets, candidates] = m_choice;
+    while (!candidates.empty()) {
+        const std::size_t chosen = place(candidates, demand, m_core.random);
+        const engine_target_pointer target = targets[chosen];
         if (const target_connection connection = take_idle(*target, run.request.id); connection != 0) {
             send(run, part_index, step, target, connection);
             return true;
         }
-        m_eligible.erase(m_eligible.begin() + static_cast<std::ptrdiff_t>(chosen));
-        m_candidates.erase(m_candidates.begin() + static_cast<std::ptrdiff_t>(chosen));
+        targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
-    open_for(*part.service, part);
     return false;
 }
 
@@ -88,6 +106,7 @@
     held.part = part_index;
     held.since = m_core.now;
     held.median_time = run.timing->median();
+    held.late_after = locality_late_after(run.selected_route->objective);
     held.content = run.content;
     if (part.charge) {
         part.charge->on_sent();
@@ -111,7 +130,10 @@
     ++part.possible_runs;
     ++run.sent;
     ++m_core.statistics.exchanges;
-    m_core.trace(run, step, part.service->id, target.get(), {}, m_candidates.size(), connection);
+    m_core.trace(run, step, part.service->id, target.get(), {}, m_choice.candidates.size(), connection);
+    if (step == trace_step::sent) {
+        m_locality.on_first_sent(*target);
+    }
     if (step == trace_step::sent && part.possible_runs < run.selected_route->attempts) {
         part.hedge_at = m_core.now + hedge_delay(run.timing->p90(), run.times.objective_at - m_core.now);
         m_core.wake(run, part.hedge_at);
@@ -123,7 +145,7 @@
     exchange.payload = run.request.payload;
     exchange.team = run.holder != nullptr ? run.holder->name : std::string{};
     exchange.passes_identity = !run.table->requires_keys;
-    m_core.actions.emplace_back(send_target_exchange{connection, std::move(exchange)});
+    m_core.actions.emplace_back(send_target_exchange{connection, std::move(exchange), target->far});
 }
 
 void part_dispatcher::send_or_wait(forwarding_run& run, std::size_t part_index, trace_step step) {
@@ -226,6 +248,7 @@
     if (m_core.uses(forwarding_mechanism::work_cancellation) &&
         cancels_work({target.load, m_core.now - target.load_at, target.info.slots})) {
         m_core.hold_charges_open(found->second);
+        m_locality.on_unanswered(found->second, false);
         close(abandoned.connection);
         return;
     }
@@ -306,11 +329,11 @@
                                                        m_core.options.connect_timeout});
 }
 
-void part_dispatcher::open_for(const engine_service& service, const run_part& part) {
+void part_dispatcher::open_for(const engine_service& service, const run_part& part, bool only_near) {
     engine_target_pointer chosen;
     for (const engine_target_pointer& target : service.targets) {
         const bool better = chosen == nullptr || target->connections() < chosen->connections();
-        if (may_open(*target) && better && !part.was_tried(target)) {
+        if (may_open(*target) && better && !part.was_tried(target) && !(only_near && target->far)) {
             chosen = target;
         }
     }
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "../placement/placement.h"
 #include "forwarding_core.h"
+#include "locality_router.h"
 
 #include <cstddef>
 #include <optional>
@@ -14,7 +15,7 @@
  */
 class part_dispatcher {
 public:
-    explicit part_dispatcher(forwarding_core& core) : m_core(core) {}
+    part_dispatcher(forwarding_core& core, locality_router& locality) : m_core(core), m_locality(locality) {}
 
     /** Sends an exchange for a part now. @return false if no suitable target has a free connection */
     bool try_send(forwarding_run& run, std::size_t part, trace_step step);
@@ -59,8 +60,8 @@
 
 private:
     forwarding_core& m_core;
-    std::vector<engine_target_pointer> m_eligible;
-    std::vector<placement_candidate> m_candidates;
+    locality_router& m_locality;
+    placement_choice m_choice;
 
     /** @return how long a further waiting part waits until the request limits allow its exchange */
     duration wait_for_limits(const engine_service& service) const;
@@ -68,6 +69,8 @@
     static bool has_free_target(const run_part& part);
     void list_candidates(const run_part& part);
     placement_candidate describe(const engine_target& target) const;
+    /** Sends an exchange to the best of m_choice. @return false if none of them has a usable connection */
+    bool send_to_best(forwarding_run& run, std::size_t part, trace_step step, const placement_demand& demand);
     void send(forwarding_run& run, std::size_t part, trace_step step, const engine_target_pointer& target,
               target_connection connection);
     /**
@@ -79,7 +82,8 @@
     target_connection take_idle(engine_target& target, const request_id& request);
     bool may_open(const engine_target& target) const;
     void open(const engine_target_pointer& target);
-    void open_for(const engine_service& service, const run_part& part);
+    /** Opens a connection for a part. @param only_near  only to a target in this data centre */
+    void open_for(const engine_service& service, const run_part& part, bool only_near);
 };
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -37,6 +37,8 @@
 #include "budget/extra_exchange_charge.h"
 #include "limits/limit_share.h"
 #include "limits/request_limit.h"
+#include "locality/locality_controller.h"
+#include "locality/observed_side.h"
 #include "placement/abandoned_exchange.h"
 #include "placement/connection_share.h"
 #include "placement/placement.h"
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -3,6 +3,7 @@
 #include "../budget/extra_budget.h"
 #include "../explain/request_trace.h"
 #include "../limits/request_limit.h"
+#include "../locality/locality_controller.h"
 #include "../payload/target_exchange.h"
 #include "../view/forwarding_view.h"
 #include "../withheld/target_backoff.h"
@@ -73,6 +74,7 @@
     std::list<waiting_part> waiting;           ///< sorted by priority, then by objective
     std::shared_ptr<extra_budget> budget;      ///< kept when the service leaves the routes, as it may return
     std::uint32_t refused_extra_exchanges = 0; ///< by the budget, since the last report
+    std::optional<locality_controller> locality; ///< if the fraction that leaves the data centre adapts
 
     engine_service(service_id name, std::shared_ptr<extra_budget> own_budget)
         : id(std::move(name)), budget(std::move(own_budget)) {}
--- a/modules/tamarack_settings/model/forwarding_mechanism.h
+++ b/modules/tamarack_settings/model/forwarding_mechanism.h
@@ -28,12 +28,13 @@
     gradual_return,    ///< returns to a target step by step after its backoff
     warm_connections,  ///< opens connections before they are needed
     active_subset,     ///< directs callers to a part of the hosts
+    locality,          ///< adapts the fraction that leaves the data centre; only with `locality = adaptive`
     work_cancellation, ///< closes connections whose exchange waits at a target for nothing
 };
 
 template <>
 struct name_table<forwarding_mechanism> {
-    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 16> entries{{
+    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 17> entries{{
         {forwarding_mechanism::hedges, "hedges"},
         {forwarding_mechanism::retries, "retries"},
         {forwarding_mechanism::ejection, "ejection"},
@@ -49,6 +50,7 @@
         {forwarding_mechanism::gradual_return, "gradual_return"},
         {forwarding_mechanism::warm_connections, "warm_connections"},
         {forwarding_mechanism::active_subset, "active_subset"},
+        {forwarding_mechanism::locality, "locality"},
         {forwarding_mechanism::work_cancellation, "work_cancellation"},
     }};
 };
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding_mechanism.h"
+#include "locality_mode.h"
 
 #include <tamarack_base/tamarack_base.h>
 
@@ -97,6 +98,7 @@
     double extra_ratio = 0.2; ///< ratio of hedges and retries to requests, of each service over all hosts
     double extra_allowance = 50.0; ///< further ones allowed in each window, whatever the load
     duration extra_window = 10s;
+    locality_mode locality = locality_mode::fixed;
     mechanisms_in_use mechanisms; ///< some are switched off only for measurements
 };
 
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -256,6 +256,13 @@
             source.report("forwarding", "extra_window", "1s to 10min");
         }
     }
+    if (const auto text = source.find("forwarding", "locality")) {
+        if (const auto value = from_name<locality_mode>(*text)) {
+            into.locality = *value;
+        } else {
+            source.report("forwarding", "locality", "fixed or adaptive");
+        }
+    }
 }
 
 void read_ablation(settings_source& source, mechanisms_in_use& into) {
--- a/modules/tamarack_settings/tamarack_settings.h
+++ b/modules/tamarack_settings/tamarack_settings.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "model/forwarding_mechanism.h"
+#include "model/locality_mode.h"
 #include "model/settings.h"
 
 #include "model/settings_reader.h"
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 19> counters{{
+constexpr std::array<metric_description, 21> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -22,6 +22,10 @@
     {"tamarack_request_limit_steps_total", "Steps in what this host knows of targets' request limits.",
      "step"},
     {"tamarack_exchanges_under_limit_total", "Exchanges sent to targets while their limit was in force.", ""},
+    {"tamarack_exchanges_by_distance_total",
+     "Exchanges sent to targets in the own data centre or outside it.", "distance"},
+    {"tamarack_locality_steps_total", "Changes of the fraction that leaves the data centre, by direction.",
+     "step"},
     {"tamarack_announcements_total", "Announcements of targets received, by result.", "result"},
     {"tamarack_tickets_total", "Tickets received, by verdict.", "verdict"},
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -22,11 +22,13 @@
     target_anomalies_total,    ///< label: cause
     request_limit_steps_total, ///< label: step
     exchanges_under_limit_total,
-    announcements_total,      ///< label: result
-    tickets_total,            ///< label: verdict
-    claims_total,             ///< label: verdict
-    host_messages_total,      ///< label: method
-    host_message_bytes_total, ///< label: direction
+    exchanges_by_distance_total, ///< label: distance
+    locality_steps_total,        ///< label: step
+    announcements_total,         ///< label: result
+    tickets_total,               ///< label: verdict
+    claims_total,                ///< label: verdict
+    host_messages_total,         ///< label: method
+    host_message_bytes_total,    ///< label: direction
     configurations_sent_total,
 };
 
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -15,7 +15,6 @@
 
 forwarding_world::forwarding_world(std::uint64_t seed, std::size_t hosts, forwarding_options options)
     : m_options(std::move(options)), m_next_seed(seed * 100), m_random(seed), m_hosts(hosts) {
-    m_options.data_center = data_center_id{"near"};
     for (std::size_t host = 0; host < hosts; ++host) {
         start_host(host);
     }
@@ -23,6 +22,7 @@
 
 void forwarding_world::start_host(std::size_t host) {
     m_options.host = host_id{"host-" + std::to_string(host)};
+    m_options.data_center = m_hosts[host].data_center;
     m_hosts[host].engine = std::make_unique<forwarding_engine>(m_options, random_source{m_next_seed++});
     m_hosts[host].engine->on_lease(m_now, time_point::max());
     m_hosts[host].allowance =
@@ -38,6 +38,7 @@
     simulated_host next;
     next.incarnation = m_hosts[host].incarnation + 1;
     next.on_standby = m_hosts[host].on_standby;
+    next.data_center = m_hosts[host].data_center;
     m_hosts[host] = std::move(next);
     start_host(host);
     publish();
@@ -274,6 +275,8 @@
             for (std::size_t other = 0; other < m_hosts.size(); ++other) {
                 report_losses(host, other);
             }
+        } else if (const auto* locality = std::get_if<locality_changed>(&action)) {
+            m_locality_changes.push_back({m_now - m_start, host, *locality});
         } else if (const auto* limit = std::get_if<broadcast_request_limit>(&action)) {
             report_limit(host, *limit);
         }
@@ -344,7 +347,7 @@
     const target_id id = send.exchange.target;
     const bool crashes = m_crashing_requests.contains(send.exchange.id.value());
     const running_work work{host, send.connection, send.exchange.id, m_hosts[host].incarnation, crashes};
-    schedule(m_now + one_way, [this, id, work] {
+    schedule(m_now + delay_between(host, id), [this, id, work] {
         simulated_target& target = m_targets.at(id);
         if (target.behaviour.reads) {
             receive(id, work);
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -55,6 +55,13 @@
     time_point arrived;
 };
 
+/** A change of the fraction of a service's first exchanges that leaves the data centre. */
+struct world_locality_change {
+    duration at{}; ///< since the start of the simulation
+    std::size_t host = 0;
+    locality_changed change;
+};
+
 /**
  * Simulation of several hosts, with a forwarding engine each, and targets, in virtual time.
  */
@@ -62,6 +69,10 @@
 public:
     explicit forwarding_world(std::uint64_t seed, std::size_t hosts = 3, forwarding_options options = {});
 
+    /** Moves a host to a data centre, "near" by default. To be called before publish. */
+    void place_host(std::size_t host, const std::string& data_center);
+    /** Sets the additional one-way delay between data centres. */
+    void set_distance(duration one_way_delay) { m_distance = one_way_delay; }
     /** Adds the replicas of a service; their ids are "SERVICE-N". */
     void add_service(const std::string& service, std::size_t replicas, const world_target& behaviour);
     /** Routes all requests under /NAME/ of "example". */
@@ -82,6 +93,9 @@
 
     /** Lets requests of a route arrive at random times, at an average rate. */
     void load(const std::string& route_name, double per_second, duration from, duration until);
+    /** The same, for requests to one host. */
+    void load_at(std::size_t host, const std::string& route_name, double per_second, duration from,
+                 duration until);
     /** Schedules an action. */
     void at(duration when, std::function<void()> action);
     /** Sends a request to one host that crashes each target that runs it. */
@@ -136,6 +150,9 @@
     std::size_t extra_load(const std::string& service) const { return m_extra_load.extra(service); }
     std::size_t unanswered() const;
     forwarding_statistics statistics(std::size_t host) const { return m_hosts[host].engine->statistics(); }
+    const std::vector<world_locality_change>& locality_changes() const { return m_locality_changes; }
+    /** @return latest fraction that leaves the data centre, of a host's service */
+    double far_fraction(std::size_t host, const std::string& service) const;
     time_point now() const { return m_now; }
 
 private:
@@ -179,6 +196,7 @@
         std::map<target_connection, target_id> connections;
         time_point timer_at = time_point::max();
         std::size_t incarnation = 0; ///< incremented with each restart
+        data_center_id data_center{"near"};
         bool on_standby = false;
         std::vector<crash_loss> crash_reports; ///< losses that it found
     };
@@ -209,6 +227,7 @@
     void start_work(simulated_target& target, const running_work& work);
     void end_work(const target_id& id, const running_work& work);
     void reply(const running_work& work, const target_id& id, target_verdict verdict);
+    duration delay_between(std::size_t host, const target_id& id) const;
     duration pause_left(const simulated_target& target) const;
     /** @return whether the host is still in this incarnation and has the connection */
     bool has_connection(std::size_t host, std::size_t incarnation, target_connection connection) const;
@@ -231,6 +250,8 @@
     std::priority_queue<event> m_events;
     std::uint64_t m_next_event_order = 0;
     time_point m_paused_until{};
+    duration m_distance{0};
+    std::vector<world_locality_change> m_locality_changes;
     bool m_partitioned = false;
     bool m_limit_reports_lost = false;
     time_point m_start{1h};
--- a/tests/forwarding/forwarding_world_targets.cpp
+++ b/tests/forwarding/forwarding_world_targets.cpp
@@ -101,6 +101,35 @@
     }
 }
 
+duration forwarding_world::delay_between(std::size_t host, const target_id& id) const {
+    const bool far = m_hosts[host].data_center != m_targets.at(id).behaviour.info.data_center;
+    return far ? one_way + m_distance : one_way;
+}
+
+void forwarding_world::place_host(std::size_t host, const std::string& data_center) {
+    m_hosts[host].data_center = data_center_id{data_center};
+    start_host(host);
+}
+
+void forwarding_world::load_at(std::size_t host, const std::string& route_name, double per_second,
+                               duration from, duration until) {
+    const auto mean = duration{static_cast<std::int64_t>(1e6 / per_second)};
+    for (time_point when = m_start + from + m_random.exponential(mean); when < m_start + until;
+         when += m_random.exponential(mean)) {
+        schedule(when, [this, host, route_name] { arrive_at(host, route_name, false); });
+    }
+}
+
+double forwarding_world::far_fraction(std::size_t host, const std::string& service) const {
+    double latest = 0.0;
+    for (const world_locality_change& item : m_locality_changes) {
+        if (item.host == host && item.change.service == service_id{service}) {
+            latest = item.change.fraction;
+        }
+    }
+    return latest;
+}
+
 duration forwarding_world::pause_left(const simulated_target& target) const {
     if (target.behaviour.pause_every == duration{0}) {
         return duration{0};
@@ -153,7 +182,7 @@
 }
 
 void forwarding_world::reply(const running_work& work, const target_id& id, target_verdict verdict) {
-    schedule(m_now + one_way, [this, work, id, verdict] {
+    schedule(m_now + delay_between(work.host, id), [this, work, id, verdict] {
         if (!has_connection(work.host, work.incarnation, work.connection)) {
             return;
         }
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -96,6 +96,7 @@
     }
     resolve_section(text, "data-dir", has_disk);
     resolve_section(text, "bounds.strict-revocation", m_revokes_keys_everywhere);
+    resolve_section(text, "bounds.evacuation-ms", false);
     replace_placeholder(text, "bounds.revoke-ms", revocation_milliseconds);
     replace_placeholder(text, "ip", ip);
     replace_placeholder(text, "zone", "zone-" + std::to_string(host % 3));
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -60,6 +60,18 @@
     EXPECT_EQ(mechanisms.off(), "hedges,near_targets");
 }
 
+/** Fails if deployments that don't ask for it get another routing between data centres. */
+TEST(settings, routes_between_data_centers_by_a_fixed_cost_unless_set) {
+    const auto by_default = parse_settings(good_text);
+    ASSERT_TRUE(succeeded(by_default));
+    EXPECT_EQ(value_of(by_default).forwarding.locality, locality_mode::fixed);
+    const auto read = parse_settings(std::string{good_text} + "[forwarding]\nlocality = adaptive\n");
+    ASSERT_TRUE(succeeded(read)) << describe(error_of(read).front());
+    EXPECT_EQ(value_of(read).forwarding.locality, locality_mode::adaptive);
+    EXPECT_THAT(mistakes_of(std::string{good_text} + "[forwarding]\nlocality = near\n"),
+                ElementsAre(mistake_at("forwarding", "locality")));
+}
+
 TEST(settings, refuses_unknown_mechanisms_and_keys_of_the_ablation_section) {
     const auto unknown = mistakes_of(std::string{good_text} + "[ablation]\noff = hedges,hope\n");
     ASSERT_THAT(unknown, ElementsAre(mistake_at("ablation", "off")));
