--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -5,6 +5,7 @@
 #include "../fairness/team_shares.h"
 #include "../fairness/waiting_list.h"
 #include "../limits/request_limit.h"
+#include "../locality/locality_controller.h"
 #include "../payload/target_exchange.h"
 #include "../view/forwarding_view.h"
 #include "../withheld/target_backoff.h"
@@ -71,6 +72,7 @@
     std::shared_ptr<extra_budget> budget;      ///< kept when the service leaves the routes, as it may return
     double warmup_rate = 0.0;                  ///< requests a second that a cold target takes; 0: no limit
     std::uint32_t refused_extra_exchanges = 0; ///< by the budget, since the last report
+    std::optional<locality_controller> locality; ///< if the fraction that leaves the data centre adapts
 
     engine_service(service_id name, std::shared_ptr<extra_budget> own_budget)
         : id(std::move(name)), budget(std::move(own_budget)) {}
--- a/modules/tamarack_settings/model/forwarding_mechanism.h
+++ b/modules/tamarack_settings/model/forwarding_mechanism.h
@@ -28,6 +28,7 @@
     gradual_return,    ///< returns to a target step by step after its backoff
     warm_connections,  ///< opens connections before they are needed
     active_subset,     ///< directs callers to a part of the hosts
+    locality,          ///< adapts the fraction that leaves the data centre; only with `locality = adaptive`
     work_cancellation, ///< closes connections whose exchange waits at a target for nothing
     team_fairness,     ///< shares scarce capacity between teams
     return_pacing,     ///< spreads the return of refused callers
@@ -35,7 +36,7 @@
 
 template <>
 struct name_table<forwarding_mechanism> {
-    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 18> entries{{
+    static constexpr std::array<std::pair<forwarding_mechanism, std::string_view>, 19> entries{{
         {forwarding_mechanism::hedges, "hedges"},
         {forwarding_mechanism::retries, "retries"},
         {forwarding_mechanism::ejection, "ejection"},
@@ -51,6 +52,7 @@
         {forwarding_mechanism::gradual_return, "gradual_return"},
         {forwarding_mechanism::warm_connections, "warm_connections"},
         {forwarding_mechanism::active_subset, "active_subset"},
+        {forwarding_mechanism::locality, "locality"},
         {forwarding_mechanism::work_cancellation, "work_cancellation"},
         {forwarding_mechanism::team_fairness, "team_fairness"},
         {forwarding_mechanism::return_pacing, "return_pacing"},
