Add the decisions on teams' limits over all hosts

Cause: a ticket states limits of teams, and nothing enforces them over the hosts. Ruled out: equal shares of the rate at each host, which are fractions of a request a second for small teams; a transfer of unspent tokens to a new leader, which is unnecessary as tokens expire before it grants any. Change: team_limit_server keeps a bucket for each team on the leader; team_limit_client admits open teams at once, asks for tokens for metered ones, and uses a part of the slack and a static share without contact.

--- /dev/null
+++ b/modules/tamarack_teams/limits/team_limit_messages.cpp
@@ -0,0 +1,26 @@
+#include "team_limit_messages.h"
+
+#include <algorithm>
+#include <numeric>
+#include <unordered_set>
+
+namespace tamarack {
+
+std::vector<team_limit> number_teams(const std::vector<team>& teams) {
+    std::vector<std::size_t> order(teams.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&teams](std::size_t left, std::size_t right) { return teams[left].name < teams[right].name; });
+    std::vector<team_limit> limits(teams.size());
+    std::unordered_set<team_number> taken;
+    for (const std::size_t index : order) {
+        auto number = static_cast<team_number>(stable_hash(teams[index].name));
+        while (!taken.insert(number).second) {
+            ++number;
+        }
+        limits[index] = {number, teams[index].requests_per_second, teams[index].burst};
+    }
+    return limits;
+}
+
+} // namespace tamarack
--- a/modules/tamarack_teams/tamarack_teams.h
+++ b/modules/tamarack_teams/tamarack_teams.h
@@ -10,3 +10,7 @@
 
 #include "keys/caller_credentials.h"
 #include "keys/team_index.h"
+
+#include "limits/team_limit_client.h"
+#include "limits/team_limit_messages.h"
+#include "limits/team_limit_server.h"
