Use more of a team's slack while hosts have no contact

Ruled out: admission without a bound for 3 s, which exceeds the bound if a team surges while hosts are cut off. Change: an open team may use 2.25 times the slack without contact, the server charges the buckets when hosts fall silent, and what is admitted without contact isn't charged later.

--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -10,10 +10,11 @@
 
 using seconds = std::chrono::duration<double>;
 
-/** Parts of the slack that all hosts without contact may admit in a window. A metered team may have used its
- * whole limit before; an open one has used at most half of it. */
-constexpr double metered_slack_part = 0.5;
-constexpr double open_slack_part = 1.5;
+/** Multiples of the slack that all hosts without contact may admit in a window, besides the static share. A
+ * metered team, or one on a host that has just started, may have used its whole limit before; an open one has
+ * used at most half of it. */
+constexpr double metered_slack_part = 1.0;
+constexpr double open_slack_part = 2.25;
 /** Bounds of the delay after which a caller retries that was refused without the server's advice. */
 constexpr duration min_retry = 100ms;
 constexpr duration max_retry = 300ms;
@@ -142,20 +143,19 @@
     }));
 }
 
+/** What is admitted here isn't charged to the bucket afterwards: the bound has room for it. */
 bool team_limit_client::admit_without_contact(time_point now, entry& held, const team_limit& limit) {
     if (std::ranges::find(m_hosts, m_self) == m_hosts.end()) {
         return false;
     }
     const std::size_t hosts = m_hosts.size();
     const std::size_t own_rank = rank(limit.team);
-    const duration alone = now - m_contact;
-    const bool open = !held.metered && alone < static_share_after;
+    const bool open = !held.metered && m_server != 0 && now < m_contact + static_share_after;
     const auto shared =
         static_cast<std::size_t>(limit.slack() * (open ? open_slack_part : metered_slack_part));
     const std::size_t allowed = shared / hosts + (own_rank < shared % hosts ? 1 : 0);
     if (held.without_contact.total(now) < allowed) {
         held.without_contact.add(now, 1);
-        admit(held);
         return true;
     }
     const time_point share_from = m_contact + static_share_after;
@@ -174,7 +174,6 @@
         return false;
     }
     held.share_level -= 1.0;
-    admit(held);
     return true;
 }
 
@@ -337,7 +336,10 @@
     }
     const auto for_size =
         std::chrono::duration_cast<duration>(seconds{static_cast<double>(m_report_bytes) / bytes_per_second});
-    if (m_has_news || m_just_attached) {
+    if (m_just_attached) {
+        return now; // the server counts this host as in contact only after this report
+    }
+    if (m_has_news) {
         return m_reported + std::max(min_report_interval, for_size);
     }
     return std::max(m_reported + contact_interval, now);
--- a/modules/tamarack_teams/limits/team_limit_client.h
+++ b/modules/tamarack_teams/limits/team_limit_client.h
@@ -98,7 +98,7 @@
     /** A report without an answer for this time means that contact is lost. */
     static constexpr duration answer_time = 400ms;
     /** Interval of reports without news; see team_limit_server::contact_time. */
-    static constexpr duration contact_interval = 1s;
+    static constexpr duration contact_interval = 700ms;
     /** Shortest interval of reports that ask for no tokens. */
     static constexpr duration min_report_interval = 100ms;
     /** Requests for tokens of several requests are sent together at this interval. */
--- a/modules/tamarack_teams/limits/team_limit_server.cpp
+++ b/modules/tamarack_teams/limits/team_limit_server.cpp
@@ -26,6 +26,9 @@
 constexpr duration presence_review_interval = 100ms;
 /** Refused callers don't come back after this time. */
 constexpr duration max_promise = 2s;
+/** Hosts that lose contact admit a part of the slack; this multiple of it is charged to the bucket, which
+ * leaves room for it in the bound although the server notices the loss late. */
+constexpr double slack_part_without_contact = 2.0;
 /** Full buckets without use are forgotten at this interval. */
 constexpr duration sweep_interval = 10s;
 /** Below this use, in requests a second, a team with a full bucket is forgotten. */
@@ -153,8 +156,11 @@
     const double part =
         static_cast<double>(std::max<std::ptrdiff_t>(present, 1)) / static_cast<double>(known);
     if (part != m_part_in_contact) {
+        const double lost = std::max(m_part_in_contact - part, 0.0);
         for (auto& [team, held] : m_buckets) {
             refill(now, held);
+            held.level -= lost * slack_part_without_contact * held.limit.slack();
+            review(now, held);
         }
         m_part_in_contact = part;
     }
--- a/modules/tamarack_teams/limits/team_limit_server.h
+++ b/modules/tamarack_teams/limits/team_limit_server.h
@@ -68,8 +68,8 @@
 
     /** Longest validity of a predecessor's lease. */
     static constexpr duration predecessor_time = 3s;
-    /** A host counts as in contact for this time after its report; hosts report at least each second. */
-    static constexpr duration contact_time = 2s;
+    /** A host counts as in contact for this time after its report; hosts report more than twice as often. */
+    static constexpr duration contact_time = 1'500ms;
     /** A host that was silent for longer admits no share of the rate any more; it is given to the others. */
     static constexpr duration silence_forgotten_after = 25s;
     static constexpr duration token_validity = 500ms;
