Check teams' limits before a request is sent

Cause: the decisions on teams' limits had no caller, so a limit in a ticket had no effect. Ruled out: a check at the sending of each part, where a refusal would come after other parts have run. Change: the engine asks the team_limit_client after the key check; requests wait for a token as small structures and pass the key and lease check again. Reports and grants travel as team.use and team.grant; the leader of the control hosts serves them while its lease is valid. Reports of the use are paced by their size. Not run: deployments with several processes.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -138,6 +138,11 @@
     });
 }
 
+bool forwarding_worker::post_team_grant(team_grant grant) {
+    return m_thread.try_post(
+        [this, grant = std::move(grant)] { carry_out(m_engine.on_team_grant(event_time(), grant)); });
+}
+
 bool forwarding_worker::post_leaving() {
     return m_thread.try_post([this] {
         m_leaving = true;
@@ -218,6 +223,7 @@
                 [this](const crash_evidence_report& report) { log_crash_evidence(report); },
                 [this](const extra_load_report& report) { log_extra_load(report); },
                 [this](const broadcast_request_limit& report) { m_hooks.report_request_limit(report); },
+                [this](report_team_use& use) { m_hooks.report_team_use(std::move(use.report)); },
                 [this](const request_limit_report& report) { log_request_limit(report); },
                 [this](const target_changed& changed) { log_target_change(changed); },
                 [this](const target_leaving& left) {
--- a/apps/tamarackd/forwarding/forwarding_worker.h
+++ b/apps/tamarackd/forwarding/forwarding_worker.h
@@ -31,7 +31,8 @@
     std::function<void(const target_id&, incarnation_id)>
         report_target_leaving; ///< a target accepts no new work
     std::function<void(const broadcast_request_limit&)>
-        report_request_limit; ///< a target states a request limit, or no longer
+        report_request_limit;                      ///< a target states a request limit, or no longer
+    std::function<void(team_use)> report_team_use; ///< for the server of team limits
 };
 
 /**
@@ -63,6 +64,8 @@
     bool post_remote_crash_loss(crash_loss loss);
     /** From any thread: another host has reported what a target states about its request limit. */
     bool post_remote_request_limit(target_incarnation target, limit_statement statement);
+    /** From any thread: the server of team limits has answered. */
+    bool post_team_grant(team_grant grant);
     /** From any thread: makes callers use other hosts. Each connection is closed after its next answer. */
     bool post_leaving();
     /** From any thread. @return the number of exchanges with targets sent since the start */
--- a/apps/tamarackd/host_daemon.cpp
+++ b/apps/tamarackd/host_daemon.cpp
@@ -125,6 +125,7 @@
     hooks.report_request_limit = [this](const broadcast_request_limit& report) {
         m_hosts->post_request_limit(report);
     };
+    hooks.report_team_use = [this](team_use report) { m_hosts->post_team_use(std::move(report)); };
     m_forwarding = std::make_unique<forwarding_worker>(m_settings, m_edge, m_metrics, std::move(hooks));
     m_control_edge = std::make_unique<control_edge>(m_settings, m_edge,
                                                     control_edge_hooks{m_hosts.get(), m_control.get()});
@@ -309,6 +310,9 @@
     hooks.request_limit = [this](target_incarnation target, limit_statement statement) {
         return !m_forwarding || m_forwarding->post_remote_request_limit(std::move(target), statement);
     };
+    hooks.team_grant = [this](team_grant grant) {
+        return !m_forwarding || m_forwarding->post_team_grant(std::move(grant));
+    };
     hooks.exchange_count = [this] { return m_forwarding ? m_forwarding->exchange_count() : 0; };
     hooks.quarantine = [this](const crash_loss& loss) {
         if (m_forwarding) {
--- a/apps/tamarackd/hosts/host_methods.cpp
+++ b/apps/tamarackd/hosts/host_methods.cpp
@@ -134,6 +134,8 @@
     on(dispatcher, membership_method, handlers, decode_membership_message, handlers.membership);
     on(dispatcher, quarantine_method, handlers, decode_quarantine, handlers.quarantine);
     on(dispatcher, request_limit_method, handlers, decode_request_limit, handlers.request_limit);
+    on(dispatcher, team_use_method, handlers, decode_team_use, handlers.team_use_report);
+    on(dispatcher, team_grant_method, handlers, decode_team_grant, handlers.team_limit_grant);
     on(dispatcher, identity_method, handlers, decode_identity, handlers.identity);
     on(dispatcher, inquiry_method, handlers, decode_inquiry, handlers.inquiry);
 }
--- a/apps/tamarackd/hosts/host_methods.h
+++ b/apps/tamarackd/hosts/host_methods.h
@@ -17,6 +17,8 @@
 inline const std::string membership_method = "membership.message";
 inline const std::string quarantine_method = "quarantine.request";
 inline const std::string request_limit_method = "target.request_limit";
+inline const std::string team_use_method = "team.use";
+inline const std::string team_grant_method = "team.grant";
 inline const std::string identity_method = "control.identity";
 inline const std::string inquiry_method = "control.inquiry";
 
@@ -53,12 +55,16 @@
 Json::Value encode_inquiry(const configuration_inquiry& value);
 Json::Value encode_quarantine(const quarantine_notice& value);
 Json::Value encode_request_limit(const request_limit_notice& value);
+Json::Value encode_team_use(const team_use& value);
+Json::Value encode_team_grant(const team_grant& value);
 
 /** @return the message, or `malformed` if a member is missing or has the wrong type */
 outcome<host_identity> decode_identity(const Json::Value& parameters);
 outcome<configuration_inquiry> decode_inquiry(const Json::Value& parameters);
 outcome<quarantine_notice> decode_quarantine(const Json::Value& parameters);
 outcome<request_limit_notice> decode_request_limit(const Json::Value& parameters);
+outcome<team_use> decode_team_use(const Json::Value& parameters);
+outcome<team_grant> decode_team_grant(const Json::Value& parameters);
 
 /** Handlers of decoded notifications from other hosts. All must be set. */
 struct host_method_handlers {
@@ -67,6 +73,8 @@
     std::function<void(membership_message)> membership;
     std::function<void(quarantine_notice)> quarantine;
     std::function<void(request_limit_notice)> request_limit;
+    std::function<void(team_use)> team_use_report;
+    std::function<void(team_grant)> team_limit_grant;
     std::function<void(host_identity)> identity;
     std::function<void(configuration_inquiry)> inquiry;
     /** Called if a notification can't be decoded. It is dropped, like one lost on the network. */
--- a/apps/tamarackd/hosts/hosts_worker.cpp
+++ b/apps/tamarackd/hosts/hosts_worker.cpp
@@ -78,7 +78,8 @@
         [this] {
             return std::min({m_control->next_timer(), m_registry->next_timer(), m_detector->next_timer(),
                              m_next_periodic_work, m_next_inputs, m_directory_expired_at,
-                             m_crash_suspicions.next_timer()});
+                             m_crash_suspicions.next_timer(),
+                             m_team_server ? m_team_server->next_timer() : time_point::max()});
         },
         [this](time_point now_due) { on_timer(now_due); });
     return listening;
@@ -113,6 +114,8 @@
     handlers.request_limit = [this](const request_limit_notice& notice) {
         m_hooks.request_limit(notice.target, {notice.per_second, steady_now() - notice.age});
     };
+    handlers.team_use_report = [this](const team_use& report) { on_team_use(report); };
+    handlers.team_limit_grant = [this](const team_grant& grant) { on_team_grant(grant); };
     handlers.identity = [this](const host_identity& identity) {
         m_control_hosts.on_identity(steady_now(), identity.member, identity.data_center);
     };
@@ -164,6 +167,7 @@
     carry_out(m_control->on_timer(now));
     m_registry->on_timer(now);
     m_crash_suspicions.on_timer(now);
+    announce_team_changes(now);
     carry_out(m_detector->on_timer(now, *m_registry));
     if (now >= m_directory_expired_at) {
         m_directory_expired_at = time_point::max();
@@ -333,6 +337,9 @@
 }
 
 void hosts_worker::finish_event() {
+    if (m_team_server && !leads_teams(steady_now())) {
+        m_team_server.reset();
+    }
     if (m_detector->isolated() != m_isolated) {
         m_isolated = m_detector->isolated();
         m_registry->on_isolation(steady_now(), m_isolated);
--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -39,10 +39,18 @@
     std::function<bool(broadcast_crash_suspicion)> crash_suspicion;
     std::function<bool(const crash_loss&)> quarantine;
     std::function<bool(target_incarnation, limit_statement)> request_limit;
-    std::function<std::uint64_t()> exchange_count; ///< exchanges with targets since the start
-    target_store* stored_targets = nullptr;        ///< targets kept across restarts; nullptr without a disk
+    std::function<bool(tamarack::team_grant)> team_grant; ///< an answer of the server of team limits
+    std::function<std::uint64_t()> exchange_count;        ///< exchanges with targets since the start
+    target_store* stored_targets = nullptr; ///< targets kept across restarts; nullptr without a disk
 };
 
+/** Rate limit of log lines about teams' states; many teams may change together. Metrics count every change.
+ */
+inline constexpr double team_lines_per_second = 10.0;
+inline constexpr double team_lines_burst = 100.0;
+/** Interval at which the server of team limits learns the number of hosts. */
+inline constexpr duration team_server_review_interval = 500ms;
+
 /** Time in which the update that a host is leaving reaches every host. */
 inline constexpr duration directory_margin = 2s;
 
@@ -113,6 +121,9 @@
     /** From any thread: reports to all other hosts what a target states about its request limit. */
     bool post_request_limit(broadcast_request_limit report);
 
+    /** From any thread: sends a report to the server of team limits, which may be this host. */
+    bool post_team_use(team_use report);
+
     /** From any thread: the seeds have changed in the settings. */
     bool post_seeds(std::vector<seed_host> seeds);
 
@@ -169,6 +180,15 @@
     void send_identity();
     void publish_load(time_point now);
 
+    /** @return whether this host may be the server of team limits */
+    bool leads_teams(time_point now) const;
+    void review_team_server(time_point now);
+    void on_team_use(const team_use& report);
+    void on_team_grant(const team_grant& grant);
+    void send_team_grant(const host_id& to, const team_grant& grant);
+    /** Announces and logs the changes of teams' states. */
+    void announce_team_changes(time_point now);
+
     void update_control_hosts();
     void query_peer(time_point now);
     void answer_peer(const configuration_inquiry& inquiry);
@@ -181,6 +201,11 @@
     std::map<host_id, host_record> m_seen_hosts; ///< as last reported by the detector
     std::unique_ptr<forwarding_inputs_builder> m_inputs_builder;
     load_reporter m_load_reporter;
+    std::unique_ptr<team_limit_server> m_team_server; ///< only while this host leads the control hosts
+    time_point m_team_server_review_at{};
+    ticket_number m_team_limits_ticket;                 ///< whose limits the server has
+    std::map<team_number, std::string> m_limited_teams; ///< names for the log
+    rate_limiter m_team_lines{team_lines_per_second, team_lines_burst};
     time_point m_next_periodic_work{};
     time_point m_next_inputs = time_point::max();
     std::uint64_t m_sent_generation = 0;
--- a/modules/tamarack_forwarding/engine/forwarding_actions.h
+++ b/modules/tamarack_forwarding/engine/forwarding_actions.h
@@ -127,11 +127,16 @@
     duration period{};  ///< since the previous report
 };
 
+/** Report to the server of team limits, which answers with a team_grant. */
+struct report_team_use {
+    team_use report;
+};
+
 /** What the caller of the engine has to do after an event, in order. */
-using forwarding_action =
-    std::variant<open_target_connection, close_target_connection, send_target_exchange, deliver_answer,
-                 target_changed, target_leaving, broadcast_crash_loss, crashing_content_found,
-                 crash_evidence_report, extra_load_report, request_limit_report, broadcast_request_limit>;
+using forwarding_action = std::variant<open_target_connection, close_target_connection, send_target_exchange,
+                                       deliver_answer, target_changed, target_leaving, broadcast_crash_loss,
+                                       crashing_content_found, crash_evidence_report, extra_load_report,
+                                       request_limit_report, broadcast_request_limit, report_team_use>;
 using forwarding_actions = std::vector<forwarding_action>;
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -58,6 +58,7 @@
     limit_reports, ///< the targets with a request limit are to be reported
     crash_reports, ///< losses are to be reported to other hosts
     lease,         ///< the lease stops confirming keys
+    team_limits,   ///< the use of limited teams is to be reported, or a request has waited for a token
 };
 
 struct due_item {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -39,6 +39,7 @@
         if (!core.deferred_requests.empty()) {
             flow.review_deferred();
         }
+        flow.admission().finish_event();
         core.ended.clear();
         return std::move(core.actions);
     }
@@ -54,6 +55,7 @@
     void on_leaving(const engine_target_pointer& target);
     void on_failure(engine_target& target);
     void on_due(const due_item& item);
+    void go_on(std::vector<admitted_request> requests);
     void on_abandoned_timeout(target_connection connection);
 };
 
@@ -74,6 +76,7 @@
         targets.update_services(*core.view);
     }
     targets.update_targets(*core.view);
+    flow.admission().on_view();
     if (new_routes) {
         flow.withdraw_keyed_requests(false);
     }
@@ -292,6 +295,9 @@
     case due_kind::limit_reports:
         limits.report_in_force();
         break;
+    case due_kind::team_limits:
+        go_on(flow.admission().on_timer());
+        break;
     case due_kind::lease:
         break; // review_key_lease has run before this event
     case due_kind::crash_reports:
@@ -300,6 +306,12 @@
     }
 }
 
+void forwarding_engine::implementation::go_on(std::vector<admitted_request> requests) {
+    for (admitted_request& item : requests) {
+        flow.on_admitted(std::move(item));
+    }
+}
+
 forwarding_engine::forwarding_engine(forwarding_options options, random_source random)
     : m_implementation(std::make_unique<implementation>(std::move(options), random)) {}
 
@@ -332,10 +344,17 @@
     return m_implementation->handle(now, [&] {
         if (forwarding_run* run = m_implementation->core.find_run(request)) {
             m_implementation->flow.on_caller_gone(*run);
+        } else {
+            m_implementation->flow.on_caller_gone(request);
         }
     });
 }
 
+forwarding_actions forwarding_engine::on_team_grant(time_point now, const team_grant& grant) {
+    return m_implementation->handle(
+        now, [&] { m_implementation->go_on(m_implementation->flow.admission().on_grant(grant)); });
+}
+
 forwarding_actions forwarding_engine::on_connected(time_point now, target_connection connection) {
     return m_implementation->handle(now, [&] { m_implementation->on_connected(connection); });
 }
@@ -381,7 +400,7 @@
 }
 
 std::size_t forwarding_engine::unanswered() const {
-    return m_implementation->core.runs.size();
+    return m_implementation->core.runs.size() + m_implementation->flow.admission().waiting();
 }
 
 forwarding_statistics forwarding_engine::statistics() const {
--- a/modules/tamarack_forwarding/engine/forwarding_engine.h
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.h
@@ -56,6 +56,8 @@
     /** Another host reported what a target states about its request limit. */
     forwarding_actions on_remote_request_limit(time_point now, const target_incarnation& target,
                                                const limit_statement& statement);
+    /** The server of team limits answered a report, or announced a change. */
+    forwarding_actions on_team_grant(time_point now, const team_grant& grant);
     /** A caller closed its connection before it was answered. */
     forwarding_actions on_caller_gone(time_point now, forward_number request);
     forwarding_actions on_connected(time_point now, target_connection connection);
--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -19,6 +19,14 @@
 
 void request_flow::on_arrival(forward_request request) {
     ++m_core.statistics.requests;
+    start(std::move(request), std::nullopt);
+}
+
+void request_flow::on_admitted(admitted_request waited) {
+    start(std::move(waited.request), waited.arrived);
+}
+
+void request_flow::start(forward_request request, std::optional<time_point> arrived) {
     if (!m_core.index) {
         m_answers.refuse_unrouted(std::move(request), forward_outcome::not_run,
                                   forward_reason::no_configuration, m_core.options.no_configuration_retry);
@@ -37,6 +45,9 @@
                                   other_host_may_serve ? m_core.options.no_lease_retry : duration{0});
         return;
     }
+    if (!arrived && m_admission.holds_back(request, *selected, caller)) {
+        return;
+    }
     const forward_number number = request.number;
     require_invariant(!m_core.runs.contains(number), "a request's number is used once");
     forwarding_run& run = *(m_core.runs[number] = std::make_unique<forwarding_run>());
@@ -50,8 +61,8 @@
     run.needs_lease = caller.needs_lease;
     run.priority =
         caller.holder != nullptr ? caller.holder->priority.value_or(selected->priority) : selected->priority;
-    run.arrived = m_core.now;
-    run.times = compute_request_times(*selected, m_core.now, run.request.remaining_time);
+    run.arrived = arrived.value_or(m_core.now);
+    run.times = compute_request_times(*selected, run.arrived, run.request.remaining_time);
     run.timing = &m_core.timing_of(*selected);
     run.trace.ticket = m_core.view->ticket;
     run.trace.route = selected->name;
--- a/modules/tamarack_forwarding/engine/request_flow.h
+++ b/modules/tamarack_forwarding/engine/request_flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request_answers.h"
+#include "team_admission.h"
 
 namespace tamarack {
 
@@ -8,9 +9,14 @@
 class request_flow {
 public:
     request_flow(forwarding_core& core, part_dispatcher& dispatcher)
-        : m_core(core), m_dispatcher(dispatcher), m_answers(core, dispatcher) {}
+        : m_core(core), m_dispatcher(dispatcher), m_answers(core, dispatcher), m_admission(core, m_answers) {}
 
     void on_arrival(forward_request request);
+    /** A request that waited for its team's limit goes on. */
+    void on_admitted(admitted_request waited);
+    /** The caller of a request that waits for its team's limit, or of one that has ended, has left. */
+    void on_caller_gone(forward_number number) { m_admission.cancel(number); }
+    team_admission& admission() { return m_admission; }
     void on_caller_gone(forwarding_run& run);
     /** A target replied to an exchange of a request. */
     void on_reply(forwarding_run& run, std::size_t part, target_connection connection, target_reply reply);
@@ -37,6 +43,10 @@
     forwarding_core& m_core;
     part_dispatcher& m_dispatcher;
     request_answers m_answers;
+    team_admission m_admission;
+
+    /** @param arrived  std::nullopt if the request arrives now and its team's limit is to be checked */
+    void start(forward_request request, std::optional<time_point> arrived);
 
     void make_parts(forwarding_run& run);
     bool can_be_covered(const forwarding_run& run) const;
--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -14,7 +14,7 @@
  * metered team, or one on a host that has just started, may have used its whole limit before; an open one has
  * used at most half of it. */
 constexpr double metered_slack_part = 1.0;
-constexpr double open_slack_part = 2.25;
+constexpr double open_slack_part = 1.5;
 /** Bounds of the delay after which a caller retries that was refused without the server's advice. */
 constexpr duration min_retry = 100ms;
 constexpr duration max_retry = 300ms;
@@ -47,7 +47,7 @@
     : m_self(std::move(self)), m_random(random), m_sequence(m_random.next() >> 12U), m_contact(now),
       m_cautious_until(now) {}
 
-void team_limit_client::set_limits(time_point /*now*/, const std::vector<team_limit>& limits) {
+void team_limit_client::set_limits(const std::vector<team_limit>& limits) {
     m_limits.clear();
     for (const team_limit& limit : limits) {
         if (limit.per_second > 0.0) {
@@ -106,7 +106,8 @@
         return {};
     }
     const double hosts = static_cast<double>(std::max<std::size_t>(m_hosts.size(), 1));
-    const double unanswered_allowed = std::max(std::floor(limit.slack() / hosts), 1.0);
+    // An open team's bucket is at least half full; what is not reported yet may use that and the slack.
+    const double unanswered_allowed = std::max(std::floor((limit.slack() + limit.burst / 2.0) / hosts), 1.0);
     if (!is_metered(now, held) && held.waiting.empty() && held.unanswered < unanswered_allowed) {
         admit(held);
         return {};
@@ -324,25 +325,29 @@
     return decisions;
 }
 
-time_point team_limit_client::report_due(time_point now) const {
-    if (m_limits.empty()) {
-        return time_point::max();
-    }
-    if (m_has_asks && m_attached) {
-        return m_asked + min_ask_interval;
+time_point team_limit_client::use_due(time_point now) const {
+    if (m_just_attached) {
+        return now; // the server counts this host as in contact only after this report
     }
     if (!m_attached) {
-        return m_reported + answer_time;
+        return m_sent_at + answer_time;
+    }
+    if (!m_has_news) {
+        return time_point::max();
     }
     const auto for_size =
         std::chrono::duration_cast<duration>(seconds{static_cast<double>(m_report_bytes) / bytes_per_second});
-    if (m_just_attached) {
-        return now; // the server counts this host as in contact only after this report
+    return m_reported + std::max(min_report_interval, for_size);
+}
+
+time_point team_limit_client::report_due(time_point now) const {
+    if (m_limits.empty()) {
+        return time_point::max();
     }
-    if (m_has_news) {
-        return m_reported + std::max(min_report_interval, for_size);
+    if (m_has_asks && m_attached) {
+        return m_asked + min_ask_interval;
     }
-    return std::max(m_reported + contact_interval, now);
+    return std::min(use_due(now), m_sent_at + contact_interval);
 }
 
 void team_limit_client::add_item(time_point now, team_use& report, team_number team, entry& held) const {
@@ -363,20 +368,25 @@
         return std::nullopt;
     }
     team_use report{m_self, ++m_sequence, m_attached, {}};
+    m_sent_at = now;
     if (m_has_asks && m_attached) {
         m_asked = now;
+        m_has_asks = false;
         for (const team_number team : m_waiting) {
             add_item(now, report, team, m_teams.at(team));
         }
-    } else {
+    } else if (now >= use_due(now)) {
         m_reported = now;
         m_has_news = false;
+        m_has_asks = false;
         m_just_attached = false;
         for (auto& [team, held] : m_teams) {
             add_item(now, report, team, held);
         }
+        m_report_bytes = report_bytes + item_bytes * report.items.size();
+    } else {
+        m_report_bytes += report_bytes;
     }
-    m_has_asks = false;
     if (now >= m_swept + idle_time) {
         m_swept = now;
         std::erase_if(m_teams, [now](const auto& item) {
--- a/modules/tamarack_teams/limits/team_limit_client.h
+++ b/modules/tamarack_teams/limits/team_limit_client.h
@@ -62,13 +62,15 @@
 class team_limit_client {
 public:
     /**
-     * @param now     start of this host
+     * @param now     start of this host; see start
      * @param random  for the numbers of reports and the spread of retries
      */
     team_limit_client(time_point now, host_id self, random_source random);
 
+    /** Sets the start of this host, if it was unknown at the construction. */
+    void start(time_point now) { m_contact = now; }
     /** Sets the limits of the ticket in force. A lowered limit applies at once. */
-    void set_limits(time_point now, const std::vector<team_limit>& limits);
+    void set_limits(const std::vector<team_limit>& limits);
     /** Sets the hosts that serve callers. Without contact, departed hosts still count. */
     void set_hosts(const std::vector<host_id>& hosts);
     /** @return whether any team has a limit */
@@ -91,20 +93,21 @@
     std::optional<team_use> take_report(time_point now);
     /** @return when on_timer and take_report are due */
     time_point next_timer(time_point now) const;
-    /** Sets the size of the last report as sent, in bytes, which determines when the next one is due. */
-    void on_sent(std::size_t bytes) { m_report_bytes = bytes; }
     bool attached() const { return m_attached; }
 
     /** A report without an answer for this time means that contact is lost. */
     static constexpr duration answer_time = 400ms;
     /** Interval of reports without news; see team_limit_server::contact_time. */
-    static constexpr duration contact_interval = 700ms;
+    static constexpr duration contact_interval = 1s;
     /** Shortest interval of reports that ask for no tokens. */
     static constexpr duration min_report_interval = 100ms;
     /** Requests for tokens of several requests are sent together at this interval. */
     static constexpr duration min_ask_interval = 5ms;
+    /** Size of a report on the network without items, and of an item; see encode_team_use. */
+    static constexpr std::size_t report_bytes = 250;
+    static constexpr std::size_t item_bytes = 15;
     /** Highest rate of reports that ask for no tokens. */
-    static constexpr double bytes_per_second = 900.0;
+    static constexpr double bytes_per_second = 750.0;
     /** Time without contact after which the server has reduced its refill by this host's part. */
     static constexpr duration static_share_after = 3'500ms;
     /** Time without contact after which the server gives this host's part to others. */
@@ -150,6 +153,8 @@
     void take_tokens(time_point now, entry& held, const team_use_item& asked, const team_grant_item& item,
                      time_point valid_until, std::vector<waited_decision>& decisions);
     time_point report_due(time_point now) const;
+    /** @return when a report of the use is due that asks for no tokens */
+    time_point use_due(time_point now) const;
     /** Adds what is to be reported about a team. */
     void add_item(time_point now, team_use& report, team_number team, entry& held) const;
 
@@ -165,9 +170,10 @@
     bool m_just_attached = false;
     time_point m_contact; ///< sending time of the latest answered report
     time_point m_cautious_until;
-    time_point m_reported;
+    time_point m_sent_at;  ///< of the latest report of any kind
+    time_point m_reported; ///< sending time of the latest report of the use
     time_point m_asked;
-    std::size_t m_report_bytes = 0;
+    std::size_t m_report_bytes = 0; ///< sent since then, that report included
     bool m_has_news = false;
     bool m_has_asks = false;
     std::set<team_number> m_waiting; ///< teams with waiting requests
--- a/modules/tamarack_teams/limits/team_limit_messages.cpp
+++ b/modules/tamarack_teams/limits/team_limit_messages.cpp
@@ -6,6 +6,13 @@
 
 namespace tamarack {
 
+namespace {
+
+/** Numbers of at most eight digits: a report of all teams has one for each. */
+constexpr std::uint64_t numbers = 1ULL << 24U;
+
+} // namespace
+
 std::vector<team_limit> number_teams(const std::vector<team>& teams) {
     std::vector<std::size_t> order(teams.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
@@ -14,9 +21,9 @@
     std::vector<team_limit> limits(teams.size());
     std::unordered_set<team_number> taken;
     for (const std::size_t index : order) {
-        auto number = static_cast<team_number>(stable_hash(teams[index].name));
+        auto number = static_cast<team_number>(stable_hash(teams[index].name) % numbers);
         while (!taken.insert(number).second) {
-            ++number;
+            number = (number + 1) % numbers;
         }
         limits[index] = {number, teams[index].requests_per_second, teams[index].burst};
     }
--- a/modules/tamarack_teams/limits/team_limit_server.h
+++ b/modules/tamarack_teams/limits/team_limit_server.h
@@ -47,9 +47,10 @@
     /**
      * @param now   beginning of this host's leadership
      * @param term  distinguishes this server from its predecessors; not 0
+     * @param predecessor  time until the lease of a predecessor has ended
      */
-    team_limit_server(time_point now, std::uint64_t term)
-        : m_term(term), m_ready_at(now + predecessor_time) {}
+    team_limit_server(time_point now, std::uint64_t term, duration predecessor = predecessor_time)
+        : m_term(term), m_ready_at(now + predecessor) {}
 
     /** Sets the limits of the current ticket. A lowered limit applies at once. */
     void set_limits(time_point now, const std::vector<team_limit>& limits);
@@ -66,10 +67,10 @@
     std::vector<team_state_change> take_changes();
     std::size_t teams() const { return m_buckets.size(); }
 
-    /** Longest validity of a predecessor's lease. */
+    /** Validity of a predecessor's lease, unless a deployment sets a longer one. */
     static constexpr duration predecessor_time = 3s;
     /** A host counts as in contact for this time after its report; hosts report more than twice as often. */
-    static constexpr duration contact_time = 1'500ms;
+    static constexpr duration contact_time = 2'200ms;
     /** A host that was silent for longer admits no share of the rate any more; it is given to the others. */
     static constexpr duration silence_forgotten_after = 25s;
     static constexpr duration token_validity = 500ms;
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 19> counters{{
+constexpr std::array<metric_description, 20> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -22,6 +22,8 @@
     {"tamarack_request_limit_steps_total", "Steps in what this host knows of targets' request limits.",
      "step"},
     {"tamarack_exchanges_under_limit_total", "Exchanges sent to targets while their limit was in force.", ""},
+    {"tamarack_team_state_changes_total", "Changes of teams between open and metered, on the leader.",
+     "state"},
     {"tamarack_announcements_total", "Announcements of targets received, by result.", "result"},
     {"tamarack_tickets_total", "Tickets received, by verdict.", "verdict"},
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -22,6 +22,7 @@
     target_anomalies_total,    ///< label: cause
     request_limit_steps_total, ///< label: step
     exchanges_under_limit_total,
+    team_state_changes_total, ///< label: state
     announcements_total,      ///< label: result
     tickets_total,            ///< label: verdict
     claims_total,             ///< label: verdict
--- a/tests/daemon/host_methods_test.cpp
+++ b/tests/daemon/host_methods_test.cpp
@@ -48,6 +48,8 @@
     handlers.membership = [](const membership_message&) {};
     handlers.quarantine = [](const quarantine_notice&) {};
     handlers.request_limit = [](const request_limit_notice&) {};
+    handlers.team_use_report = [](const team_use&) {};
+    handlers.team_limit_grant = [](const team_grant&) {};
     handlers.identity = [](const host_identity&) {};
     handlers.inquiry = [](const configuration_inquiry&) {};
     handlers.unreadable = [](const std::string&, const error&) {};
@@ -63,13 +65,15 @@
     handlers.membership = [](const membership_message&) { FAIL(); };
     handlers.quarantine = [](const quarantine_notice&) { FAIL(); };
     handlers.request_limit = [](const request_limit_notice&) { FAIL(); };
+    handlers.team_use_report = [](const team_use&) { FAIL(); };
+    handlers.team_limit_grant = [](const team_grant&) { FAIL(); };
     handlers.identity = [](const host_identity&) { FAIL(); };
     handlers.inquiry = [](const configuration_inquiry&) { FAIL(); };
     handlers.unreadable = [&](const std::string& method, const error&) { unreadable.push_back(method); };
     register_host_methods(dispatcher, handlers);
     const std::vector<std::string> methods{raft_method,       control_method,       membership_method,
                                            quarantine_method, request_limit_method, identity_method,
-                                           inquiry_method};
+                                           inquiry_method,    team_use_method,      team_grant_method};
     for (const std::string& method : methods) {
         dispatcher.dispatch(R"({"jsonrpc":"2.0","method":")" + method + R"(","params":{"life":"x"}})");
     }
--- a/tests/teams/team_limit_site.h
+++ b/tests/teams/team_limit_site.h
@@ -43,13 +43,13 @@
         m_clients[host] =
             std::make_unique<team_limit_client>(now, m_names[host], random_source{m_random.next()});
         m_clients[host]->set_hosts(m_names);
-        m_clients[host]->set_limits(now, limits);
+        m_clients[host]->set_limits(limits);
     }
     void set_limits(const std::vector<team_limit>& wanted, const std::function<bool(std::size_t)>& reached) {
         limits = wanted;
         for (std::size_t host = 0; host < hosts(); ++host) {
             if (reached(host)) {
-                m_clients[host]->set_limits(now, limits);
+                m_clients[host]->set_limits(limits);
                 if (m_servers.contains(host)) {
                     m_servers[host]->set_limits(now, limits);
                 }
@@ -164,7 +164,6 @@
             return;
         }
         const std::size_t to = leader->second;
-        m_clients[host]->on_sent(150 + 14 * due->items.size());
         send(host, to, [this, host, to, use = *due] {
             if (!m_servers.contains(to)) {
                 return;
