--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -60,6 +60,7 @@
     crash_reports, ///< losses are to be reported to other hosts
     lease,         ///< the lease stops confirming keys
     warmup,        ///< a cold target becomes warm
+    team_limits,   ///< the use of limited teams is to be reported, or a request has waited for a token
 };
 
 struct due_item {
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -25,6 +25,7 @@
     exchanges_under_limit_total,
     exchanges_by_distance_total, ///< label: distance
     locality_steps_total,        ///< label: step
+    team_state_changes_total,    ///< label: state
     announcements_total,         ///< label: result
     tickets_total,               ///< label: verdict
     claims_total,                ///< label: verdict
