--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -384,8 +384,6 @@
             add_item(now, report, team, held);
         }
         m_report_bytes = report_bytes + item_bytes * report.items.size();
-    } else {
-        m_report_bytes += report_bytes;
     }
     if (now >= m_swept + idle_time) {
         m_swept = now;
--- a/modules/tamarack_teams/limits/team_limit_client.h
+++ b/modules/tamarack_teams/limits/team_limit_client.h
@@ -173,7 +173,7 @@
     time_point m_sent_at;  ///< of the latest report of any kind
     time_point m_reported; ///< sending time of the latest report of the use
     time_point m_asked;
-    std::size_t m_report_bytes = 0; ///< sent since then, that report included
+    std::size_t m_report_bytes = 0; ///< size of that report
     bool m_has_news = false;
     bool m_has_asks = false;
     std::set<team_number> m_waiting; ///< teams with waiting requests
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -202,6 +202,9 @@
     request.fields["host"] = authority;
     request.fields["x-tamarackstand-request-id"] = "r" + std::to_string(m_next_request++);
     request.fields["x-tamarackstand-deadline-ms"] = std::to_string(deadline_ms);
+    if (!m_key.empty()) {
+        request.fields["authorization"] = "Bearer " + m_key;
+    }
     if (m_services_of) {
         const std::lock_guard lock{m_records};
         for (const std::string& service : m_services_of(path)) {
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -101,6 +101,8 @@
 
     /** Sets that a removed key may be used on no host after some time. Call before the hosts are started. */
     void revoke_keys_everywhere() { m_revokes_keys_everywhere = true; }
+    /** Sets the key that callers state. Call before the first request. */
+    void use_key(std::string key) { m_key = std::move(key); }
     void start_host(std::size_t host);
     void start_all();
     void kill_host(std::size_t host) { m_processes.kill(name_of(host)); }
@@ -211,6 +213,7 @@
     std::map<std::string, std::unique_ptr<stand_in_replica>> m_replicas;
     bool m_first_start = true;
     bool m_revokes_keys_everywhere = false;
+    std::string m_key; ///< empty: callers state none
     std::atomic<unsigned> m_next_request{1};
     std::atomic<unsigned> m_crashes{0};
     std::mutex m_records; ///< guards the records below: replicas and callers run on several threads
