--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -152,6 +152,8 @@
     std::optional<plain_response> request(std::size_t host, const std::string& authority,
                                           const std::string& path, int deadline_ms = 2'000,
                                           testing_support::persistent_connection* connection = nullptr);
+    /** Sets the key that callers state. Call before the first request. */
+    void use_key(const std::string& key) { set_caller_fields({{"authorization", "Bearer " + key}}); }
     /** Sets header fields that all later requests of callers carry. */
     void set_caller_fields(testing_support::header_fields fields) { m_caller_fields = std::move(fields); }
     /** Sets the function that returns the services that a path is counted for. Call before the first request.
