Back off from targets that reset new connections

Ruled out: waiting after failed attempts only (the reset comes after the connection is open); counting every lost connection without a reply (targets that lose replies would get fewer connections). Change: placement/connection_backoff remembers what a target served, asks for one more after a delay that doubles to 10 s (1.6 s without any connection), and grows by one with each served connection; the mechanism connection_backoff switches it off. Targets that accept all connections see no change.

--- a/modules/tamarack_forwarding/engine/forwarding_core.h
+++ b/modules/tamarack_forwarding/engine/forwarding_core.h
@@ -35,6 +35,8 @@
     std::size_t part = 0;
     std::size_t last_request_hash = 0;  ///< of the id of its latest exchange's request
     time_point since;                   ///< start of the phase
+    time_point opened_at{};             ///< when it was connected
+    bool has_replied = false;           ///< whether the target has replied on it
     std::optional<duration> idle_limit; ///< as the target last stated
     duration median_time{};             ///< of the route's exchanges, when its exchange was sent
     duration late_after{};              ///< running time after which its exchange is late
--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -95,10 +95,11 @@
     const engine_target_pointer target = held.target;
     --target->opening;
     --core.opening;
-    target->failed_opens = 0;
+    target->openings.on_connected();
     core.crashes.on_target_reachable(incarnation_of(target->info), held.since);
     held.phase = connection_phase::idle;
     held.since = core.now;
+    held.opened_at = core.now;
     target->idle.push_back(connection);
     if (core.crashes.awaits_check(incarnation_of(target->info))) {
         dispatcher.keep_warm();
@@ -117,9 +118,9 @@
     }
     const engine_connection held = found->second;
     dispatcher.forget(connection);
+    dispatcher.on_lost(held);
     if (held.phase == connection_phase::opening) {
         on_failure(*held.target);
-        dispatcher.on_open_failed(*held.target);
     } else if (held.phase != connection_phase::idle) {
         on_failure(*held.target);
     }
@@ -207,6 +208,10 @@
         return;
     }
     const engine_target_pointer target = held.target;
+    if (!std::exchange(held.has_replied, true)) {
+        target->openings.on_served(core.now, target->connections(), core.connections_allowed(*target),
+                                   core.options.first_reopen_delay);
+    }
     const bool wanted = held.phase == connection_phase::busy;
     const forward_number request = held.request;
     const std::size_t part = held.part;
--- a/modules/tamarack_forwarding/engine/part_dispatcher.cpp
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.cpp
@@ -13,7 +13,6 @@
 
 /** An idle connection is used only up to this fraction of the idle time after which its target closes it. */
 constexpr double idle_share = 0.7;
-constexpr std::uint32_t max_open_doublings = 4;
 
 std::size_t hash_of(const request_id& request) {
     return std::hash<std::string>{}(request.value());
@@ -308,10 +307,11 @@
     m_core.connections.erase(found);
 }
 
-bool part_dispatcher::may_open(const engine_target& target) const {
-    return target.is_available(m_core.now) && target.limit.allows(m_core.now) && target.service != nullptr &&
-           target.opening == 0 && m_core.now >= target.open_after &&
-           m_core.opening < m_core.options.max_opening &&
+bool part_dispatcher::may_open(const engine_target& target, bool is_check) const {
+    const bool in_time = is_check ? target.openings.may_check(m_core.now)
+                                  : target.openings.may_open(m_core.now, target.connections());
+    return in_time && target.is_available(m_core.now) && target.limit.allows(m_core.now) &&
+           target.service != nullptr && target.opening == 0 && m_core.opening < m_core.options.max_opening &&
            target.connections() < m_core.connections_allowed(target);
 }
 
@@ -357,10 +357,10 @@
             if (!target->is_available(m_core.now) || target->connections() >= wanted) {
                 continue;
             }
-            if (may_open(*target)) {
+            if (may_open(*target, check)) {
                 open(target);
-            } else if (m_core.now < target->open_after) {
-                next = std::min(next, target->open_after);
+            } else if (m_core.now < target->openings.opens_at()) {
+                next = std::min(next, target->openings.opens_at());
             } else {
                 postponed = true;
             }
@@ -375,12 +375,28 @@
     }
 }
 
-void part_dispatcher::on_open_failed(engine_target& target) {
-    const std::uint32_t doublings = std::min(target.failed_opens, max_open_doublings);
-    ++target.failed_opens;
-    ++m_core.statistics.connections_failed;
-    target.open_after = m_core.now + m_core.options.first_reopen_delay * (1U << doublings);
-    m_core.schedule(target.open_after, due_kind::warming, 0);
+void part_dispatcher::on_lost(const engine_connection& lost) {
+    engine_target& target = *lost.target;
+    const duration first_delay = m_core.options.first_reopen_delay;
+    const bool backs_off = m_core.uses(forwarding_mechanism::connection_backoff);
+    const std::size_t held = target.connections();
+    const time_point before = target.openings.opens_at();
+    if (lost.phase == connection_phase::opening) {
+        ++m_core.statistics.connections_failed;
+        target.openings.on_unreachable(m_core.now, first_delay);
+        if (backs_off && held > 0) {
+            target.openings.on_refused(m_core.now, held, first_delay, m_core.random);
+        }
+    } else if (backs_off && lost.has_replied) {
+        if (lost.phase != connection_phase::idle) {
+            target.openings.on_served_connection_lost(m_core.now);
+        }
+    } else if (backs_off && m_core.now - lost.opened_at <= refusal_time) {
+        target.openings.on_refused(m_core.now, held, first_delay, m_core.random);
+    }
+    if (target.openings.opens_at() != before) {
+        m_core.schedule(target.openings.opens_at(), due_kind::warming, 0);
+    }
 }
 
 } // namespace tamarack
--- a/modules/tamarack_forwarding/engine/part_dispatcher.h
+++ b/modules/tamarack_forwarding/engine/part_dispatcher.h
@@ -55,8 +55,8 @@
     void keep_warm();
     /** Sets a timer for the parts that wait until a request limit allows an exchange. */
     void await_limits(const engine_service& service);
-    /** Handles a failed connection attempt. */
-    void on_open_failed(engine_target& target);
+    /** Updates the backoff of a target after a connection to it, which is already removed, was lost. */
+    void on_lost(const engine_connection& lost);
 
 private:
     forwarding_core& m_core;
@@ -80,7 +80,8 @@
      * @return 0 if there is none
      */
     target_connection take_idle(engine_target& target, const request_id& request);
-    bool may_open(const engine_target& target) const;
+    /** @param is_check  whether to find out if the target is reachable */
+    bool may_open(const engine_target& target, bool is_check = false) const;
     void open(const engine_target_pointer& target);
     /** Opens a connection for a part. @param only_near  only to a target in this data centre */
     void open_for(const engine_service& service, const run_part& part, bool only_near);
--- a/modules/tamarack_forwarding/tamarack_forwarding.h
+++ b/modules/tamarack_forwarding/tamarack_forwarding.h
@@ -40,6 +40,7 @@
 #include "locality/locality_controller.h"
 #include "locality/observed_side.h"
 #include "placement/abandoned_exchange.h"
+#include "placement/connection_backoff.h"
 #include "placement/connection_share.h"
 #include "placement/placement.h"
 #include "timing/exchange_timing.h"
--- a/modules/tamarack_forwarding/targets/engine_target.h
+++ b/modules/tamarack_forwarding/targets/engine_target.h
@@ -5,6 +5,7 @@
 #include "../limits/request_limit.h"
 #include "../locality/locality_controller.h"
 #include "../payload/target_exchange.h"
+#include "../placement/connection_backoff.h"
 #include "../view/forwarding_view.h"
 #include "../withheld/target_backoff.h"
 
@@ -29,9 +30,8 @@
     engine_service* service = nullptr; ///< valid while the target is usable
     std::vector<target_connection> idle;
     std::size_t opening = 0;
-    std::size_t busy = 0;    ///< connections that carry an exchange, abandoned ones included
-    time_point open_after{}; ///< earliest time of the next connection attempt, after a failed one
-    std::uint32_t failed_opens = 0;
+    std::size_t busy = 0;        ///< connections that carry an exchange, abandoned ones included
+    connection_backoff openings; ///< after failed attempts and refused connections
     std::optional<target_load> load;
     time_point load_at{};
     std::uint32_t sent_since_load = 0;
--- a/tests/forwarding/forwarding_world.cpp
+++ b/tests/forwarding/forwarding_world.cpp
@@ -311,10 +311,8 @@
     } else if (down) {
         lose_connection(host, incarnation, connection, 2 * one_way);
     } else {
-        schedule(m_now + 2 * one_way + handshake, [this, host, connection, incarnation] {
-            if (has_connection(host, incarnation, connection)) {
-                carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
-            }
+        schedule(m_now + 2 * one_way + handshake, [this, host, connection, incarnation, id = open.target] {
+            accept_connection(host, incarnation, connection, id);
         });
     }
 }
--- a/tests/forwarding/forwarding_world.h
+++ b/tests/forwarding/forwarding_world.h
@@ -26,8 +26,11 @@
     std::size_t slots = 2;
     std::size_t queue = 12; ///< limit on waiting exchanges; further ones are refused as not run
     std::size_t connections = 26;
-    duration pause{0};       ///< length of its periodic pauses
-    duration pause_every{0}; ///< period of the pauses; zero: none
+    std::size_t accepted =
+        0; ///< connections beyond this number are reset once they are open; 0: all accepted
+    std::size_t accepted_with_queue = 0; ///< the same while more exchanges wait than it has slots
+    duration pause{0};                   ///< length of its periodic pauses
+    duration pause_every{0};             ///< period of the pauses; zero: none
     duration pause_phase{0};
     double slow = 1.0;                   ///< factor on the time of its work
     double failure_share = 0.0;          ///< share of exchanges that fail
@@ -127,6 +130,8 @@
     std::size_t max_connections(const std::string& id) const {
         return m_targets.at(target_id{id}).max_connections;
     }
+    /** @return connections that targets reset as beyond their limit */
+    std::size_t resets() const { return m_resets; }
     std::size_t runs_of(const std::string& request, const std::string& service) const;
     const std::vector<std::string>& violations() const { return m_violations; }
     /**
@@ -214,6 +219,8 @@
     void crash_target(const target_id& id);
     void lose_connection(std::size_t host, std::size_t incarnation, target_connection connection,
                          duration after);
+    void accept_connection(std::size_t host, std::size_t incarnation, target_connection connection,
+                           const target_id& id);
     void open_connection(std::size_t host, const open_target_connection& open);
     void report_losses(std::size_t from, std::size_t to);
     void report_limit(std::size_t from, const broadcast_request_limit& report);
@@ -251,6 +258,7 @@
     std::uint64_t m_next_event_order = 0;
     time_point m_paused_until{};
     duration m_distance{0};
+    std::size_t m_resets = 0;
     std::vector<world_locality_change> m_locality_changes;
     bool m_partitioned = false;
     bool m_limit_reports_lost = false;
--- a/tests/forwarding/forwarding_world_targets.cpp
+++ b/tests/forwarding/forwarding_world_targets.cpp
@@ -101,6 +101,23 @@
     }
 }
 
+/** A target resets a connection beyond its limit after it is open, with the first data that it would read. */
+void forwarding_world::accept_connection(std::size_t host, std::size_t incarnation,
+                                         target_connection connection, const target_id& id) {
+    if (!has_connection(host, incarnation, connection)) {
+        return;
+    }
+    const simulated_target& target = m_targets.at(id);
+    const bool has_queue = target.waiting.size() > target.behaviour.slots;
+    const std::size_t limit = has_queue ? target.behaviour.accepted_with_queue : target.behaviour.accepted;
+    const bool resets = limit > 0 && target.open_connections > limit;
+    carry_out(host, m_hosts[host].engine->on_connected(m_now, connection));
+    if (resets) {
+        ++m_resets;
+        lose_connection(host, incarnation, connection, one_way);
+    }
+}
+
 duration forwarding_world::delay_between(std::size_t host, const target_id& id) const {
     const bool far = m_hosts[host].data_center != m_targets.at(id).behaviour.info.data_center;
     return far ? one_way + m_distance : one_way;
