Test that a request of which bytes were sent is never taken for unsent

Cause: the answer not_run is a promise, and only one way in which a request reaches a target was tested.

--- a/tests/transport/unsent_request_test.cpp
+++ b/tests/transport/unsent_request_test.cpp
@@ -53,18 +53,29 @@
 
 INSTANTIATE_TEST_SUITE_P(ends, unsent_request, testing::Values(idle_end::closed, idle_end::reset));
 
-/** Guards against the opposite: a request that a server has read is reported as not sent. */
-TEST(sent_request, is_never_reported_as_unsent) {
-    testing_support::loopback_server server{[&](tcp::acceptor& acceptor) {
+/** @return the end of a connection that the server resets once bytes of a request have arrived */
+std::optional<connection_end> end_after_arrival(bool reads, std::size_t body_bytes) {
+    testing_support::loopback_server server{[reads](tcp::acceptor& acceptor) {
         tcp::socket socket = acceptor.accept();
-        EXPECT_TRUE(testing_support::read_request(socket));
+        socket.wait(tcp::socket::wait_read);
+        EXPECT_TRUE(!reads || testing_support::read_request(socket));
         socket.set_option(boost::asio::socket_base::linger{true, 0});
     }};
     waiting_client client{server.address()};
-    EXPECT_FALSE(client.call());
-    const auto end = client.end_within(waiting_client::event_limit);
-    ASSERT_TRUE(end);
-    EXPECT_NE(*end, connection_end::request_unsent);
+    EXPECT_FALSE(client.call([] {}, body_bytes));
+    return client.end_within(waiting_client::event_limit);
+}
+
+/** Guards against the opposite: a request of which the server has got bytes is reported as not sent. */
+TEST(sent_request, is_never_reported_as_unsent) {
+    constexpr std::size_t more_than_buffers_hold = 32 * mebibyte;
+    for (const std::size_t body_bytes : {std::size_t{0}, more_than_buffers_hold}) {
+        for (const bool reads : {false, true}) {
+            const auto end = end_after_arrival(reads, body_bytes);
+            ASSERT_TRUE(end);
+            EXPECT_NE(*end, connection_end::request_unsent) << body_bytes << (reads ? " read" : " unread");
+        }
+    }
 }
 
 } // namespace
--- a/tests/transport/waiting_client.h
+++ b/tests/transport/waiting_client.h
@@ -41,16 +41,19 @@
     waiting_client& operator=(waiting_client&&) = delete;
 
     /**
-     * @param before  runs on the connection's thread, right before the request is sent
+     * @param before      runs on the connection's thread, right before the request is sent
+     * @param body_bytes  size of the request's body
      * @return the response to a request, if it came before the connection ended
      */
-    std::optional<http_response> call(const std::function<void()>& before = [] {}) {
+    std::optional<http_response> call(
+        const std::function<void()>& before = [] {}, std::size_t body_bytes = 0) {
         auto response = std::make_shared<std::promise<http_response>>();
         auto received = response->get_future();
-        run([this, response, &before] {
+        run([this, response, &before, body_bytes] {
             before();
             http_request request;
             request.target = "/";
+            request.body.assign(body_bytes, 'x');
             m_connection->send(request,
                                [response](const http_response& message) { response->set_value(message); });
         });
