--- a/modules/tamarack_settings/model/forwarding_mechanism.h
+++ b/modules/tamarack_settings/model/forwarding_mechanism.h
@@ -16,22 +16,6 @@
     hedges,
     retries,
     ejection,
-    stall_detection,   ///< avoids targets that hold an exchange for too long
-    load_reports,      ///< uses the load that targets report
-    speed_estimate,    ///< avoids slow targets
-    error_share,       ///< avoids targets that fail part of their exchanges
-    cold_targets,      ///< avoids targets that have just started
-    near_targets,      ///< prefers targets in the host's own data centre
-    wait_order,        ///< orders waiting parts by priority and objective, not by arrival
-    part_dropping,     ///< leaves out overloaded shards
-    admission_by_wait, ///< refuses requests that would wait too long
-    gradual_return,    ///< returns to a target step by step after its backoff
-    warm_connections,  ///< opens connections before they are needed
-    active_subset,     ///< directs callers to a part of the hosts
-    locality,          ///< adapts the fraction that leaves the data centre; only with `locality = adaptive`
-    work_cancellation, ///< closes connections whose exchange waits at a target for nothing
-    team_fairness,     ///< shares scarce capacity between teams
-    return_pacing,     ///< spreads the return of refused callers
     stall_detection,    ///< avoids targets that hold an exchange for too long
     load_reports,       ///< uses the load that targets report
     speed_estimate,     ///< avoids slow targets
@@ -47,6 +31,8 @@
     locality,           ///< adapts the fraction that leaves the data centre; only with `locality = adaptive`
     connection_backoff, ///< after a reset of a new connection, asks the target for fewer, and later
     work_cancellation,  ///< closes connections whose exchange waits at a target for nothing
+    team_fairness,      ///< shares scarce capacity between teams
+    return_pacing,      ///< spreads the return of refused callers
 };
 
 template <>
