Take the tolerance of teams' limits from the settings

Cause: the tolerated excess over a team's limit (window, fraction, further requests) stood in the code, while each deployment states its own. Change: [teams] limit_window, limit_overage and limit_slack, rendered from the deployment's bounds; the time after which removed keys are refused moves to a section [keys] of its own, as both are optional.

--- a/apps/tamarackd/forwarding/forwarding_worker.cpp
+++ b/apps/tamarackd/forwarding/forwarding_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "../server_limits.h"
 #include "../system_random.h"
+#include "../team_tolerance.h"
 
 #include <algorithm>
 #include <utility>
@@ -36,6 +37,7 @@
     const duration revocation = host_settings.teams.revocation_time;
     const auto key_lease = std::chrono::duration_cast<duration>(key_lease_share * revocation);
     options.keys_need_lease = revocation > duration{0};
+    options.team_tolerance = team_tolerance_of(host_settings);
     options.key_lease_margin = std::max(host_settings.times.lease_length - key_lease, duration{0});
     return options;
 }
--- a/apps/tamarackd/hosts/hosts_worker_teams.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_teams.cpp
@@ -1,4 +1,5 @@
 #include "../system_random.h"
+#include "../team_tolerance.h"
 #include "hosts_worker.h"
 
 #include <algorithm>
@@ -43,7 +44,7 @@
         m_limited_teams.clear();
         std::vector<team_limit> limits;
         if (current.routes) {
-            limits = number_teams(current.routes->teams);
+            limits = number_teams(current.routes->teams, team_tolerance_of(m_settings));
             for (std::size_t index = 0; index < limits.size(); ++index) {
                 m_limited_teams[limits[index].team] = current.routes->teams[index].name;
             }
--- a/modules/tamarack_forwarding/engine/forwarding_options.h
+++ b/modules/tamarack_forwarding/engine/forwarding_options.h
@@ -37,6 +37,7 @@
     /** Requests with a key are sent only under a lease from the control hosts. */
     bool keys_need_lease = false;
     duration key_lease_margin{0};   ///< a lease confirms keys until this long before its end
+    limit_tolerance team_tolerance; ///< by how much teams may exceed their limits
     duration no_lease_retry = 20ms; ///< another host can serve the request at once
     locality_mode locality = locality_mode::fixed;
     mechanisms_in_use mechanisms;
--- a/modules/tamarack_forwarding/engine/team_admission.cpp
+++ b/modules/tamarack_forwarding/engine/team_admission.cpp
@@ -26,7 +26,7 @@
     }
     if (view.routes && view.routes != m_table) {
         m_table = view.routes;
-        m_limits = number_teams(m_table->teams);
+        m_limits = number_teams(m_table->teams, m_core.options.team_tolerance);
         m_client.set_limits(m_limits);
     }
     if (view.limit_hosts) {
--- a/modules/tamarack_settings/model/settings.h
+++ b/modules/tamarack_settings/model/settings.h
@@ -125,6 +125,9 @@
     /** Time after the acceptance of a ticket that removes a key, after which the key may not be used on any
      * host. Zero: a host that is cut off goes on accepting the keys it knows. */
     duration revocation_time{0};
+    duration limit_window = 5s; ///< period over which the requests of a team are counted
+    double limit_overage = 0.1; ///< tolerated excess over a team's limit, as a fraction of it
+    double limit_slack = 20.0;  ///< further tolerated requests in each window
 };
 
 /** All settings of one daemon, validated. */
--- a/modules/tamarack_settings/parsing/section_readers.cpp
+++ b/modules/tamarack_settings/parsing/section_readers.cpp
@@ -310,14 +310,33 @@
 }
 
 void read_teams(settings_source& source, team_settings& into) {
-    const auto text = source.find("teams", "revocation_time");
-    if (!text) {
-        return;
+    if (const auto text = source.find("keys", "revocation_time")) {
+        if (const auto value = parse_duration(*text); value && *value >= 1s && *value <= 10min) {
+            into.revocation_time = *value;
+        } else {
+            source.report("keys", "revocation_time", "1s to 10min");
+        }
     }
-    if (const auto value = parse_duration(*text); value && *value >= 1s && *value <= 10min) {
-        into.revocation_time = *value;
-    } else {
-        source.report("teams", "revocation_time", "1s to 10min");
+    if (const auto text = source.find("teams", "limit_window")) {
+        if (const auto value = parse_duration(*text); value && *value >= 1s && *value <= 10min) {
+            into.limit_window = *value;
+        } else {
+            source.report("teams", "limit_window", "1s to 10min");
+        }
+    }
+    if (const auto text = source.find("teams", "limit_overage")) {
+        if (const auto value = parse_real(*text); value && *value >= 0.0 && *value <= 1.0) {
+            into.limit_overage = *value;
+        } else {
+            source.report("teams", "limit_overage", "0 to 1");
+        }
+    }
+    if (const auto text = source.find("teams", "limit_slack")) {
+        if (const auto value = parse_real(*text); value && *value >= 0.0 && *value <= max_extra_allowance) {
+            into.limit_slack = *value;
+        } else {
+            source.report("teams", "limit_slack", "0 to 1000000");
+        }
     }
 }
 
--- a/modules/tamarack_settings/parsing/section_readers.h
+++ b/modules/tamarack_settings/parsing/section_readers.h
@@ -27,7 +27,7 @@
 void read_forwarding(settings_source& source, forwarding_settings& into);
 void read_ablation(settings_source& source, mechanisms_in_use& into);
 
-/** Reads `[teams]`. */
+/** Reads `[keys]` and `[teams]`. */
 void read_teams(settings_source& source, team_settings& into);
 
 /** Reads `[times]`. */
--- a/modules/tamarack_teams/limits/team_limit_messages.cpp
+++ b/modules/tamarack_teams/limits/team_limit_messages.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-std::vector<team_limit> number_teams(const std::vector<team>& teams) {
+std::vector<team_limit> number_teams(const std::vector<team>& teams, const limit_tolerance& tolerance) {
     std::vector<std::size_t> order(teams.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::sort(order.begin(), order.end(),
@@ -25,7 +25,7 @@
         while (!taken.insert(number).second) {
             number = (number + 1) % numbers;
         }
-        limits[index] = {number, teams[index].requests_per_second, teams[index].burst};
+        limits[index] = {number, teams[index].requests_per_second, teams[index].burst, tolerance};
     }
     return limits;
 }
--- a/modules/tamarack_teams/limits/team_limit_messages.h
+++ b/modules/tamarack_teams/limits/team_limit_messages.h
@@ -2,6 +2,7 @@
 
 #include <tamarack_tickets/tamarack_tickets.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -11,18 +12,33 @@
 /** Short number of a team in messages; computed from its name, so that it survives changes of the ticket. */
 using team_number = std::uint32_t;
 
+/** By how much the requests of a team may exceed its limit, since no host knows at once what the others
+ * admit. */
+struct limit_tolerance {
+    double window_seconds = 5.0; ///< period over which the requests are counted
+    double overage = 0.1;        ///< as a fraction of what the limit allows in the window
+    double slack = 20.0;         ///< further requests in the window
+
+    bool operator==(const limit_tolerance&) const = default;
+};
+
 /** Limit of a team over all hosts. */
 struct team_limit {
     team_number team = 0;
     double per_second = 0.0; ///< 0 means no limit
     double burst = 0.0;
+    limit_tolerance tolerance;
 
     bool operator==(const team_limit&) const = default;
 
-    /** Period over which use is compared with the limit. */
-    static constexpr double window_seconds = 5.0;
-    /** @return requests in any window beyond rate and burst that the bound tolerates */
-    double slack() const { return 0.1 * (window_seconds * per_second + burst) + 20.0; }
+    /** Period over which a host counts what it admits beyond the tokens that it was granted. */
+    static constexpr double counted_seconds = 5.0;
+    /** @return requests in any counted period beyond rate and burst that the tolerance allows */
+    double slack() const {
+        const double allowed = tolerance.window_seconds * per_second + burst;
+        return (tolerance.overage * allowed + tolerance.slack) *
+               std::min(1.0, counted_seconds / tolerance.window_seconds);
+    }
 };
 
 /**
@@ -32,7 +48,7 @@
  *
  * @return limits in the order of `teams`
  */
-std::vector<team_limit> number_teams(const std::vector<team>& teams);
+std::vector<team_limit> number_teams(const std::vector<team>& teams, const limit_tolerance& tolerance = {});
 
 /** What a host reports about one team: changes since its previous report. */
 struct team_use_item {
--- a/tests/platform_integration/platform_deployment.cpp
+++ b/tests/platform_integration/platform_deployment.cpp
@@ -114,6 +114,7 @@
     }
     resolve_section(text, "data-dir", has_disk);
     resolve_section(text, "bounds.strict-revocation", m_revokes_keys_everywhere);
+    resolve_section(text, "bounds.quota-window-s", false);
     resolve_section(text, "bounds.evacuation-ms", m_evacuates_data_centers);
     render_table(text, "zones", {"zone-0", "zone-1", "zone-2"});
     replace_placeholder(text, "bounds.revoke-ms", revocation_milliseconds);
