--- a/modules/tamarack_forwarding/engine/team_admission.cpp
+++ b/modules/tamarack_forwarding/engine/team_admission.cpp
@@ -78,7 +78,7 @@
     return carry_out(m_client.on_timer(m_core.now));
 }
 
-std::vector<admitted_request> team_admission::carry_out(std::vector<waited_decision> decisions) {
+std::vector<admitted_request> team_admission::carry_out(const std::vector<waited_decision>& decisions) {
     std::vector<admitted_request> admitted;
     for (const waited_decision& made : decisions) {
         const auto found = m_waiting.find(made.request);
--- a/modules/tamarack_forwarding/engine/team_admission.h
+++ b/modules/tamarack_forwarding/engine/team_admission.h
@@ -45,7 +45,7 @@
         team_number team = 0;
     };
 
-    std::vector<admitted_request> carry_out(std::vector<waited_decision> decisions);
+    std::vector<admitted_request> carry_out(const std::vector<waited_decision>& decisions);
     void refuse(forward_request request, duration retry_after);
 
     forwarding_core& m_core;
--- a/tests/teams/team_limit_test.cpp
+++ b/tests/teams/team_limit_test.cpp
@@ -19,39 +19,39 @@
 /** 10 teams that stay far below the smallest limit in use, at 78 hosts in contact with a server. */
 class team_limits : public ::testing::TestWithParam<std::uint64_t> {
 protected:
-    team_limit_site site{78, GetParam()};
+    team_limit_site m_site{78, GetParam()};
 
     void start(std::size_t teams = 10, double rate = 1.5, double limit = 7.0) {
-        site.set_limits(teams_of(teams, limit));
+        m_site.set_limits(teams_of(teams, limit));
         offer(rate);
-        site.lead(0, 0);
-        site.run(10s);
+        m_site.lead(0, 0);
+        m_site.run(10s);
     }
     void offer(double rate) {
-        for (const team_limit& limit : site.limits) {
-            site.offered[limit.team] = rate;
+        for (const team_limit& limit : m_site.limits) {
+            m_site.offered[limit.team] = rate;
         }
     }
     std::size_t refused() const {
         std::size_t sum = 0;
-        for (const auto& [team, counts] : site.seen) {
+        for (const auto& [team, counts] : m_site.seen) {
             sum += counts.refused;
         }
         return sum;
     }
     double worst(time_point from = {}) {
         double most = 0.0;
-        for (const team_limit& limit : site.limits) {
-            most = std::max(most, site.worst(limit, from));
+        for (const team_limit& limit : m_site.limits) {
+            most = std::max(most, m_site.worst(limit, from));
         }
         RecordProperty("worst", std::to_string(most));
         return most;
     }
     /** @return requests of a team that were admitted since `from`, a second */
     double served(const team_limit& limit, time_point from) {
-        const auto& times = site.seen[limit.team].admitted;
+        const auto& times = m_site.seen[limit.team].admitted;
         const auto count = std::ranges::count_if(times, [from](time_point at) { return at >= from; });
-        return static_cast<double>(count) / std::chrono::duration<double>(site.now - from).count();
+        return static_cast<double>(count) / std::chrono::duration<double>(m_site.now - from).count();
     }
 };
 
@@ -59,7 +59,7 @@
 TEST_P(team_limits, teams_within_their_limits_are_not_refused_in_calm) {
     start(79);
     const std::size_t before = refused();
-    site.run(30s);
+    m_site.run(30s);
     EXPECT_EQ(refused(), before);
     EXPECT_LE(worst(), 1.0);
 }
@@ -68,36 +68,36 @@
  * loss of the part within the limit. */
 TEST_P(team_limits, team_at_seven_times_its_limit_gets_its_limit) {
     start();
-    const time_point from = site.now;
-    site.offered[site.limits[0].team] = 49.0;
-    site.run(20s);
+    const time_point from = m_site.now;
+    m_site.offered[m_site.limits[0].team] = 49.0;
+    m_site.run(20s);
     EXPECT_LE(worst(), 1.0);
-    EXPECT_GE(served(site.limits[0], from), 0.9 * 7.0);
+    EXPECT_GE(served(m_site.limits[0], from), 0.9 * 7.0);
 }
 
 /** Guards against too much use while the leader is lost, while its successor waits, and afterwards. */
 TEST_P(team_limits, leader_lost) {
     start();
     offer(49.0);
-    site.run(2s);
-    site.end_server(0);
-    site.run(2s);
-    site.lead(1, 0);
-    const time_point from = site.now;
-    site.run(12s);
+    m_site.run(2s);
+    m_site.end_server(0);
+    m_site.run(2s);
+    m_site.lead(1, 0);
+    const time_point from = m_site.now;
+    m_site.run(12s);
     EXPECT_LE(worst(), 1.0);
-    EXPECT_GE(served(site.limits[0], from + 5s), 0.8 * 7.0);
+    EXPECT_GE(served(m_site.limits[0], from + 5s), 0.8 * 7.0);
 }
 
 /** Guards against hosts that stay without tokens once the successor grants them. */
 TEST_P(team_limits, teams_within_their_limits_are_served_after_a_change_of_the_leader) {
     start(79);
-    site.end_server(0);
-    site.run(2s);
-    site.lead(1, 0);
-    site.run(3s);
+    m_site.end_server(0);
+    m_site.run(2s);
+    m_site.lead(1, 0);
+    m_site.run(3s);
     const std::size_t before = refused();
-    site.run(5s);
+    m_site.run(5s);
     const double offered = 79 * 1.5 * 5;
     EXPECT_LE(static_cast<double>(refused() - before), 0.2 * offered);
 }
@@ -107,15 +107,15 @@
     start();
     offer(49.0);
     for (std::size_t host = 0; host < 26; ++host) {
-        site.move(host, 1);
+        m_site.move(host, 1);
     }
-    site.run_until_lease_ends(0);
-    site.lead(40, 0);
-    site.run(12s);
+    m_site.run_until_lease_ends(0);
+    m_site.lead(40, 0);
+    m_site.run(12s);
     for (std::size_t host = 0; host < 26; ++host) {
-        site.move(host, 0);
+        m_site.move(host, 0);
     }
-    site.run(6s);
+    m_site.run(6s);
     EXPECT_LE(worst(), 1.0);
 }
 
@@ -124,13 +124,13 @@
     start();
     offer(49.0);
     for (std::size_t host = 39; host < 78; ++host) {
-        site.move(host, 1);
+        m_site.move(host, 1);
     }
-    site.run(15s);
+    m_site.run(15s);
     for (std::size_t host = 39; host < 78; ++host) {
-        site.move(host, 0);
+        m_site.move(host, 0);
     }
-    site.run(8s);
+    m_site.run(8s);
     EXPECT_LE(worst(), 1.0);
 }
 
@@ -138,14 +138,14 @@
 TEST_P(team_limits, all_hosts_started_anew) {
     start();
     offer(49.0);
-    site.run(3s);
-    site.end_server(0);
-    for (std::size_t host = 0; host < site.hosts(); ++host) {
-        site.restart(host);
-    }
-    site.run(1s);
-    site.lead(2, 0);
-    site.run(10s);
+    m_site.run(3s);
+    m_site.end_server(0);
+    for (std::size_t host = 0; host < m_site.hosts(); ++host) {
+        m_site.restart(host);
+    }
+    m_site.run(1s);
+    m_site.lead(2, 0);
+    m_site.run(10s);
     EXPECT_LE(worst(), 1.0);
 }
 
@@ -154,26 +154,26 @@
     start(10, 1.5, 70.0);
     offer(49.0);
     for (std::size_t host = 52; host < 78; ++host) {
-        site.move(host, 1);
+        m_site.move(host, 1);
     }
     const auto lowered = teams_of(10, 7.0);
-    site.set_limits(lowered, [](std::size_t host) { return host < 52; });
-    site.run(8s);
+    m_site.set_limits(lowered, [](std::size_t host) { return host < 52; });
+    m_site.run(8s);
     for (std::size_t host = 52; host < 78; ++host) {
-        site.move(host, 0);
+        m_site.move(host, 0);
     }
-    site.set_limits(lowered);
-    const time_point binding = site.now + 4s;
-    site.run(15s);
+    m_site.set_limits(lowered);
+    const time_point binding = m_site.now + 4s;
+    m_site.run(15s);
     EXPECT_LE(worst(binding), 1.0);
 }
 
 /** Guards against loss of the bound or of requests on a network that loses messages. */
 TEST_P(team_limits, messages_are_lost) {
     start();
-    site.lost_part = 0.05;
-    site.offered[site.limits[0].team] = 49.0;
-    site.run(20s);
+    m_site.lost_part = 0.05;
+    m_site.offered[m_site.limits[0].team] = 49.0;
+    m_site.run(20s);
     EXPECT_LE(worst(), 1.0);
 }
 
