Keep unread requests when a connection gives way, and enlarge bodies in few steps

Cause: a new connection that had sent its request could be ended as never used before the server read it; a process without free descriptors could accept nobody while unused connections held them; std::string enlarges a body to twice its declared length, which counts towards the limit. Ruled out: the number of enlargements as the cause of the slower large bodies; it is freed memory that is returned to the system (trial with malloc's trimming switched off).

Change: connections with unread bytes are passed over, a failed accept for want of descriptors ends an unused connection, and bodies grow by four times, up to the declared length.

--- a/modules/tamarack_transport/http/http_server.cpp
+++ b/modules/tamarack_transport/http/http_server.cpp
@@ -6,6 +6,7 @@
 #include "http_session.h"
 #include "socket_address.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 namespace tamarack {
@@ -58,6 +59,9 @@
             return;
         }
         if (failure) {
+            if (failure == boost::asio::error::no_descriptors) {
+                context->end_unused_connection();
+            }
             thread.run_at(steady_now() + accept_retry_delay, [weak = weak_from_this()] {
                 const auto self = weak.lock();
                 if (self && self->acceptor.is_open()) {
--- a/modules/tamarack_transport/http/http_session.cpp
+++ b/modules/tamarack_transport/http/http_session.cpp
@@ -35,13 +35,18 @@
       }) {}
 
 bool http_session_context::end_unused_connection() {
-    if (unused.empty()) {
-        return false;
+    constexpr int max_examined = 16;
+    int examined = 0;
+    for (auto listed = unused.begin(); listed != unused.end() && examined < max_examined; ++listed) {
+        auto& session = static_cast<http_session&>(*listed);
+        if (!session.has_unread_bytes()) {
+            unused.erase(listed);
+            session.end_early(connection_refusal::unused);
+            return true;
+        }
+        ++examined;
     }
-    auto& oldest = static_cast<http_session&>(unused.front());
-    oldest.unlink();
-    oldest.end_early(connection_refusal::unused);
-    return true;
+    return false;
 }
 
 void http_session_context::report(connection_refusal cause) const {
@@ -99,10 +104,13 @@
     }
 }
 
-void http_session::close_if_idle() {
+bool http_session::has_unread_bytes() const {
     boost::system::error_code failure;
-    const bool has_input = m_stream.socket().available(failure) > 0 && !failure;
-    if (m_is_idle && !has_input) {
+    return m_stream.socket().available(failure) > 0 && !failure;
+}
+
+void http_session::close_if_idle() {
+    if (m_is_idle && !has_unread_bytes()) {
         close();
     }
 }
--- a/modules/tamarack_transport/http/http_session.h
+++ b/modules/tamarack_transport/http/http_session.h
@@ -21,7 +21,11 @@
 struct http_session_context {
     http_session_context(const http_server_limits& server_limits, http_handler server_handler);
 
-    /** Ends the connection that has waited longest without ever sending a byte. @return whether there was one
+    /**
+     * Ends the connection that has waited longest without ever sending a byte. Examines only the oldest ones,
+     * so that the cost is bounded while many callers connect at once.
+     *
+     * @return whether there was one
      */
     bool end_unused_connection();
     void report(connection_refusal cause) const;
@@ -55,6 +59,9 @@
     /** Starts to read the first request. */
     void start();
 
+    /** @return whether bytes have arrived that were not read */
+    bool has_unread_bytes() const;
+
     /** Closes the connection if no part of a request has arrived; otherwise the request is still answered. */
     void close_if_idle();
 
--- a/modules/tamarack_transport/http/received_body.h
+++ b/modules/tamarack_transport/http/received_body.h
@@ -51,16 +51,17 @@
         static void finish(boost::system::error_code& failure) { failure = {}; }
 
     private:
-        /** Allocates the declared length once doubling would exceed it, as std::string does. */
+        /** Enlarges the allocation for a body of declared length in few steps, and not beyond that length, as
+         * std::string would: what is allocated counts towards the limit on memory. */
         void make_room(std::size_t needed) {
-            const std::size_t doubled = 2 * m_body.capacity();
-            if (needed <= m_body.capacity() || m_declared < needed || doubled < m_declared) {
+            constexpr std::size_t growth = 4;
+            if (needed <= m_body.capacity() || m_declared < needed) {
                 return;
             }
-            value_type exact;
-            exact.reserve(m_declared);
-            exact.append(m_body);
-            m_body.swap(exact);
+            value_type larger;
+            larger.reserve(std::max(needed, std::min(growth * m_body.capacity(), m_declared)));
+            larger.append(m_body);
+            m_body.swap(larger);
         }
 
         value_type& m_body;
