Test the settings of the memory for connections, and follow the linter

Cause: the derivation of the budget from the machine's memory had no test, and the linter reported widening multiplications and an unused declaration. Ruled out: changes of bounds; the bound of 24 MiB is written as 24,576 KiB.

--- a/modules/tamarack_transport/http/received_body.h
+++ b/modules/tamarack_transport/http/received_body.h
@@ -28,7 +28,7 @@
 
         template <class Length>
         void init(const Length& declared, boost::system::error_code& failure) {
-            constexpr std::size_t first_allocation = 16 * 1'024;
+            constexpr std::size_t first_allocation = 16'384;
             if (declared) {
                 m_declared = static_cast<std::size_t>(*declared);
                 m_body.reserve(std::min(m_declared, first_allocation));
--- a/tests/misbehaving_callers/misbehaving_callers_test.cpp
+++ b/tests/misbehaving_callers/misbehaving_callers_test.cpp
@@ -13,14 +13,13 @@
 
 using platform_integration::call_limit;
 using platform_integration::platform_deployment;
-using platform_integration::stand_in_replica;
 using testing_support::eventually;
 
 /** Connections of a crowd. On the code before the limits on connections, each pattern that holds memory
  * exceeds the bound below with this number. */
 constexpr std::size_t crowd_size = 200;
 /** Bound of the growth of a host's peak memory over all crowds of a test. */
-constexpr std::size_t growth_bound_kib = 24 * 1'024;
+constexpr std::size_t growth_bound_kib = 24'576;
 /** Descriptors beyond those open before a crowd: the crowd's own, and some of other callers and hosts. */
 constexpr std::size_t descriptor_bound = crowd_size + 50;
 constexpr std::size_t whole = 1'000'000'000;
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -118,6 +118,19 @@
               "[times] lease_length = \"9s\"; allowed: 200ms to 5s, with a unit: ms, s, min or h");
 }
 
+/** Guards against a budget for connections that is too large for the machine. */
+TEST(settings, derives_the_memory_for_connections_from_that_of_the_machine_unless_it_is_set) {
+    const auto memory_with = [](const std::string& lines) {
+        const auto read = parse_settings(replaced(good_text, "[limits]\n", "[limits]\n" + lines));
+        return succeeded(read) ? connection_memory_of(value_of(read).limits) : 0;
+    };
+    EXPECT_EQ(memory_with(""), 64 * mebibyte);
+    EXPECT_EQ(memory_with("machine_memory = 160MiB\n"), 160 * mebibyte / 3);
+    EXPECT_EQ(memory_with("machine_memory = 160MiB\nconnection_bytes = 8MiB\n"), 8 * mebibyte);
+    EXPECT_EQ(memory_with("connection_bytes = 1MiB\n"), 0U) << "too small for the part of each server";
+    EXPECT_EQ(memory_with("header_fields = 0\n"), 0U);
+}
+
 TEST(settings, reads_the_processor_and_keeps_the_default_of_one_core) {
     const auto given = parse_settings(
         replaced(good_text, "role = both", "role = both\nprocessor_share = 0.12\nprocessor_speed = 2"));
