Merge two equal branches after a lost connection

Cause: the linter reports repeated branches in forwarding_engine since failed openings are handled by the dispatcher. Change: one condition for all phases but idle. Result: lint is clean for the changed files, test_forwarding passes.

--- a/modules/tamarack_forwarding/engine/forwarding_engine.cpp
+++ b/modules/tamarack_forwarding/engine/forwarding_engine.cpp
@@ -119,9 +119,7 @@
     const engine_connection held = found->second;
     dispatcher.forget(connection);
     dispatcher.on_lost(held);
-    if (held.phase == connection_phase::opening) {
-        on_failure(*held.target);
-    } else if (held.phase != connection_phase::idle) {
+    if (held.phase != connection_phase::idle) {
         on_failure(*held.target);
     }
     if (held.phase == connection_phase::opening) {
