Send a request to many targets without a copy of its body and fields for each

Cause: each exchange copied the body and converted every field, so a request with a body of 256 KiB to 36 shards took 9 MB, and one with 4,000 short fields about as much; a few of them together exceed a small host's memory (read from the code). A limit of 256 fields refused single requests that the limit on headers allows. Not measured yet.

--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -15,8 +15,9 @@
  * used at most half of it. */
 constexpr double metered_slack_part = 1.0;
 constexpr double open_slack_part = 1.5;
-/** Parts of a team's rate that all hosts without contact may admit before the static share applies. The server
- * may still grant the whole rate to the others until it notices the loss, and a metered team may use it. */
+/** Parts of a team's rate that all hosts without contact may admit before the static share applies. The
+ * server may still grant the whole rate to the others until it notices the loss, and a metered team may use
+ * it. */
 constexpr double open_rate_part = 0.6;
 constexpr double metered_rate_part = 0.25;
 /** Bounds of the delay after which a caller retries that was refused without the server's advice. */
--- a/modules/tamarack_teams/limits/team_limit_server.cpp
+++ b/modules/tamarack_teams/limits/team_limit_server.cpp
@@ -29,8 +29,9 @@
 /** Hosts that lose contact admit a part of the slack; this multiple of it is charged to the bucket, which
  * leaves room for it in the bound although the server notices the loss late. */
 constexpr double slack_part_without_contact = 2.0;
-/** Part of the slack with which the buckets of a new server start: by then, its predecessor has granted nothing
- * for some seconds, and callers within their limit shouldn't be refused until the buckets have filled. */
+/** Part of the slack with which the buckets of a new server start: by then, its predecessor has granted
+ * nothing for some seconds, and callers within their limit shouldn't be refused until the buckets have
+ * filled. */
 constexpr double initial_slack_part = 0.25;
 /** Full buckets without use are forgotten at this interval. */
 constexpr duration sweep_interval = 10s;
--- a/modules/tamarack_transport/http/beast_conversion.cpp
+++ b/modules/tamarack_transport/http/beast_conversion.cpp
@@ -2,18 +2,20 @@
 
 #include "beast_conversion.h"
 
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
 
+#include <algorithm>
+#include <string_view>
+
+#include <strings.h>
+
 namespace tamarack {
 
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr unsigned http_1_1 = 11;
-
 http_method from_verb(http::verb verb) {
     switch (verb) {
     case http::verb::get:
@@ -41,15 +43,13 @@
     }
 }
 
-/** Keeps repeated fields; a Host field replaces the one that was set from the connection's address. */
-void insert_request_fields(beast_request& message, const http_fields& fields) {
-    for (const auto& [name, value] : fields) {
-        if (boost::beast::iequals(name, "Host")) {
-            message.set(http::field::host, value);
-        } else {
-            message.insert(name, value);
-        }
-    }
+bool equal_names(std::string_view left, std::string_view right) {
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+/** @return whether a field states where a body ends, which is written for the body that is sent */
+bool frames_body(std::string_view name) {
+    return equal_names(name, "Content-Length") || equal_names(name, "Transfer-Encoding");
 }
 
 } // namespace
@@ -72,20 +72,31 @@
     return converted;
 }
 
-beast_request to_beast(const http_request& request, const std::string& host_field) {
-    const http::verb verb = request.method == http_method::post ? http::verb::post : http::verb::get;
-    beast_request converted{verb, request.target, http_1_1};
-    converted.set(http::field::host, host_field);
-    if (!request.method_name.empty()) {
-        converted.method_string(request.method_name);
+std::string write_request_head(const http_request& request, const std::string& host_field,
+                               std::size_t body_bytes) {
+    const bool has_host = std::any_of(request.fields.begin(), request.fields.end(),
+                                      [](const auto& field) { return equal_names(field.first, "Host"); });
+    const bool is_post = request.method == http_method::post;
+    const std::string_view default_method = is_post ? "POST" : "GET";
+    const std::string_view method = request.method_name.empty() ? default_method : request.method_name;
+    std::string head;
+    const auto add = [&head](std::string_view name, std::string_view value) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    };
+    head.append(method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (!has_host) {
+        add("Host", host_field);
     }
-    insert_request_fields(converted, request.fields);
-    converted.body() = request.body;
-    if (converted.method() == http::verb::trace) {
-        converted.body().clear(); // prepare_payload throws otherwise; servers refuse such requests
+    for (const auto& [name, value] : request.fields) {
+        if (!frames_body(name)) {
+            add(name, value);
+        }
     }
-    converted.prepare_payload();
-    return converted;
+    const bool expects_body = method == "POST" || method == "PUT" || method == "OPTIONS";
+    if (body_bytes > 0 || expects_body) {
+        add("Content-Length", std::to_string(body_bytes));
+    }
+    return head.append("\r\n");
 }
 
 beast_response to_beast(http_response&& response, unsigned version, bool keep_alive) {
--- a/modules/tamarack_transport/http/beast_conversion.h
+++ b/modules/tamarack_transport/http/beast_conversion.h
@@ -19,7 +19,15 @@
 http_response from_beast(beast_response&& response);
 
 /** @return Beast's request, ready to be written; its Host field is host_field unless the request has one */
-beast_request to_beast(const http_request& request, const std::string& host_field);
+/**
+ * Writes the head of a request in one piece. A request to many targets with many fields would take several
+ * times the memory as a message of Beast's for each of them.
+ *
+ * @param host_field  value of the Host field if the request has none
+ * @param body_bytes  size of the body that follows
+ */
+std::string write_request_head(const http_request& request, const std::string& host_field,
+                               std::size_t body_bytes);
 /** @return Beast's response, ready to be written */
 beast_response to_beast(http_response&& response, unsigned version, bool keep_alive);
 
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -6,18 +6,20 @@
 #include "beast_conversion.h"
 #include "socket_address.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <future>
 #include <optional>
@@ -69,6 +71,12 @@
                        [&](const auto& field) { return contains_status_line(view_of(field.value())); });
 }
 
+/** A request that is being written. */
+struct outgoing_request {
+    std::string head;
+    std::shared_ptr<const std::string> body; ///< may be shared with requests to other targets
+};
+
 } // namespace
 
 struct http_connection::implementation : std::enable_shared_from_this<implementation> {
@@ -207,9 +215,14 @@
             });
             return;
         }
-        outgoing.emplace(to_beast(request, host_field));
-        http::async_write(
-            stream, *outgoing,
+        outgoing_request& sent = outgoing.emplace();
+        sent.body =
+            request.shared_body ? request.shared_body : std::make_shared<const std::string>(request.body);
+        sent.head = write_request_head(request, host_field, sent.body->size());
+        const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(sent.head),
+                                                               boost::asio::buffer(*sent.body)};
+        boost::asio::async_write(
+            stream, buffers,
             [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
                 self->outgoing.reset();
                 if (self->closed) {
@@ -254,7 +267,7 @@
     http_connection_events events;
     boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::response_parser<http::string_body>> parser;
-    std::optional<beast_request> outgoing; ///< the request that is being written
+    std::optional<outgoing_request> outgoing; ///< the request that is being written
     http_response_handler handler;
     /** The read has failed with this end, which is reported once the write has ended. */
     std::optional<connection_end> end_after_write;
--- a/modules/tamarack_transport/http/http_message.h
+++ b/modules/tamarack_transport/http/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,8 @@
     std::string target;      ///< path with query
     http_fields fields;
     std::string body;
+    /** To be sent in place of `body` if set: messages to many targets share it. */
+    std::shared_ptr<const std::string> shared_body{};
 };
 
 /** An HTTP response. */
--- a/modules/tamarack_transport/http/http_server.h
+++ b/modules/tamarack_transport/http/http_server.h
@@ -14,7 +14,7 @@
 struct http_server_limits {
     std::size_t header_bytes = 16 * kibibyte;
     std::size_t body_bytes = 1 * mebibyte;
-    std::size_t header_fields = 256; ///< number of fields of one request
+    std::size_t header_fields = 4'096; ///< number of fields of one request
     /** Memory of all connections together for requests that are received or handled and responses that are
      * sent, beyond a buffer of 4 KiB per connection. */
     std::size_t memory = 64 * mebibyte;
