--- a/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
+++ b/apps/tamarackd/hosts/forwarding_inputs_builder.cpp
@@ -86,6 +86,7 @@
         m_limit_hosts = std::make_shared<const std::vector<host_id>>(m_limit_sharing.hosts(now));
     }
     view->limit_hosts = m_limit_hosts;
+    view->serving_hosts = m_limit_sharing.hosts(now);
     view->takes_callers = m_is_active;
     m_sent_may_send = m_evacuations.may_send(now);
     view->evacuations_known = m_sent_may_send;
--- a/modules/tamarack_forwarding/engine/team_admission.cpp
+++ b/modules/tamarack_forwarding/engine/team_admission.cpp
@@ -29,9 +29,7 @@
         m_limits = number_teams(m_table->teams, m_core.options.team_tolerance);
         m_client.set_limits(m_limits);
     }
-    if (view.limit_hosts) {
-        m_client.set_hosts(*view.limit_hosts);
-    }
+    m_client.set_hosts(view.limit_hosts ? *view.limit_hosts : view.serving_hosts);
 }
 
 bool team_admission::holds_back(forward_request& request, const route& selected,
--- a/modules/tamarack_forwarding/view/forwarding_view.h
+++ b/modules/tamarack_forwarding/view/forwarding_view.h
@@ -36,6 +36,8 @@
     allowance_part allowance; ///< of the budget for extra load
     /** Hosts that divide the targets' request limits; nullptr while this host doesn't know the others. */
     std::shared_ptr<const std::vector<host_id>> limit_hosts;
+    /** Hosts that serve callers, as far as this host knows them. */
+    std::vector<host_id> serving_hosts;
     std::vector<data_center_id> evacuated; ///< to whose targets nothing new is sent, by order of operators
     /** Whether this host knows the evacuation orders. Without them it sends nothing, as any target may be in
      * an evacuated data centre. */
--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -20,6 +20,9 @@
  * it. */
 constexpr double open_rate_part = 0.6;
 constexpr double metered_rate_part = 0.25;
+/** The same once the server has granted nothing for some seconds; the rest is what idle hosts may have saved
+ * up. */
+constexpr double static_rate_part = 0.75;
 /** Bounds of the delay after which a caller retries that was refused without the server's advice. */
 constexpr duration min_retry = 100ms;
 constexpr duration max_retry = 300ms;
@@ -165,25 +168,19 @@
         return true;
     }
     const time_point share_from = m_contact + static_share_after;
-    const bool is_static = now >= share_from;
-    // Whole tokens only at some hosts, so that idle hosts together save up no more than the burst.
-    const double sharing =
-        is_static ? std::clamp(std::floor(std::min(limit.per_second, std::max(limit.burst, 1.0))), 1.0,
-                               static_cast<double>(hosts))
-                  : static_cast<double>(hosts);
-    if (now >= m_contact + static_share_until || static_cast<double>(own_rank) >= sharing) {
+    if (now >= m_contact + static_share_until) {
         return false;
     }
     // A host that has started since its last contact doesn't know the team's state.
     const double first_part = held.metered && m_server != 0 ? metered_rate_part : open_rate_part;
-    const time_point from = is_static ? share_from : m_contact;
-    if (held.share_updated < from) {
-        held.share_updated = from;
+    const double part = now < share_from ? first_part : static_rate_part;
+    if (held.share_updated < m_contact) {
+        held.share_updated = m_contact;
         held.share_level = 0.0;
     }
     const double passed = seconds{now - held.share_updated}.count();
-    const double part = is_static ? 1.0 : first_part;
-    held.share_level = std::min(held.share_level + passed * part * limit.per_second / sharing, 1.0);
+    held.share_level =
+        std::min(held.share_level + passed * part * limit.per_second / static_cast<double>(hosts), 1.0);
     held.share_updated = now;
     if (held.share_level < 1.0) {
         return false;
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -146,6 +146,10 @@
     }
     resolve_section(text, "{{#data-dir}}", "{{/data-dir}}", has_disk);
     resolve_section(text, "{{^data-dir}}", "{{/data-dir}}", !has_disk);
+    for (const std::string name : {"bounds.evacuation-ms", "bounds.evacuation-ms", "bounds.strict-revocation",
+                                   "bounds.quota-window-s", "limits.memory-mb"}) {
+        resolve_section(text, "{{#" + name + "}}", "{{/" + name + "}}", false);
+    }
     const auto at = [&](std::size_t port) { return ip_of(host) + ":" + std::to_string(m_ports[port]); };
     replace_all(text, "{{ip}}:9464", at(5));
     const std::map<std::string, std::string> values{
