Admit a request whose token comes late if the server has refused none

Ruled out: empty buckets (the server refused 51 in 31 s, all of the team above its limit). Change: such a request is admitted while all that the server doesn't know of is within half of the slack and it has refused none. Also the linter's finding in a benchmark (reserve).

--- a/benchmarks/forwarding/fair_sharing_benchmark.cpp
+++ b/benchmarks/forwarding/fair_sharing_benchmark.cpp
@@ -11,6 +11,7 @@
 
 std::vector<std::string> names_of(int teams) {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(teams));
     for (int team = 0; team < teams; ++team) {
         names.push_back("team-" + std::to_string(team));
     }
--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -23,6 +23,8 @@
 /** The same once the server has granted nothing for some seconds; the rest is what idle hosts may have saved
  * up. */
 constexpr double static_rate_part = 0.75;
+/** Part of the slack that all hosts together may admit while answers of the server are late. */
+constexpr double late_answer_slack_part = 0.5;
 /** Bounds of the delay after which a caller retries that was refused without the server's advice. */
 constexpr duration min_retry = 100ms;
 constexpr duration max_retry = 300ms;
@@ -326,9 +328,14 @@
                 return false;
             }
             held.asked -= was_asked ? 1 : 0;
-            decisions.push_back({waiting.request, limit == m_limits.end()
-                                                      ? team_decision{}
-                                                      : refuse(now, held, limit->second)});
+            if (limit == m_limits.end()) {
+                decisions.push_back({waiting.request, {}});
+            } else if (may_outrun_answer(now, held, limit->second)) {
+                admit(held);
+                decisions.push_back({waiting.request, {}});
+            } else {
+                decisions.push_back({waiting.request, refuse(now, held, limit->second)});
+            }
             return true;
         });
         team = held.waiting.empty() ? m_waiting.erase(team) : std::next(team);
@@ -336,6 +343,17 @@
     return decisions;
 }
 
+/**
+ * Load pattern: a team far above the threshold but within its limit, while the leader needs longer for an
+ * answer than a request may wait. Its requests are admitted, as long as the server hasn't refused any and
+ * what it doesn't know of stays a part of the slack.
+ */
+bool team_limit_client::may_outrun_answer(time_point now, const entry& held, const team_limit& limit) const {
+    const double hosts = static_cast<double>(std::max<std::size_t>(m_hosts.size(), 1));
+    const double allowed = std::floor(late_answer_slack_part * limit.slack() / hosts);
+    return m_attached && now >= held.available_at && held.unanswered < allowed;
+}
+
 time_point team_limit_client::use_due(time_point now) const {
     if (m_just_attached) {
         return now; // the server counts this host as in contact only after this report
--- a/modules/tamarack_teams/limits/team_limit_client.h
+++ b/modules/tamarack_teams/limits/team_limit_client.h
@@ -148,6 +148,8 @@
     team_decision refuse(time_point now, entry& held, const team_limit& limit);
     bool admit_without_contact(time_point now, entry& held, const team_limit& limit);
     std::size_t rank(team_number team) const;
+    /** @return whether a request is admitted for which the server didn't answer in time */
+    bool may_outrun_answer(time_point now, const entry& held, const team_limit& limit) const;
     void review_contact(time_point now);
     void attach(time_point now, const team_grant& grant, time_point sent_at);
     void take_tokens(time_point now, entry& held, const team_use_item& asked, const team_grant_item& item,
