Tell hosts again that a team is metered

Cause: with a burst of one request at 78 hosts, a trial at seven times the limit admitted 1.49 of the bound: hosts that came into contact after the announcement took the team for open, and refused requests didn't count as use, so the bucket filled meanwhile and the team was opened again. With a burst of 1 the whole static share was one host's. Ruled out: beginning unknown teams as metered, which costs each quiet team's first request a round trip. Change: the server repeats the announcement if a host still admits without a token; refused requests count as use; the static share goes to as many hosts as the rate has whole requests, whatever the burst is.

--- a/modules/tamarack_teams/limits/team_limit_client.cpp
+++ b/modules/tamarack_teams/limits/team_limit_client.cpp
@@ -161,8 +161,7 @@
     }
     const time_point share_from = m_contact + static_share_after;
     const time_point share_until = m_contact + static_share_until;
-    const double whole = std::clamp(std::floor(std::min(limit.per_second, std::max(limit.burst, 1.0))), 1.0,
-                                    static_cast<double>(hosts));
+    const double whole = std::clamp(std::floor(limit.per_second), 1.0, static_cast<double>(hosts));
     if (now < share_from || now >= share_until || static_cast<double>(own_rank) >= whole) {
         return false;
     }
--- a/modules/tamarack_teams/limits/team_limit_server.cpp
+++ b/modules/tamarack_teams/limits/team_limit_server.cpp
@@ -186,8 +186,13 @@
         refill(now, *held);
         spend(*held, report.host, item.spent);
         held->level -= item.admitted;
-        held->use += (item.admitted + item.spent + 0.0) / use_seconds;
+        // Refused requests count too: while they are refused, the bucket fills, and the team would be opened.
+        held->use += (item.admitted + item.spent + item.refused) / use_seconds;
         review(now, *held);
+        if (held->metered && !item.metered && item.admitted > 0) {
+            // The announcement was lost, or hosts have come into contact since: others may not know either.
+            m_to_announce[item.team] = true;
+        }
         const team_grant_item answered = answer(now, *held, report.host, item);
         if (held->metered || item.metered || item.wanted > 0) {
             grant.items.push_back(answered);
--- a/tests/teams/team_limit_test.cpp
+++ b/tests/teams/team_limit_test.cpp
@@ -75,6 +75,20 @@
     EXPECT_GE(served(m_site.limits[0], from), 0.9 * 7.0);
 }
 
+/** Guards against hosts that take a team for open because they came into contact after it became metered.
+ * With a burst of one request a team often changes its state. */
+TEST_P(team_limits, hosts_that_missed_an_announcement_are_told) {
+    auto limits = teams_of(2, 3.0);
+    limits[0].burst = limits[1].burst = 1.0;
+    m_site.set_limits(limits);
+    offer(0.6);
+    m_site.lead(0, 0);
+    m_site.run(10s);
+    offer(21.0);
+    m_site.run(10s);
+    EXPECT_LE(worst(), 1.0);
+}
+
 /** Guards against too much use while the leader is lost, while its successor waits, and afterwards. */
 TEST_P(team_limits, leader_lost) {
     start();
