--- a/modules/tamarack_teams/limits/team_limit_client.h
+++ b/modules/tamarack_teams/limits/team_limit_client.h
@@ -53,8 +53,9 @@
  * tolerated slack without an answer, or if the team is metered, a request waits for a token.
  *
  * Without contact to the server, all hosts together admit in any window a part of the slack, divided by rank,
- * because the server may still grant the whole limit to other hosts. After `static_share_after`, the server
- * has taken this host's part from the refill, and a static share of the rate is admitted in addition.
+ * and a part of the rate that leaves room for what the server may still grant to other hosts. After
+ * `static_share_after`, the server has taken this host's part from the refill, and most of the rate is
+ * admitted.
  *
  * The client has as much state as there are active or metered teams. An admission takes constant time in
  * contact, and time proportional to the number of hosts without it.
