--- a/tests/forwarding/caller_keys_test.cpp
+++ b/tests/forwarding/caller_keys_test.cpp
@@ -28,17 +28,6 @@
     return request;
 }
 
-template <typename Action>
-std::vector<Action> all_of(const forwarding_actions& actions) {
-    std::vector<Action> found;
-    for (const forwarding_action& action : actions) {
-        if (const auto* item = std::get_if<Action>(&action)) {
-            found.push_back(*item);
-        }
-    }
-    return found;
-}
-
 forwarding_options options_with_lease() {
     forwarding_options options;
     options.keys_need_lease = true;
--- a/tests/forwarding/single_route.h
+++ b/tests/forwarding/single_route.h
@@ -3,6 +3,8 @@
 #include <tamarack_forwarding/tamarack_forwarding.h>
 
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace tamarack {
 
@@ -49,4 +51,16 @@
     return request;
 }
 
+/** @return the actions of one type, in order */
+template <typename Action>
+std::vector<Action> all_of(const forwarding_actions& actions) {
+    std::vector<Action> found;
+    for (const forwarding_action& action : actions) {
+        if (const auto* item = std::get_if<Action>(&action)) {
+            found.push_back(*item);
+        }
+    }
+    return found;
+}
+
 } // namespace tamarack
--- a/tests/forwarding/team_admission_test.cpp
+++ b/tests/forwarding/team_admission_test.cpp
@@ -7,17 +7,6 @@
 
 constexpr time_point start{1h};
 
-template <typename Action>
-std::vector<Action> all_of(const forwarding_actions& actions) {
-    std::vector<Action> found;
-    for (const forwarding_action& action : actions) {
-        if (const auto* item = std::get_if<Action>(&action)) {
-            found.push_back(*item);
-        }
-    }
-    return found;
-}
-
 /** An engine in contact with the server of team limits, whose one team is metered. */
 struct metered_engine {
     forwarding_engine engine;
--- a/tests/forwarding/unsent_exchange_test.cpp
+++ b/tests/forwarding/unsent_exchange_test.cpp
@@ -9,17 +9,6 @@
 
 constexpr time_point start{1h};
 
-template <typename Action>
-std::vector<Action> all_of(const forwarding_actions& actions) {
-    std::vector<Action> found;
-    for (const forwarding_action& action : actions) {
-        if (const auto* item = std::get_if<Action>(&action)) {
-            found.push_back(*item);
-        }
-    }
-    return found;
-}
-
 /** An engine with an open connection to each target of a route whose requests must not run twice. */
 struct once_engine {
     forwarding_engine engine{forwarding_options{}, random_source{1}};
