--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -191,8 +191,10 @@
 /** A replica: it announces itself and serves requests, one thread a connection. */
 class replica {
 public:
-    replica(deployment& hosts, std::string id, std::string service, std::string zone,
-            replica_handler handler);
+    /** @param nodes  the nodes that it calls, in this order, from the first on; all, from a random one on, if
+     * empty */
+    replica(deployment& hosts, std::string id, std::string service, std::string zone, replica_handler handler,
+            std::vector<int> nodes = {});
     ~replica();
     replica(const replica&) = delete;
     replica& operator=(const replica&) = delete;
@@ -205,7 +207,16 @@
     std::string answer(const message& request, const std::string& body, const std::string& status = "200 OK",
                        const std::string& more_fields = "") const;
     void set_state(const std::string& state);
-    std::string state() const;
+    /**
+     * Sends no more heartbeats, says in all answers that it leaves, and sends Deregister to the node that
+     * takes its heartbeats.
+     *
+     * @param on_acknowledged  called with that node at once when the acknowledgement has arrived
+     * @return whether it was acknowledged
+     */
+    bool deregister(const std::function<void(int)>& on_acknowledged);
+    /** @return the node that takes its heartbeats */
+    int registrar() const { return m_nodes[m_node]; }
     int slots() const { return 4; }
 
 private:
@@ -220,6 +231,10 @@
     replica_handler m_handler;
     std::string m_address;
     std::string m_state = "ready";
+    std::atomic<bool> m_leaving{false};
+    std::vector<int> m_nodes;
+    std::atomic<std::size_t> m_node{0};
+    std::mutex m_calls; ///< held during a heartbeat or Deregister
     std::uint64_t m_born = 0;
     int m_listener = -1;
     std::atomic<bool> m_ending{false};
--- a/review/stand-2/stand_peers.cpp
+++ b/review/stand-2/stand_peers.cpp
@@ -78,9 +78,16 @@
 }
 
 replica::replica(deployment& hosts, std::string id, std::string service, std::string zone,
-                 replica_handler handler)
+                 replica_handler handler, std::vector<int> nodes)
     : m_hosts(hosts), m_id(std::move(id)), m_service(std::move(service)), m_zone(std::move(zone)),
       m_handler(std::move(handler)) {
+    m_nodes = std::move(nodes);
+    if (m_nodes.empty()) {
+        for (int host = 0; host < hosts.hosts(); ++host) {
+            m_nodes.push_back(host);
+        }
+        m_node = random_below(m_nodes.size());
+    }
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
     m_born = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
     m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -118,8 +125,21 @@
     m_state = state;
 }
 
-std::string replica::state() const {
-    return m_state;
+bool replica::deregister(const std::function<void(int)>& on_acknowledged) {
+    const std::lock_guard lock{m_calls};
+    m_leaving = true;
+    message request;
+    request.method = "POST";
+    request.path = "/tamarackstand/Replicas.Deregister/" + m_id;
+    request.fields = {{"Content-Type", "application/json"}};
+    request.body = "{\"born\":" + std::to_string(m_born) + "}";
+    const int host = registrar();
+    const int status = call(m_hosts.control(host), request, 1s).status;
+    const bool acknowledged = status >= 200 && status < 300;
+    if (acknowledged) {
+        on_acknowledged(host);
+    }
+    return acknowledged;
 }
 
 void replica::accept_connections() {
@@ -165,14 +185,14 @@
     const std::string id = request.field("X-Tamarackstand-Request-Id");
     return "HTTP/1.1 " + status + "\r\nX-Tamarackstand-Request-Id: " + id +
            "\r\nX-Tamarackstand-Response-Stamp: " + m_id + "." + id +
-           "\r\nX-Tamarackstand-Replica-Load: 1,0," + std::to_string(slots()) + "\r\n" + more_fields +
+           "\r\nX-Tamarackstand-Replica-Load: 1,0," + std::to_string(slots()) + "\r\n" +
+           (m_leaving ? "Server-Leaving: 1\r\n" : "") + more_fields +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 void replica::announce() {
     std::uint64_t sequence = 0;
-    int host = static_cast<int>(random_below(static_cast<std::size_t>(m_hosts.hosts())));
-    while (!m_ending) {
+    while (!m_ending && !m_leaving) {
         message beat;
         beat.method = "POST";
         beat.path = "/tamarackstand/Replicas.Heartbeat/" + m_id;
@@ -184,10 +204,14 @@
                         R"(,"state":")" + m_state + R"(","warmup-left-ms":0,"sequence":)" +
                         std::to_string(++sequence) + R"(,"born":)" + std::to_string(m_born) + "}";
         }
-        const message answer = call(m_hosts.control(host), beat, 1s);
-        const bool acknowledged = answer.status >= 200 && answer.status < 300;
+        bool acknowledged = false;
+        {
+            const std::lock_guard lock{m_calls};
+            const int status = m_leaving ? 0 : call(m_hosts.control(registrar()), beat, 1s).status;
+            acknowledged = status >= 200 && status < 300;
+        }
         if (!acknowledged) {
-            host = (host + 1) % m_hosts.hosts();
+            m_node = (m_node + 1) % m_nodes.size();
         }
         sleep_until(steady::now() + (acknowledged ? heartbeat_interval : 100ms), m_ending);
     }
