End a response whose declared length exceeds the limit before its body

Cause: Beast's eager parsing checks the declared length when the header is complete, but goes on with the body bytes that arrived with it. Initialising the body clears the error, and string_body reserves the declared length: std::bad_alloc leaves the handler of a worker thread. Ruled out: memory that grows with the received bytes (few were received), and the later conversion of the answer (the test has no engine behind its connection).

Change: the header is parsed separately, so that the check ends the connection, and responses are received into the body type that requests have, which grows as bytes arrive. Requests were checked for the same cause: their parser keeps the error; a test shows it.

--- a/modules/tamarack_transport/http/beast_conversion.cpp
+++ b/modules/tamarack_transport/http/beast_conversion.cpp
@@ -64,7 +64,7 @@
     return converted;
 }
 
-http_response from_beast(beast_response&& response) {
+http_response from_beast(received_response&& response) {
     http_response converted;
     converted.status = response.result_int();
     converted.fields = copy_fields(response);
--- a/modules/tamarack_transport/http/beast_conversion.h
+++ b/modules/tamarack_transport/http/beast_conversion.h
@@ -10,13 +10,13 @@
 
 /** Beast's request type with a string body. */
 using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
-/** Beast's response type with a string body. */
+/** Beast's type of a response to be written. */
 using beast_response = boost::beast::http::response<boost::beast::http::string_body>;
 
 /** @return the request as http_request; its body is moved from Beast's request */
 http_request from_beast(received_request&& request);
 /** @return the response as http_response; its body is moved from Beast's response */
-http_response from_beast(beast_response&& response);
+http_response from_beast(received_response&& response);
 
 /** @return Beast's request, ready to be written; its Host field is host_field unless the request has one */
 /**
--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -64,7 +64,7 @@
 
 /** @return whether a response begins with a part of another one, which was cut within its reason phrase or a
  * field's value. Its status is then the other one's, and its fields may all be its own. */
-bool begins_with_another(const beast_response& response) {
+bool begins_with_another(const received_response& response) {
     const auto view_of = [](const auto& text) { return std::string_view{text.data(), text.size()}; };
     return contains_status_line(view_of(response.reason())) ||
            std::any_of(response.begin(), response.end(),
@@ -123,7 +123,6 @@
         parser.emplace();
         parser->header_limit(max_header_bytes);
         parser->body_limit(body_limit);
-        parser->eager(true);
         received_bytes = 0;
         stream.async_read_some(
             buffer.prepare(boost::beast::read_size(buffer, max_unparsed_bytes)),
@@ -154,9 +153,12 @@
         read_some();
     }
 
-    /** Counts the received bytes, since the parser does not enforce its limit on a body whose declared length
-     * exceeds that limit. */
+    /** Parses the header separately: Beast's eager parsing continues with the body even if the declared
+     * length exceeds the limit. Counts the received bytes, since the limit does not apply to a body without a
+     * length.
+     */
     void read_some() {
+        parser->eager(parser->is_header_done());
         http::async_read_some(
             stream, buffer, *parser,
             [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
@@ -180,7 +182,7 @@
         }
         // Only the parser knows whether the response was ended by the close of its connection.
         const bool keeps_connection = parser->keep_alive();
-        beast_response response = parser->release();
+        received_response response = parser->release();
         if (begins_with_another(response)) {
             end(connection_end::malformed_response);
             return;
@@ -266,7 +268,7 @@
     std::size_t received_bytes = 0; ///< of the current response
     http_connection_events events;
     boost::beast::flat_buffer buffer{max_unparsed_bytes};
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<received_body>> parser;
     std::optional<outgoing_request> outgoing; ///< the request that is being written
     http_response_handler handler;
     /** The read has failed with this end, which is reported once the write has ended. */
--- a/modules/tamarack_transport/http/received_body.h
+++ b/modules/tamarack_transport/http/received_body.h
@@ -13,10 +13,10 @@
 namespace tamarack {
 
 /**
- * Beast's body type for received requests: a string that grows as bytes arrive.
+ * Beast's body type for received messages: a string that grows as bytes arrive.
  *
  * Beast's own string_body allocates the declared length at once, so that a header alone takes the memory of
- * its body.
+ * its body, and a length that can't be allocated raises std::bad_alloc.
  */
 struct received_body {
     using value_type = std::string;
@@ -71,5 +71,7 @@
 
 /** Beast's type of a received request. */
 using received_request = boost::beast::http::request<received_body>;
+/** Beast's type of a received response. */
+using received_response = boost::beast::http::response<received_body>;
 
 } // namespace tamarack
--- a/tests/transport/endless_response_test.cpp
+++ b/tests/transport/endless_response_test.cpp
@@ -98,19 +98,21 @@
 
 INSTANTIATE_TEST_SUITE_P(
     kinds, endless_response,
-    ::testing::Values(endless_case{"head_line", "HTTP/1.1 200 ", kilobyte},
-                      endless_case{"head_field", "HTTP/1.1 200 OK\r\nX-Long: ", kilobyte},
-                      endless_case{"head_fields", "HTTP/1.1 200 OK\r\n", "X-More: " + kilobyte + "\r\n"},
-                      endless_case{"body_until_close", "HTTP/1.1 200 OK\r\n\r\n", kilobyte},
-                      endless_case{"body_with_length",
-                                   "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", kilobyte},
-                      endless_case{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-                                   "400\r\n" + kilobyte + "\r\n"},
-                      endless_case{"chunk_extensions",
-                                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", kilobyte},
-                      endless_case{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-                                   "X-More: " + kilobyte + "\r\n"},
-                      endless_case{"no_http", "", kilobyte}),
+    ::testing::Values(
+        endless_case{"head_line", "HTTP/1.1 200 ", kilobyte},
+        endless_case{"head_field", "HTTP/1.1 200 OK\r\nX-Long: ", kilobyte},
+        endless_case{"head_fields", "HTTP/1.1 200 OK\r\n", "X-More: " + kilobyte + "\r\n"},
+        endless_case{"body_until_close", "HTTP/1.1 200 OK\r\n\r\n", kilobyte},
+        endless_case{"body_with_length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", kilobyte},
+        endless_case{"body_with_unallocatable_length",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\n" + kilobyte, kilobyte},
+        endless_case{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "400\r\n" + kilobyte + "\r\n"},
+        endless_case{"chunk_extensions",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", kilobyte},
+        endless_case{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                     "X-More: " + kilobyte + "\r\n"},
+        endless_case{"no_http", "", kilobyte}),
     [](const auto& information) { return std::string{information.param.name}; });
 
 } // namespace
--- a/tests/transport/request_reader_test.cpp
+++ b/tests/transport/request_reader_test.cpp
@@ -83,6 +83,17 @@
     EXPECT_EQ(m_reader.failure().status, 413U);
 }
 
+/** Guards against a body that is parsed as header fields, since its length exceeds the limit. */
+TEST_F(request_reader_test, refuses_a_declared_length_beyond_the_limit_with_its_first_bytes) {
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n";
+    for (const std::string body : {"x", "a: b\r\n\r\n"}) {
+        m_reader.begin(m_limits);
+        EXPECT_EQ(feed(m_reader, head + body), receipt::unreadable) << body;
+        EXPECT_EQ(m_reader.failure().status, 413U) << body;
+        m_reader.free();
+    }
+}
+
 /** Guards against an exception on forwarding it. */
 TEST_F(request_reader_test, refuses_a_trace_request_with_a_body) {
     EXPECT_EQ(feed(m_reader, "TRACE / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"), receipt::unreadable);
