Acknowledge the end of a target once other hosts have confirmed it

Cause: a host acknowledged as soon as its own registry had the end of a target. The update to the other hosts waits for up to 20 ms, and nobody confirms it; if the host ended before, nothing told the others, which used the target until its registrar was found dead and the time to find another one was over. A target that drains was acknowledged in the same way. Ruled out: a later or restored record that replaces the end (the target sends nothing any more), and an outdated view of the forwarding (the late requests were taken by hosts that ran all the while, and all of them use the replica in the test).

Change: before the acknowledgement, two other hosts, or all if there are fewer, confirm that they hold the record and push it to all hosts as their own. A host that doesn't confirm within 150 ms is replaced by another; without enough confirmations within 600 ms, or cut off from the others, a host answers 503, and the target calls the next one. New: update_replication, push_confirmation, the log line target_withdrawn, tamarack_target_withdrawals_total.

--- a/apps/tamarackd/hosts/hosts_worker.h
+++ b/apps/tamarackd/hosts/hosts_worker.h
@@ -144,6 +144,10 @@
     void carry_out(membership_actions actions);
     void on_host_changed(const host_record& record);
     void send_crash_loss(const host_record& host, const crash_loss& loss);
+    /** Replicates the record of a target that is draining or has ended to other hosts, unless they hold it.
+     * The completion may be called at once. */
+    void replicate_withdrawal(time_point now, const target_id& target,
+                              std::function<void(outcome<done>)> completed);
     /** Updates timers and schedules new inputs for the serving or forwarding worker. Called after each event.
      */
     void finish_event();
--- a/apps/tamarackd/hosts/hosts_worker_posts.cpp
+++ b/apps/tamarackd/hosts/hosts_worker_posts.cpp
@@ -27,7 +27,15 @@
 bool hosts_worker::post_announcement(announcement value,
                                      std::function<void(outcome<announcement_receipt>)> answer) {
     return m_thread.try_post([this, value = std::move(value), answer = std::move(answer)] {
-        answer(m_registry->on_announcement(steady_now(), value, m_control->current()));
+        const time_point now = steady_now();
+        const auto receipt = m_registry->on_announcement(now, value, m_control->current());
+        if (!succeeded(receipt)) {
+            answer(receipt);
+        } else {
+            replicate_withdrawal(now, value.target, [answer, receipt](const outcome<done>& replicated) {
+                answer(succeeded(replicated) ? receipt : error_of(replicated));
+            });
+        }
         finish_event();
     });
 }
@@ -35,11 +43,43 @@
 bool hosts_worker::post_deregistration(target_id target, std::optional<incarnation_id> incarnation,
                                        std::function<void(outcome<done>)> answer) {
     return m_thread.try_post([this, target = std::move(target), incarnation, answer = std::move(answer)] {
-        answer(m_registry->on_deregistration(steady_now(), target, incarnation));
+        const time_point now = steady_now();
+        const auto result = m_registry->on_deregistration(now, target, incarnation);
+        if (!succeeded(result)) {
+            answer(result);
+        } else {
+            replicate_withdrawal(now, target, answer);
+        }
         finish_event();
     });
 }
 
+void hosts_worker::replicate_withdrawal(time_point now, const target_id& target,
+                                        std::function<void(outcome<done>)> completed) {
+    if (!m_registry->needs_replication(target)) {
+        completed(done{});
+        return;
+    }
+    const target_record record = *m_registry->find(target);
+    carry_out(m_detector->replicate(
+        now, target, *m_registry,
+        [this, now, record, completed = std::move(completed)](const outcome<done>& replicated) {
+            if (succeeded(replicated)) {
+                m_registry->on_replicated(record);
+            }
+            const char* const result = succeeded(replicated) ? "replicated" : "not_replicated";
+            m_metrics.count(counter_id::target_withdrawals_total, result);
+            log_state_change(succeeded(replicated) ? log_level::info : log_level::warning, "target_withdrawn",
+                             m_control->current().number,
+                             {{"target", record.latest.target.value()},
+                              {"service", record.latest.service.value()},
+                              {"state", record.alive ? "draining" : "ended"},
+                              {"result", result},
+                              {"took_us", std::to_string((steady_now() - now) / 1us)}});
+            completed(replicated);
+        }));
+}
+
 bool hosts_worker::post_target_leaving(target_id target, incarnation_id incarnation) {
     return m_thread.try_post([this, target = std::move(target), incarnation] {
         m_registry->on_leaving(steady_now(), target, incarnation);
--- a/apps/tamarackd/operators/control_edge.cpp
+++ b/apps/tamarackd/operators/control_edge.cpp
@@ -194,8 +194,8 @@
             if (code == error_code::stale) {
                 answer(control_outcome{});
             } else {
-                answer(failed(code == error_code::overloaded ? control_result::unavailable
-                                                             : control_result::refused,
+                const bool transient = code == error_code::overloaded || code == error_code::unavailable;
+                answer(failed(transient ? control_result::unavailable : control_result::refused,
                               error_of(receipt).message));
             }
         });
@@ -208,9 +208,11 @@
     const bool posted = m_hooks.hosts->post_deregistration(
         deregistered.target, deregistered.incarnation, [answer](const outcome<done>& result) {
             // An acknowledgement promises that no host sends requests to the target any more. Another host
-            // may still know a target that this host does not know, so don't acknowledge.
-            const bool unknown = !succeeded(result) && error_of(result).code == error_code::not_found;
-            answer(unknown ? unavailable(error_of(result).message) : control_outcome{});
+            // may still know a target that this host does not know, and if no other host has confirmed the
+            // end, the loss of this one would lose it: don't acknowledge either of them.
+            const bool unconfirmed = !succeeded(result) && (error_of(result).code == error_code::not_found ||
+                                                            error_of(result).code == error_code::unavailable);
+            answer(unconfirmed ? unavailable(error_of(result).message) : control_outcome{});
         });
     if (!posted) {
         answer(unavailable(busy));
--- a/modules/tamarack_membership/hosts/failure_detector.cpp
+++ b/modules/tamarack_membership/hosts/failure_detector.cpp
@@ -26,7 +26,8 @@
                options.relay_updates},
               now),
       m_seeds(std::move(seeds)), m_options(options), m_random(random), m_isolation(options.isolation),
-      m_next_probe(now), m_next_sync(now + sync_retry_delay), m_sync_wait(first_sync_wait) {}
+      m_next_probe(now), m_next_sync(now + sync_retry_delay), m_sync_wait(first_sync_wait),
+      m_replication(options.replication) {}
 
 membership_actions failure_detector::on_message(time_point now, const membership_message& message,
                                                 target_registry& registry) {
@@ -44,13 +45,15 @@
         probe_next(now, registry);
     }
     compare_states(now, registry);
+    m_replication.on_timer(now);
+    send_replicated();
     m_state.synchronise_with(now, registry);
     push_updates(now, registry);
     return take_actions(now);
 }
 
 time_point failure_detector::next_timer() const {
-    time_point next = std::min({m_next_probe, m_next_push, m_next_sync});
+    time_point next = std::min({m_next_probe, m_next_push, m_next_sync, m_replication.next_timer()});
     for (const auto& [number, running] : m_probes) {
         const duration wait = running.indirect_sent ? m_options.probe_limit : m_options.probe_timeout;
         next = std::min(next, running.sent_at + wait);
@@ -155,6 +158,9 @@
 
 void failure_detector::handle(time_point now, const update_push& message, target_registry& registry) {
     report(m_state.absorb(now, message.updates, registry, {message.from, true}));
+    if (message.confirmation != 0) {
+        confirm(now, message, registry);
+    }
 }
 
 void failure_detector::probe_next(time_point now, target_registry& registry) {
--- a/modules/tamarack_membership/hosts/failure_detector.h
+++ b/modules/tamarack_membership/hosts/failure_detector.h
@@ -5,6 +5,7 @@
 #include "membership_state.h"
 #include "new_hosts.h"
 #include "probe_order.h"
+#include "update_replication.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -79,6 +80,7 @@
     std::size_t max_sync_records =
         100; ///< approximate number of records in one message of a state comparison
     isolation_options isolation;
+    replication_options replication;
     duration forget_after = 10min;
     detector_protections protections;
 };
@@ -130,6 +132,16 @@
     /** Sets this host's load, in thousandths of a core, after a change large enough to be reported. */
     membership_actions set_load(time_point now, std::uint32_t load);
 
+    /**
+     * Replicates the record of a target that is draining or has ended, so that the loss of this host does not
+     * lose it.
+     *
+     * @param completed  called once other hosts hold the record, or at once if no other host runs; with
+     * `unavailable` if too few have confirmed in time, or if the other hosts are out of reach
+     */
+    membership_actions replicate(time_point now, const target_id& target, target_registry& registry,
+                                 update_replication::completion completed);
+
     /** Announces to some other hosts that this host is shutting down. */
     membership_actions leave(time_point now);
 
@@ -178,6 +190,7 @@
     void handle(time_point now, const update_push& message, target_registry& registry);
     void handle(time_point now, const sync_request& message, target_registry& registry);
     void handle(time_point now, const sync_reply& message, target_registry& registry);
+    void handle(time_point now, const push_confirmation& message, target_registry& registry);
 
     void relay(time_point now, const probe_request& message, target_registry& registry);
     void probe_next(time_point now, target_registry& registry);
@@ -195,6 +208,9 @@
     void send_final_probes(time_point now, target_registry& registry);
     void push_updates(time_point now, target_registry& registry);
     void push_relayed_updates(target_registry& registry);
+    std::vector<host_id> replication_candidates();
+    void send_replicated();
+    void confirm(time_point now, const update_push& message, const target_registry& registry);
     void send_state_to_new_hosts(const target_registry& registry);
     void send_state_as_relay(const std::vector<host_id>& new_hosts, const target_registry& registry);
     void multicast(const std::vector<host_id>& to, membership_updates updates);
@@ -232,6 +248,7 @@
         m_sync_wait; ///< until the next state comparison; short after a start or after a partition has healed
     std::uint64_t m_seen_revivals = 0;
     new_hosts m_new_hosts;
+    update_replication m_replication;
     bool m_joined =
         false; ///< whether a state comparison has completed since the start or since a partition healed
     membership_actions m_actions;
--- a/modules/tamarack_membership/hosts/membership_codec.cpp
+++ b/modules/tamarack_membership/hosts/membership_codec.cpp
@@ -123,10 +123,19 @@
 
     Json::Value operator()(const update_push& message) const {
         Json::Value json = head("news_push", message.from);
+        if (message.confirmation != 0) {
+            json["confirmation"] = Json::UInt64{message.confirmation};
+        }
         encode_updates(json, message.updates);
         return json;
     }
 
+    Json::Value operator()(const push_confirmation& message) const {
+        Json::Value json = head("push_confirmation", message.from);
+        json["number"] = Json::UInt64{message.number};
+        return json;
+    }
+
     Json::Value operator()(const sync_request& message) const {
         Json::Value json = head("sync_request", message.from);
         json["number"] = Json::UInt64{message.number};
@@ -179,7 +188,18 @@
 }
 
 membership_message decode_update_push(json_reader& reader) {
-    return update_push{host_id{reader.text("from")}, decode_updates(reader)};
+    update_push message;
+    message.from = host_id{reader.text("from")};
+    message.updates = decode_updates(reader);
+    message.confirmation = reader.optional_number("confirmation", 0, max_number);
+    return message;
+}
+
+membership_message decode_push_confirmation(json_reader& reader) {
+    push_confirmation message;
+    message.number = reader.number("number", 0, max_number);
+    message.from = host_id{reader.text("from")};
+    return message;
 }
 
 membership_message decode_sync_request(json_reader& reader) {
@@ -223,7 +243,7 @@
     static const std::map<std::string, message_decoder> decoders{
         {"probe_request", decode_probe_request}, {"probe_reply", decode_probe_reply},
         {"news_push", decode_update_push},       {"sync_request", decode_sync_request},
-        {"sync_reply", decode_sync_reply},
+        {"sync_reply", decode_sync_reply},       {"push_confirmation", decode_push_confirmation},
     };
     const auto found = decoders.find(kind);
     return found == decoders.end() ? nullptr : found->second;
--- a/modules/tamarack_membership/hosts/membership_message.h
+++ b/modules/tamarack_membership/hosts/membership_message.h
@@ -45,10 +45,20 @@
 struct update_push {
     host_id from;
     membership_updates updates;
+    /** If not 0, the receiver forwards the updates of targets to all hosts, and confirms this number. */
+    std::uint64_t confirmation = 0;
 
     bool operator==(const update_push&) const = default;
 };
 
+/** Confirms that the sender holds the updates of a push and forwards them. */
+struct push_confirmation {
+    std::uint64_t number = 0;
+    host_id from;
+
+    bool operator==(const push_confirmation&) const = default;
+};
+
 /** Number of groups into which records are divided by hash for the state comparison. */
 constexpr std::size_t state_groups = 256;
 
@@ -80,7 +90,8 @@
 };
 
 /** Messages between hosts; they may be lost. */
-using membership_message = std::variant<probe_request, probe_reply, update_push, sync_request, sync_reply>;
+using membership_message =
+    std::variant<probe_request, probe_reply, update_push, sync_request, sync_reply, push_confirmation>;
 
 /** Limits of one message; a message that exceeds them is malformed. */
 struct membership_message_bounds {
--- a/modules/tamarack_membership/hosts/membership_state.cpp
+++ b/modules/tamarack_membership/hosts/membership_state.cpp
@@ -165,6 +165,10 @@
     registry.on_hosts(now, all_hosts());
 }
 
+void membership_state::forward_to_all(time_point now, const target_record& record) {
+    enqueue(now, record, update_origin::local, update_scope::everyone);
+}
+
 void membership_state::enqueue_self(time_point now) {
     enqueue(now, m_self, update_scope::everyone);
 }
--- a/modules/tamarack_membership/hosts/membership_state.h
+++ b/modules/tamarack_membership/hosts/membership_state.h
@@ -87,6 +87,9 @@
     /** Queues the registry's changes as updates, and notifies the registry of changed hosts. */
     void synchronise_with(time_point now, target_registry& registry);
 
+    /** Queues a target's record as an update for all hosts, as if it originated here. */
+    void forward_to_all(time_point now, const target_record& record);
+
     /** Queues this host's own record as an update. */
     void enqueue_self(time_point now);
 
--- a/modules/tamarack_membership/targets/target_registry.cpp
+++ b/modules/tamarack_membership/targets/target_registry.cpp
@@ -143,6 +143,7 @@
     end_incarnation(current, current.record.latest.incarnation);
     set_registered_here(current, false);
     set_deadline(current, now + m_options.forget_after);
+    current.replicated = false;
     m_index.add(current.record.latest, false);
     ++m_generation;
     publish_change(now, current);
@@ -169,9 +170,44 @@
 void target_registry::mark_draining(time_point now, entry& current) {
     current.record.latest.state = target_state::draining;
     current.changed_at = now;
+    current.replicated = false;
     ++m_generation;
 }
 
+bool target_registry::needs_replication(const target_id& target) const {
+    const auto found = m_entries.find(target);
+    if (found == m_entries.end() || found->second.replicated) {
+        return false;
+    }
+    const target_record& record = found->second.record;
+    return !record.alive || record.latest.state == target_state::draining;
+}
+
+void target_registry::on_replicated(const target_record& confirmed) {
+    const auto found = m_entries.find(confirmed.latest.target);
+    if (found == m_entries.end()) {
+        return;
+    }
+    const target_record& record = found->second.record;
+    const bool unchanged = record.latest.incarnation == confirmed.latest.incarnation &&
+                           record.alive == confirmed.alive && record.latest.state == confirmed.latest.state;
+    found->second.replicated = found->second.replicated || unchanged;
+}
+
+bool target_registry::covers(const target_record& change) const {
+    const target_record* held = find(change.latest.target);
+    if (held == nullptr) {
+        return false;
+    }
+    if (held->latest.incarnation != change.latest.incarnation) {
+        return is_newer(*held, change);
+    }
+    const bool covers_end = change.alive || !held->alive;
+    const bool covers_draining =
+        change.latest.state != target_state::draining || held->latest.state == target_state::draining;
+    return covers_end && covers_draining;
+}
+
 bool target_registry::on_leaving(time_point now, const target_id& target, incarnation_id incarnation) {
     const auto found = m_entries.find(target);
     if (found == m_entries.end() || found->second.record.latest.incarnation != incarnation) {
@@ -233,6 +269,7 @@
     set_deadline(current, now + m_options.target_lease);
     if (changed) {
         current.warm_at = now + value.remaining_warmup;
+        current.replicated = false;
         ++m_generation;
         publish_change(now, current);
     }
--- a/modules/tamarack_membership/targets/target_registry.h
+++ b/modules/tamarack_membership/targets/target_registry.h
@@ -117,6 +117,18 @@
     outcome<done> on_deregistration(time_point now, const target_id& target,
                                     std::optional<incarnation_id> incarnation);
 
+    /**
+     * @return whether a target's record states that it is draining or has ended, and no other host has
+     * confirmed yet that it holds this record
+     */
+    bool needs_replication(const target_id& target) const;
+
+    /** Other hosts have confirmed that they hold this record. */
+    void on_replicated(const target_record& confirmed);
+
+    /** @return whether all that this record states about its target's end is known here */
+    bool covers(const target_record& change) const;
+
     /**
      * Handles an answer in which a target stated that it accepts no new requests. This incarnation of it then
      * counts as draining: on this host at once, and on all hosts when the change has been disseminated. The
@@ -221,6 +233,7 @@
         bool has_deadline = false;
         bool registered_here = false;
         bool restored_from_own_disk = false; ///< restored after a restart of this host
+        bool replicated = false;             ///< other hosts have confirmed that they hold this record
         std::vector<incarnation_id> ended;
     };
 
--- a/modules/tamarack_membership/targets/target_registry_merging.cpp
+++ b/modules/tamarack_membership/targets/target_registry_merging.cpp
@@ -109,6 +109,7 @@
     current.received_sequence = change.latest.sequence;
     current.record.latest.load = {};
     current.changed_at = now;
+    current.replicated = false;
     if (change.version == final_version) {
         end_incarnation(current, change.latest.incarnation);
     }
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_description, 24> counters{{
+constexpr std::array<metric_description, 25> counters{{
     {"tamarack_requests_total", "Callers' requests that got their final answer.", "outcome"},
     {"tamarack_exchanges_total", "Exchanges with targets that ended.", "result"},
     {"tamarack_hedges_total", "Second exchanges sent because the first one was late.", ""},
@@ -30,6 +30,9 @@
     {"tamarack_team_state_changes_total", "Changes of teams between open and metered, on the leader.",
      "state"},
     {"tamarack_announcements_total", "Announcements of targets received, by result.", "result"},
+    {"tamarack_target_withdrawals_total",
+     "Targets that drain or have ended, by whether other hosts confirmed it before the acknowledgement.",
+     "result"},
     {"tamarack_tickets_total", "Tickets received, by verdict.", "verdict"},
     {"tamarack_claims_total", "Claims on idempotency keys, by verdict.", "verdict"},
     {"tamarack_host_messages_total", "Messages received from other hosts, by method.", "method"},
--- a/modules/tamarack_telemetry/metrics/metric_catalogue.h
+++ b/modules/tamarack_telemetry/metrics/metric_catalogue.h
@@ -27,6 +27,7 @@
     locality_steps_total,        ///< label: step
     team_state_changes_total,    ///< label: state
     announcements_total,         ///< label: result
+    target_withdrawals_total,    ///< label: result
     tickets_total,               ///< label: verdict
     claims_total,                ///< label: verdict
     host_messages_total,         ///< label: method
--- a/tests/membership/registry_test.cpp
+++ b/tests/membership/registry_test.cpp
@@ -266,8 +266,12 @@
     sync_reply reply{7, host_id{"h"}, 3, {1, 2}, true, {target_id{"t1"}}, updates};
     const std::vector<membership_message> messages{
         probe_request{1, host_id{"h"}, host_id{"i"}, true, updates},
-        probe_reply{1, host_id{"h"}, host_id{"i"}, updates}, update_push{host_id{"h"}, updates},
-        sync_request{2, host_id{"h"}, 254, {1, UINT32_MAX}, 9}, reply};
+        probe_reply{1, host_id{"h"}, host_id{"i"}, updates},
+        update_push{host_id{"h"}, updates},
+        update_push{host_id{"h"}, updates, UINT64_MAX},
+        push_confirmation{UINT64_MAX, host_id{"h"}},
+        sync_request{2, host_id{"h"}, 254, {1, UINT32_MAX}, 9},
+        reply};
     for (const membership_message& message : messages) {
         const auto decoded = decode_membership_message(encode_membership_message(message));
         ASSERT_TRUE(succeeded(decoded));
--- a/tests/membership/virtual_network.cpp
+++ b/tests/membership/virtual_network.cpp
@@ -165,7 +165,7 @@
     if (m_hosts[to].record.data_center != host.record.data_center) {
         host.bytes_to_other_data_centers += text.size();
     }
-    const bool lost = m_random.chance(conditions.loss) || (partition && partition(from, to));
+    const bool lost = !host.up || m_random.chance(conditions.loss) || (partition && partition(from, to));
     if (lost) {
         return;
     }
@@ -255,6 +255,21 @@
     m_targets[index].value.state = state;
 }
 
+void virtual_network::deregister(std::size_t target, std::size_t host,
+                                 const std::function<void()>& acknowledged) {
+    m_targets[target].silent = true;
+    virtual_host& receiver = m_hosts[host];
+    const target_id& id = m_targets[target].value.target;
+    const auto ended = receiver.registry->on_deregistration(m_now, id, m_targets[target].value.incarnation);
+    require_invariant(succeeded(ended), "the target is known");
+    after_event(host, receiver.detector->replicate(m_now, id, *receiver.registry,
+                                                   [acknowledged](const outcome<done>& replicated) {
+                                                       if (succeeded(replicated)) {
+                                                           acknowledged();
+                                                       }
+                                                   }));
+}
+
 outcome<announcement_receipt> virtual_network::announce(std::size_t target, std::size_t host) {
     ++m_targets[target].value.sequence;
     virtual_host& receiver = m_hosts[host];
--- a/tests/membership/virtual_network.h
+++ b/tests/membership/virtual_network.h
@@ -83,6 +83,9 @@
 
     void run_for(duration length);
 
+    /** Deregisters a target at one host. @param acknowledged  called when that host acknowledges it */
+    void deregister(std::size_t target, std::size_t host, const std::function<void()>& acknowledged);
+
     /** Announces a target to one host immediately. */
     outcome<announcement_receipt> announce(std::size_t target, std::size_t host);
 
