Pass no failure on whose status denies that its request has run

What callers saw: a target ran an order, failed, and answered with its own 503.

Cause: from a target, 503 means "not run" only beside the field that says so; to a caller it always does. The engine kept the failed reply, and its status was written as it was; 429 and 408 went the same way. Ruled out: a refusal by the host itself (the refused attempts bear the replica's stamp).

Change: read_reply marks a failed reply whose status promises that the request has not run. Such a reply is not passed on, on any type of route: the request ends as unknown (502, without the stamp). Other failures are passed on unchanged. The soak's failing replicas answer with 500 and 503 by turns.

--- a/modules/tamarack_forwarding/engine/request_flow.cpp
+++ b/modules/tamarack_forwarding/engine/request_flow.cpp
@@ -117,10 +117,15 @@
     }
 }
 
+/**
+ * Failure pattern: a target runs a request that must not be repeated, fails, and answers with the status of a
+ * refusal, which its caller would take for permission to repeat it.
+ */
 void request_flow::on_reply(forwarding_run& run, std::size_t part_index, target_connection connection,
                             target_reply reply) {
     run_part& part = run.parts[part_index];
-    trace_end(run, part, connection, trace_step::reply, std::string{to_name(reply.verdict)});
+    trace_end(run, part, connection, trace_step::reply,
+              reply.denies_execution ? "failed_denying_execution" : std::string{to_name(reply.verdict)});
     remove_exchange(part, connection);
     switch (reply.verdict) {
     case target_verdict::completed:
@@ -133,7 +138,8 @@
         retry_or_give_up(run, part_index, true, "not_run");
         break;
     case target_verdict::failed:
-        if (!part.failure) {
+        // A caller that is told that its request has not run may repeat it, and this one may have run.
+        if (!part.failure && !reply.denies_execution) {
             part.failure = std::move(reply);
         }
         retry_or_give_up(run, part_index, false, "failed");
--- a/modules/tamarack_forwarding/payload/target_exchange.h
+++ b/modules/tamarack_forwarding/payload/target_exchange.h
@@ -77,6 +77,9 @@
     target_verdict verdict = target_verdict::malformed;
     reply_defect defect = reply_defect::none; ///< of a malformed reply
     request_id named_request;                 ///< of a malformed reply: the request that it names
+    /** Of a failed reply: its status promises callers that the request has not run, which the target itself
+     * does not state. */
+    bool denies_execution = false;
     unsigned status = 0;
     message_fields fields; ///< fields to pass on to the caller
     std::string body;
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -130,6 +130,21 @@
     EXPECT_EQ(wire::read_reply(id, http_response{message}).verdict, target_verdict::wrong_target);
 }
 
+/** Guards against a failure that reaches the caller as the promise that its request has not run. */
+TEST(read_reply, reports_a_failure_whose_status_denies_the_execution) {
+    http_response message = good_reply();
+    for (const unsigned status : {400U, 404U, 500U, 502U, 504U}) {
+        message.status = status;
+        EXPECT_FALSE(wire::read_reply(id, http_response{message}).denies_execution) << status;
+    }
+    for (const unsigned status : {408U, 429U, 503U}) {
+        message.status = status;
+        EXPECT_TRUE(wire::read_reply(id, http_response{message}).denies_execution) << status;
+    }
+    message.fields.emplace_back("X-Tamarackstand-Not-Executed", "1");
+    EXPECT_FALSE(wire::read_reply(id, http_response{message}).denies_execution);
+}
+
 TEST(read_reply, rejects_a_reply_to_another_request_or_without_a_token) {
     EXPECT_EQ(wire::read_reply(request_id{"other"}, good_reply()).verdict, target_verdict::malformed);
     http_response without_token = good_reply();
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -18,7 +18,6 @@
 /** Replicas don't know which host a request comes from. */
 constexpr std::size_t any_host = 0;
 constexpr std::size_t record_bytes = 16;
-constexpr unsigned status_failed = 500;
 /** Precedes the other fields of a reply, also the id of its request, in alphabetical order. */
 constexpr const char* first_field = "server";
 
@@ -147,8 +146,9 @@
         return;
     }
     state_request_limit(replica, response);
-    response.status = replica.fails || is_due(replica.fails_each, number) ? status_failed : status_ok;
-    if (replica.repeats_as_success && response.status == status_failed) {
+    const bool fails = replica.fails || is_due(replica.fails_each, number);
+    response.status = fails ? replica.failure_status.load() : status_ok;
+    if (replica.repeats_as_success && fails) {
         response.repeated_status = status_ok;
     }
     const std::string stamp = replica.id + "." + std::to_string(replica.runs);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -62,6 +62,7 @@
     void terminate_random_host();
     void change_configuration();
     void change_replica_behaviour();
+    unsigned failure_status() const;
     void fail_most_replicas();
     void inject_path_faults();
     void pause_replica_reading();
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds configuration_interval{150};
 constexpr std::size_t changes_in_series = 6;
 constexpr int normal_work_ms = 2;
+constexpr unsigned status_failed = 500;
 constexpr std::size_t tolerated_losses = 1;
 
 } // namespace
@@ -133,10 +134,16 @@
     return *service->second[pick(service->second.size())];
 }
 
+/** Alternates between a plain failure and one with the status of a refusal. */
+unsigned soak_run::failure_status() const {
+    return m_result.faults % 2 == 0 ? status_failed : platform_integration::status_not_run;
+}
+
 void soak_run::fail_most_replicas() {
     log_event("most replicas fail");
     for (auto& [service, replicas] : m_replicas) {
         for (stand_in_replica* replica : replicas) {
+            replica->failure_status = failure_status();
             replica->fails = m_random() % 4 != 0;
         }
     }
@@ -195,6 +202,7 @@
 void soak_run::change_replica_behaviour() {
     stand_in_replica& replica = pick_replica();
     const bool fails = m_random() % 3 == 0;
+    replica.failure_status = failure_status();
     replica.fails = fails;
     replica.work_ms = m_random() % 4 == 0 ? 300 : 2;
     log_event("replica " + replica.id + (fails ? " fails" : " works") + " in " +
