Spread the stamps of a merged answer over several fields if they are long

What callers saw: nothing on the users' deployments. Five shards whose stamps have 14,000 bytes each ended the host that merged their answers, and all requests that it held were broken off.

Cause: all stamps of a merged answer went into one field. Beast raises std::length_error for a field beyond 64 KiB, on a thread where nothing catches it. A target's stamp may be as long as a whole header, 16 KiB.

--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -321,6 +321,27 @@
     EXPECT_EQ(message.body, "records");
 }
 
+/** Guards against a field that exceeds 64 KiB, which can't be written and ended the process. */
+TEST(write_answer, spreads_long_tokens_over_several_fields) {
+    constexpr std::size_t parts = 36;
+    constexpr std::size_t max_token_bytes = 16 * kibibyte; // a whole head of a reply
+    forward_answer answer;
+    answer.outcome = forward_outcome::merged;
+    std::string expected;
+    for (std::size_t part = 0; part < parts; ++part) {
+        answer.tokens.emplace_back(max_token_bytes - part, 't');
+        expected += (part == 0 ? "" : ", ") + answer.tokens.back();
+    }
+    std::string listed;
+    for (const auto& [name, value] : wire::write_answer(std::move(answer)).fields) {
+        EXPECT_LT(value.size(), 64 * kibibyte);
+        if (name == "X-Tamarackstand-Shard-Stamps") {
+            listed += (listed.empty() ? "" : ", ") + value;
+        }
+    }
+    EXPECT_EQ(listed, expected);
+}
+
 TEST(write_answer, promises_not_run_only_for_what_did_not_run) {
     forward_answer answer;
     answer.outcome = forward_outcome::not_run;
--- a/tests/platform_integration/platform_deployment.h
+++ b/tests/platform_integration/platform_deployment.h
@@ -48,6 +48,7 @@
     std::atomic<unsigned> misdirected{0};
     std::atomic<int> work_ms{2};
     std::atomic<bool> fails{false};
+    std::atomic<std::size_t> min_stamp_bytes{0}; ///< shorter stamps of its replies are padded
     std::atomic<unsigned> failure_status{500};   ///< of the answers to requests that it runs and fails
     std::atomic<unsigned> fails_each{0};   ///< answers 500 to each n-th request that it runs; 0: to none
     std::atomic<unsigned> rejects_each{0}; ///< rejects each n-th request
--- a/tests/platform_integration/platform_replicas.cpp
+++ b/tests/platform_integration/platform_replicas.cpp
@@ -2,6 +2,7 @@
 
 #include <json/value.h>
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -151,7 +152,8 @@
     if (replica.repeats_as_success && fails) {
         response.repeated_status = status_ok;
     }
-    const std::string stamp = replica.id + "." + std::to_string(replica.runs);
+    std::string stamp = replica.id + "." + std::to_string(replica.runs);
+    stamp.resize(std::max(stamp.size(), replica.min_stamp_bytes.load()), '.');
     response.fields["x-tamarackstand-response-stamp"] = stamp;
     response.body =
         std::string(record_bytes, static_cast<char>('a' + replica.service.size() % 26)) + record_of(stamp);
