Parse what was received of a response at once

Change: the connection reads into its buffer and parses what is there in a loop, header and body separately as before.

--- a/modules/tamarack_transport/http/http_client.cpp
+++ b/modules/tamarack_transport/http/http_client.cpp
@@ -14,7 +14,6 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
 
@@ -124,17 +123,26 @@
         parser->header_limit(max_header_bytes);
         parser->body_limit(body_limit);
         received_bytes = 0;
+        read_some([](implementation& self, const boost::system::error_code& failure) {
+            self.on_first_bytes(failure);
+        });
+    }
+
+    /** Reads into the buffer. @param then  called with the result, unless the connection is closed */
+    template <typename Continuation>
+    void read_some(Continuation then) {
         stream.async_read_some(
             buffer.prepare(boost::beast::read_size(buffer, max_unparsed_bytes)),
-            [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
-                self->on_first_bytes(failure, bytes);
+            [self = shared_from_this(), then](const boost::system::error_code& failure, std::size_t bytes) {
+                if (self->closed) {
+                    return;
+                }
+                self->buffer.commit(bytes);
+                then(*self, failure);
             });
     }
 
-    void on_first_bytes(const boost::system::error_code& failure, std::size_t bytes) {
-        if (closed) {
-            return;
-        }
+    void on_first_bytes(const boost::system::error_code& failure) {
         if (failure && outgoing) {
             // The write, which is cancelled here, tells whether any byte of the request was sent.
             end_after_write = end_of(failure);
@@ -149,27 +157,48 @@
             end(connection_end::unexpected_bytes);
             return;
         }
-        buffer.commit(bytes);
-        read_some();
+        parse();
     }
 
-    /** Parses the header separately: Beast's eager parsing continues with the body even if the declared
-     * length exceeds the limit. Counts the received bytes, since the limit does not apply to a body without a
-     * length.
+    /**
+     * Parses the bytes in the buffer, and reads more until the response is complete.
+     *
+     * Parses the header separately: Beast's eager parsing continues with the body even if the declared length
+     * exceeds the limit. Counts the parsed bytes, since the limit does not apply to a body without a length.
      */
-    void read_some() {
-        parser->eager(parser->is_header_done());
-        http::async_read_some(
-            stream, buffer, *parser,
-            [self = shared_from_this()](const boost::system::error_code& failure, std::size_t bytes) {
-                self->received_bytes += bytes;
-                const bool fits = self->received_bytes <= self->body_limit + max_header_bytes;
-                if (!failure && !self->closed && fits && !self->parser->is_done()) {
-                    self->read_some();
-                    return;
-                }
-                self->on_read(fits ? failure : make_error_code(http::error::body_limit));
+    void parse() {
+        boost::system::error_code failure;
+        std::size_t used = 1;
+        while (used > 0 && buffer.size() > 0 && !parser->is_done() && !failure) {
+            parser->eager(parser->is_header_done());
+            used = parser->put(buffer.data(), failure);
+            buffer.consume(used);
+            received_bytes += used;
+        }
+        const bool incomplete = !failure || failure == http::error::need_more;
+        if (received_bytes > body_limit + max_header_bytes) {
+            on_read(make_error_code(http::error::body_limit));
+        } else if (!incomplete || parser->is_done()) {
+            on_read(failure);
+        } else if (buffer.size() == buffer.max_size()) {
+            on_read(make_error_code(http::error::buffer_overflow));
+        } else {
+            read_some([](implementation& self, const boost::system::error_code& read_failure) {
+                self.on_more_bytes(read_failure);
             });
+        }
+    }
+
+    void on_more_bytes(const boost::system::error_code& failure) {
+        if (!failure) {
+            parse();
+            return;
+        }
+        boost::system::error_code end_failure = failure;
+        if (failure == boost::asio::error::eof) {
+            parser->put_eof(end_failure); // the end of a body without a length
+        }
+        on_read(end_failure);
     }
 
     void on_read(const boost::system::error_code& failure) {
