--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -116,7 +116,11 @@
         return false;
     }
     for (std::size_t host = 0; host < hosts(); ++host) {
-        start(host);
+        const bool is_spare =
+            host < m_options.disk_hosts && host + m_options.spare_hosts >= m_options.disk_hosts;
+        if (!is_spare) {
+            start(host);
+        }
     }
     m_first_start = false;
     return true;
--- a/review/stand-3/deployment.h
+++ b/review/stand-3/deployment.h
@@ -14,6 +14,7 @@
 /** What a deployment's settings say, as on the users' sheets. */
 struct deployment_options {
     std::size_t disk_hosts = 3;
+    std::size_t spare_hosts = 0; ///< of the hosts with a disk, the last ones: not started with the others
     std::size_t entry_hosts = 0;
     std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
     std::size_t memory_mb = 260;
@@ -40,7 +41,7 @@
     deployment(deployment&&) = delete;
     deployment& operator=(deployment&&) = delete;
 
-    /** @return whether the program was found and free addresses were found */
+    /** Starts all hosts but the spare ones. @return whether the program and free addresses were found */
     bool start_all();
     void start(std::size_t host);
     void kill(std::size_t host, int signal);
