Review: case 11 counts kept connections only

Cause: the rule speaks of requests from kept connections; the case also counted those that were the first of a new connection.

Case 11 now judges only requests whose connection had carried an answer before, and records the others beside them.

--- a/review/stand-3/case_lost_answers.cpp
+++ b/review/stand-3/case_lost_answers.cpp
@@ -6,7 +6,7 @@
  * With the disruption 170 clients of one host send bodies of legal size but for the last bytes, and stay open
  * until the host ends them; then each comes again. Eight ordinary callers with kept connections ask the same
  * host, whose replicas answer with 17,000 bytes. The case counts requests that a replica ran and whose
- * connection ended without an answer.
+ * connection, which had carried an answer before, ended without one.
  */
 #include "deployment.h"
 #include "replica.h"
@@ -82,17 +82,21 @@
 struct counts {
     std::atomic<std::size_t> answered{0};
     std::mutex mutex;
-    std::set<std::string> unanswered; ///< ids of requests whose connection ended without an answer
+    /** Ids of requests whose connection ended without an answer after it had carried an answer before. */
+    std::set<std::string> unanswered;
+    std::size_t unanswered_on_new = 0; ///< the same on connections that had carried no answer yet
 };
 
 void call_ordinarily(const address& at, const std::string& name, steady_clock::time_point until,
                      counts& seen) {
     tcp_socket connection;
     std::string buffer;
+    bool is_kept = false;
     for (std::size_t number = 0; steady_clock::now() < until; ++number) {
         if (!connection.is_open()) {
             connection = connect_to(at, crowd_limit);
             buffer.clear();
+            is_kept = false;
         }
         const std::string id = name + "-" + std::to_string(number);
         const bool sent = connection.send_all(
@@ -100,9 +104,13 @@
         const auto answer = sent ? read_message(connection, buffer, milliseconds{deadline_ms}) : std::nullopt;
         if (answer) {
             ++seen.answered;
+            is_kept = true;
         } else {
             const std::scoped_lock lock{seen.mutex};
-            seen.unanswered.insert(id);
+            seen.unanswered_on_new += is_kept ? 0 : 1;
+            if (is_kept) {
+                seen.unanswered.insert(id);
+            }
         }
         if (!answer || answer->field("connection") == "close") {
             connection.close();
@@ -134,9 +142,10 @@
             }
         }
     }
-    const std::string text = std::to_string(lost) + " requests were run and got no answer, " +
-                             std::to_string(seen.answered) + " were answered, " +
-                             std::to_string(seen.unanswered.size()) + " got none in all";
+    const std::string text = std::to_string(lost) +
+                             " requests on kept connections were run and got no answer, " +
+                             std::to_string(seen.unanswered_on_new) + " on new connections got none, " +
+                             std::to_string(seen.answered) + " were answered";
     return lost > allowed_losses ? record.end(verdict::broken, "LOST: " + text)
                                  : record.end(verdict::held, text);
 }
